Add the design page, the configuration model and the ports

Cause: the repository was empty; the parts of the fleet need one agreed set of interfaces before they can be built side by side. Ruled out: golangci-lint as the linter, because one of its indirect modules is not served by the module proxy; staticcheck, revive and go vet take its place. An apt protoc was ruled out because its version differs by machine; buf comes pinned through the Go module proxy.

--- /dev/null
+++ b/pkg/config/config_test.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+func sample() *Config {
+	c := Empty()
+	c.Batches["spring"] = Batch{Share: 1, Expires: time.Date(2027, 3, 31, 22, 0, 0, 0, time.UTC)}
+	c.Teams["school"] = Team{Batch: "spring", RatePerSecond: 50, Burst: 20}
+	c.Services["portal"] = Service{
+		FloorPercent: 70, Profile: Careful, HealthPath: "/health", ProbeIntervalMS: 1000,
+		Targets: map[string]Target{"p1": {Address: "127.0.0.1:9001", Zone: "a", Slots: 2, MaxConnections: 400}},
+	}
+	c.Routes["preview"] = Route{
+		PathPrefix: "/preview", Methods: []string{"GET"}, Service: "portal", OpenToAll: true,
+		Idempotent: true, TimeoutMS: 2000, MaxAttempts: 3,
+	}
+	return c
+}
+
+// Guards against a patch that names the wrong field being accepted or partly applied.
+func TestApplyRejectsInvalidPatchesWhole(t *testing.T) {
+	cases := []struct{ name, mediaType, patch, path string }{
+		{"unknown reference", MergePatchType, `{"teams":{"school":{"batch":"autumn"}}}`, "$.teams.school.batch"},
+		{"burst of zero", MergePatchType, `{"teams":{"school":{"burst":0}}}`, "$.teams.school.burst"},
+		{"retries of a non-idempotent route", JSONPatchType, `[{"op":"replace","path":"/routes/preview/idempotent","value":false}]`, "$.routes.preview.max_attempts"},
+		{"host name as address", MergePatchType, `{"services":{"portal":{"targets":{"p1":{"address":"host:80"}}}}}`, "$.services.portal.targets.p1.address"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := sample().Apply(tc.mediaType, []byte(tc.patch))
+			var invalid *InvalidError
+			is.True(errors.As(err, &invalid))
+			is.Equal(invalid.Fields[0].Path, tc.path)
+		})
+	}
+}
+
+// Guards against a misspelled field being ignored.
+func TestParseRejectsUnknownFields(t *testing.T) {
+	is := is.New(t)
+	_, err := sample().Apply(MergePatchType, []byte(`{"teams":{"school":{"rate":5}}}`))
+	var syntax *SyntaxError
+	is.True(errors.As(err, &syntax))
+}
+
+// Guards against a key that works with a wrong secret or after its removal.
+func TestAuthenticate(t *testing.T) {
+	is := is.New(t)
+	c := sample()
+	key, stored := GenerateKey("k1", "school")
+	c.Keys["k1"] = stored
+	snapshot := NewSnapshot(1, c)
+	_, team, ok := snapshot.Authenticate(key)
+	is.True(ok)
+	is.Equal(team, "school")
+	for _, wrong := range []string{"", "al_", "al_k1", key + "x", "al_k2" + key[5:]} {
+		_, _, ok := snapshot.Authenticate(wrong)
+		is.True(!ok)
+	}
+	delete(c.Keys, "k1")
+	_, _, ok = NewSnapshot(2, c).Authenticate(key)
+	is.True(!ok)
+}
+
+// Guards against a prefix that matches in the middle of a path segment.
+func TestMatchUsesWholeSegments(t *testing.T) {
+	is := is.New(t)
+	s := NewSnapshot(1, sample())
+	_, ok := s.Match("GET", "/preview/7")
+	is.True(ok)
+	_, ok = s.Match("GET", "/previews")
+	is.True(!ok)
+	_, ok = s.Match("POST", "/preview")
+	is.True(!ok)
+}
+
+// Guards against admission after the contract's end, also with a slow clock.
+func TestBatchActive(t *testing.T) {
+	is := is.New(t)
+	s := NewSnapshot(1, sample())
+	end := time.Date(2027, 3, 31, 22, 0, 0, 0, time.UTC)
+	is.True(s.BatchActive("school", end.Add(-time.Second), 500*time.Millisecond))
+	is.True(!s.BatchActive("school", end.Add(-time.Second), time.Second))
+	is.True(!s.BatchActive("school", end, 0))
+}
--- /dev/null
+++ b/pkg/config/validate.go
@@ -0,0 +1,174 @@
+package config
+
+import (
+	"bytes"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/netip"
+	"regexp"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Limits of configured values.
+const (
+	maxRatePerSecond   = 1e6
+	maxBurst           = 1_000_000
+	maxSlots           = 10_000
+	maxConnections     = 100_000
+	maxTimeoutMS       = 600_000
+	minProbeIntervalMS = 100
+	maxProbeIntervalMS = 60_000
+	maxAttemptsLimit   = 10
+)
+
+var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
+
+const idAllowed = "1 to 64 of a-z, 0-9, _ and -, not starting with _ or -"
+
+// Parse decodes and validates a whole document. Errors: *SyntaxError for
+// malformed JSON and unknown fields, *InvalidError for values.
+func Parse(data []byte) (*Config, error) {
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	c := Empty()
+	if err := dec.Decode(c); err != nil {
+		return nil, errors.WithStack(&SyntaxError{Offset: dec.InputOffset(), Cause: err})
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.WithStack(&SyntaxError{Offset: dec.InputOffset(), Cause: &TrailingDataError{}})
+	}
+	if err := c.Validate(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// TrailingDataError says that a document is followed by further data.
+type TrailingDataError struct{}
+
+// Error describes the fault.
+func (*TrailingDataError) Error() string { return "data follows the document" }
+
+type validator struct{ fields []*FieldError }
+
+func (v *validator) check(ok bool, path string, value any, allowed string) {
+	if !ok {
+		v.fields = append(v.fields, &FieldError{Path: path, Value: value, Allowed: allowed})
+	}
+}
+
+func (v *validator) id(section, id string) string {
+	path := "$." + section + "." + id
+	v.check(idPattern.MatchString(id), path, id, idAllowed)
+	return path
+}
+
+// Validate checks every value and every reference. The error is an
+// *InvalidError that lists all faults in a stable order.
+func (c *Config) Validate() error {
+	v := &validator{}
+	for id, b := range c.Batches {
+		path := v.id("batches", id)
+		v.check(b.Share > 0 && b.Share <= 1e6, path+".share", b.Share, "more than 0, at most 1000000")
+		v.check(!b.Expires.IsZero(), path+".expires", b.Expires, "a time in RFC 3339 form")
+	}
+	for id, t := range c.Teams {
+		c.validateTeam(v, v.id("teams", id), t)
+	}
+	for id, k := range c.Keys {
+		c.validateKey(v, v.id("keys", id), k)
+	}
+	for id, s := range c.Services {
+		validateService(v, v.id("services", id), s)
+	}
+	for id, r := range c.Routes {
+		c.validateRoute(v, v.id("routes", id), r)
+	}
+	c.validateRouteOverlap(v)
+	if len(v.fields) == 0 {
+		return nil
+	}
+	sort.Slice(v.fields, func(i, j int) bool { return v.fields[i].Path < v.fields[j].Path })
+	return errors.WithStack(&InvalidError{Fields: v.fields})
+}
+
+func (c *Config) validateTeam(v *validator, path string, t Team) {
+	_, ok := c.Batches[t.Batch]
+	v.check(ok, path+".batch", t.Batch, "the id of a batch")
+	v.check(t.RatePerSecond >= 0 && t.RatePerSecond <= maxRatePerSecond, path+".rate_per_second", t.RatePerSecond, "0 to 1000000")
+	v.check(t.Burst >= 1 && t.Burst <= maxBurst, path+".burst", t.Burst, "1 to 1000000")
+}
+
+func (c *Config) validateKey(v *validator, path string, k Key) {
+	_, ok := c.Teams[k.Team]
+	v.check(ok, path+".team", k.Team, "the id of a team")
+	raw, err := hex.DecodeString(k.SHA256)
+	ok = err == nil && len(raw) == 32 && strings.ToLower(k.SHA256) == k.SHA256
+	v.check(ok, path+".sha256", "the given value", "64 lower-case hex digits")
+}
+
+func validateService(v *validator, path string, s Service) {
+	v.check(s.FloorPercent >= 0 && s.FloorPercent <= 100, path+".floor_percent", s.FloorPercent, "0 to 100")
+	v.check(s.Profile == Careful || s.Profile == Fast, path+".profile", s.Profile, "careful or fast")
+	v.check(strings.HasPrefix(s.HealthPath, "/"), path+".health_path", s.HealthPath, "a path that starts with /")
+	v.check(s.ProbeIntervalMS >= minProbeIntervalMS && s.ProbeIntervalMS <= maxProbeIntervalMS,
+		path+".probe_interval_ms", s.ProbeIntervalMS, "100 to 60000")
+	for id, t := range s.Targets {
+		tp := path + ".targets." + id
+		v.check(idPattern.MatchString(id), tp, id, idAllowed)
+		_, err := netip.ParseAddrPort(t.Address)
+		v.check(err == nil, tp+".address", t.Address, "an IP address and port, such as 10.0.0.1:8080")
+		v.check(idPattern.MatchString(t.Zone), tp+".zone", t.Zone, idAllowed)
+		v.check(t.Slots >= 1 && t.Slots <= maxSlots, tp+".slots", t.Slots, "1 to 10000")
+		v.check(t.MaxConnections >= 1 && t.MaxConnections <= maxConnections, tp+".max_connections", t.MaxConnections, "1 to 100000")
+	}
+}
+
+func (c *Config) validateRoute(v *validator, path string, r Route) {
+	v.check(strings.HasPrefix(r.PathPrefix, "/") && !strings.HasPrefix(r.PathPrefix, "/.arbutus"),
+		path+".path_prefix", r.PathPrefix, "a path that starts with / and not with /.arbutus")
+	for _, m := range r.Methods {
+		v.check(m != "" && strings.ToUpper(m) == m, path+".methods", m, "upper-case HTTP methods")
+	}
+	_, ok := c.Services[r.Service]
+	v.check(ok, path+".service", r.Service, "the id of a service")
+	for _, t := range r.Teams {
+		_, ok := c.Teams[t]
+		v.check(ok, path+".teams", t, "ids of teams")
+	}
+	v.check(!r.OpenToAll || len(r.Teams) == 0, path+".teams", r.Teams, "no teams when open_to_all is true")
+	v.check(r.TimeoutMS >= 1 && r.TimeoutMS <= maxTimeoutMS, path+".timeout_ms", r.TimeoutMS, "1 to 600000")
+	v.check(r.MaxAttempts >= 1 && r.MaxAttempts <= maxAttemptsLimit, path+".max_attempts", r.MaxAttempts, "1 to 10")
+	v.check(r.Idempotent || r.MaxAttempts == 1, path+".max_attempts", r.MaxAttempts, "1 on a route that is not idempotent")
+	v.check(!r.Deduplicate || !r.Idempotent, path+".deduplicate", r.Deduplicate, "false on an idempotent route")
+}
+
+// validateRouteOverlap rejects two routes that match the same request equally well.
+func (c *Config) validateRouteOverlap(v *validator) {
+	ids := make([]string, 0, len(c.Routes))
+	for id := range c.Routes {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	byPrefix := map[string][]string{}
+	for _, id := range ids {
+		r := c.Routes[id]
+		for _, other := range byPrefix[r.PathPrefix] {
+			v.check(!methodsOverlap(r.Methods, c.Routes[other].Methods), "$.routes."+id+".path_prefix", r.PathPrefix,
+				"a prefix and methods that differ from route "+other)
+		}
+		byPrefix[r.PathPrefix] = append(byPrefix[r.PathPrefix], id)
+	}
+}
+
+func methodsOverlap(a, b []string) bool {
+	if len(a) == 0 || len(b) == 0 {
+		return true
+	}
+	return slices.ContainsFunc(a, func(m string) bool { return slices.Contains(b, m) })
+}
--- /dev/null
+++ b/pkg/control/view.go
@@ -0,0 +1,38 @@
+// Package control runs the control loop of an instance: one goroutine owns the
+// applied head, the membership, the freshness fence and delivery, and publishes
+// an immutable View for the traffic goroutines.
+package control
+
+import (
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/head"
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+)
+
+// View is what an instance has applied. It is immutable.
+type View struct {
+	Head       head.Row
+	Config     *config.Snapshot
+	Membership *membership.Membership
+	// PreviousMembership is the version before Membership; nil at version 1.
+	PreviousMembership *membership.Membership
+	// Self is the incarnation of this process.
+	Self membership.Member
+	// Member is false for a guest and for an instance that has not joined yet.
+	Member bool
+	// DeliveredAt is the boot time at which this instance learned that Head
+	// was delivered; zero while it is not known to be delivered.
+	DeliveredAt time.Duration
+}
+
+// Viewer gives the current View. It never returns nil.
+type Viewer interface{ View() *View }
+
+// Freshness tells whether the instance may act on its View.
+type Freshness interface {
+	// Fresh is cheap and safe for concurrent use. It must be asked again right
+	// before a request is written to a target.
+	Fresh() bool
+}
--- /dev/null
+++ b/pkg/event/catalogue.go
@@ -0,0 +1,59 @@
+package event
+
+import "github.com/rs/zerolog"
+
+// Numbers: 1xx life cycle, 2xx agreement and membership, 3xx configuration,
+// 4xx limits, 5xx health, 6xx data path, 7xx platform, 8xx operators.
+var (
+	Started      = Event{100, "started", zerolog.InfoLevel, "the instance accepts callers"}
+	Draining     = Event{101, "draining", zerolog.InfoLevel, "a graceful shutdown has begun"}
+	Stopped      = Event{102, "stopped", zerolog.InfoLevel, "the instance has stopped and cut no request"}
+	StopTimedOut = Event{103, "stop_timed_out", zerolog.ErrorLevel, "requests were still open when the shutdown limit passed; raise shutdown_timeout_ms"}
+
+	Joined           = Event{200, "joined", zerolog.InfoLevel, "the instance is a member"}
+	MemberRemoved    = Event{201, "member_removed", zerolog.WarnLevel, "a silent member was removed"}
+	FenceLost        = Event{202, "fence_lost", zerolog.WarnLevel, "the instance has no majority of witnesses and refuses requests; check the network"}
+	FenceRegained    = Event{203, "fence_regained", zerolog.InfoLevel, "the instance has a majority of witnesses again"}
+	GuestStarted     = Event{204, "guest_started", zerolog.WarnLevel, "the instance started without the platform and serves as a guest"}
+	MajorityReplaced = Event{205, "majority_replaced", zerolog.WarnLevel, "the membership was replaced after a majority of witnesses was lost"}
+	LeftMembership   = Event{206, "left_membership", zerolog.InfoLevel, "the instance has left the membership"}
+	RemovedSelf      = Event{207, "removed_self", zerolog.WarnLevel, "this incarnation was removed from the membership and joins anew"}
+
+	ConfigApplied   = Event{300, "config_applied", zerolog.InfoLevel, "a configuration version is in use at this instance"}
+	ConfigDelivered = Event{301, "config_delivered", zerolog.InfoLevel, "a version was delivered to a majority of witnesses"}
+	ConfigRejected  = Event{302, "config_rejected", zerolog.ErrorLevel, "a fetched configuration failed validation; the instance keeps the previous one"}
+
+	LoanFailed = Event{400, "loan_failed", zerolog.WarnLevel, "no minter of a team answered a loan request"}
+
+	TargetEjected  = Event{500, "target_ejected", zerolog.WarnLevel, "a judge ejected a target"}
+	TargetReturned = Event{501, "target_returned", zerolog.InfoLevel, "an ejected target takes full load again"}
+	FloorHeld      = Event{502, "floor_held", zerolog.WarnLevel, "a failing target was kept because of the floor; add capacity or repair targets"}
+	TargetDraining = Event{503, "target_draining", zerolog.InfoLevel, "a target announced that it is leaving"}
+	JudgeChanged   = Event{504, "judge_changed", zerolog.InfoLevel, "the instance follows another judge for a service"}
+
+	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
+	AnswerIncomplete = Event{601, "answer_incomplete", zerolog.WarnLevel, "a target's answer was cut short and not passed on"}
+
+	PlatformUnavailable = Event{700, "platform_unavailable", zerolog.WarnLevel, "the platform does not answer; traffic goes on, changes wait"}
+	PlatformAvailable   = Event{701, "platform_available", zerolog.InfoLevel, "the platform answers again"}
+
+	PatchAccepted = Event{800, "patch_accepted", zerolog.InfoLevel, "an operator's patch was accepted"}
+	PatchRefused  = Event{801, "patch_refused", zerolog.InfoLevel, "an operator's patch was refused"}
+	AuthFailed    = Event{802, "operator_auth_failed", zerolog.WarnLevel, "an operator request had wrong credentials"}
+	CertReloaded  = Event{803, "certificate_reloaded", zerolog.InfoLevel, "a TLS certificate was reloaded"}
+	CertFailed    = Event{804, "certificate_failed", zerolog.ErrorLevel, "a TLS certificate could not be reloaded; the previous one stays in use"}
+)
+
+// All lists every event in ascending order of ID.
+func All() []Event {
+	return []Event{
+		Started, Draining, Stopped, StopTimedOut,
+		Joined, MemberRemoved, FenceLost, FenceRegained, GuestStarted, MajorityReplaced, LeftMembership, RemovedSelf,
+		ConfigApplied, ConfigDelivered, ConfigRejected,
+		LoanFailed,
+		TargetEjected, TargetReturned, FloorHeld, TargetDraining, JudgeChanged,
+		OutcomeUnknown, AnswerIncomplete,
+		PlatformUnavailable, PlatformAvailable,
+		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
+	}
+}
--- /dev/null
+++ b/scripts/check.sh
@@ -0,0 +1,15 @@
+#!/usr/bin/env bash
+# Runs the formatter, the linters and the check of generated code.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/tools.sh
+unformatted=$(git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$' | xargs -r .tools/gofumpt -l)
+if [ -n "$unformatted" ]; then
+  echo "not formatted with gofumpt:" "$unformatted" >&2
+  exit 1
+fi
+go vet ./...
+.tools/staticcheck ./...
+.tools/revive -set_exit_status -config revive.toml -exclude ./pkg/peer/peerpb/... ./...
+scripts/generate.sh
+git diff --exit-code -- pkg/peer/peerpb
--- /dev/null
+++ b/scripts/tools.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the pinned development tools into .tools/. Prints nothing when they are current.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p .tools
+sets=("$@")
+[ ${#sets[@]} -gt 0 ] || sets=(fmt lint gen buf)
+for set in "${sets[@]}"; do
+  (cd "tools/$set" && go build -o ../../.tools/ tool)
+done
