Add settings, the operators' API and arbutusctl

Cause: operators need a checked settings file and one way to change the configuration: a patch against a numbered version. Ruled out: decoding with DisallowUnknownFields alone, because its error does not give the JSON path. pkg/document walks the document against the Go type and names the path, the value and what is allowed, for settings and patches. Change: pkg/document, pkg/settings, pkg/operator, pkg/ctl, cmd/arbutusctl. Keys are generated in arbutusctl; only the digest is sent.

--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -46,8 +46,9 @@
 func TestParseRejectsUnknownFields(t *testing.T) {
 	is := is.New(t)
 	_, err := sample().Apply(MergePatchType, []byte(`{"teams":{"school":{"rate":5}}}`))
-	var syntax *SyntaxError
-	is.True(errors.As(err, &syntax))
+	var invalid *InvalidError
+	is.True(errors.As(err, &invalid))
+	is.Equal(invalid.Fields[0].Path, "$.teams.school.rate")
 }
 
 // Guards against a key that works with a wrong secret or after its removal.
--- a/pkg/config/errors.go
+++ b/pkg/config/errors.go
@@ -1,53 +1,17 @@
 package config
 
-import (
-	"fmt"
-	"strings"
+import "github.com/arbutuslink/arbutuslink/pkg/document"
+
+// Errors of documents; see package document.
+type (
+	// FieldError names one invalid value.
+	FieldError = document.FieldError
+	// InvalidError lists every invalid value of a document.
+	InvalidError = document.InvalidError
+	// SyntaxError says that a document is not well-formed JSON.
+	SyntaxError = document.SyntaxError
 )
 
-// FieldError names one invalid value.
-type FieldError struct {
-	// Path is the JSON path, for example $.teams.school.burst.
-	Path    string
-	Value   any
-	Allowed string
-}
-
-// Error names the path, the value and what is allowed.
-func (e *FieldError) Error() string {
-	return fmt.Sprintf("%s: %v is not allowed; allowed: %s", e.Path, e.Value, e.Allowed)
-}
-
-// InvalidError lists every invalid value of a document.
-type InvalidError struct{ Fields []*FieldError }
-
-// Error joins the errors of the fields.
-func (e *InvalidError) Error() string {
-	lines := make([]string, len(e.Fields))
-	for i, f := range e.Fields {
-		lines[i] = f.Error()
-	}
-	return "configuration is invalid: " + strings.Join(lines, "; ")
-}
-
-// SyntaxError says that a document or patch is not the JSON that is expected.
-type SyntaxError struct {
-	// Offset is the byte offset of the fault, or -1 if it is not known.
-	Offset int64
-	Cause  error
-}
-
-// Error gives the offset and the cause.
-func (e *SyntaxError) Error() string {
-	if e.Offset < 0 {
-		return "configuration document: " + e.Cause.Error()
-	}
-	return fmt.Sprintf("configuration document at byte %d: %s", e.Offset, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *SyntaxError) Unwrap() error { return e.Cause }
-
 // PatchError says that a patch could not be applied.
 type PatchError struct{ Cause error }
 
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -1,17 +1,14 @@
 package config
 
 import (
-	"bytes"
 	"encoding/hex"
-	"encoding/json"
-	"io"
 	"net/netip"
 	"regexp"
 	"slices"
 	"sort"
 	"strings"
 
-	"github.com/cockroachdb/errors"
+	"github.com/arbutuslink/arbutuslink/pkg/document"
 )
 
 // Limits of configured values.
@@ -31,40 +28,44 @@
 const idAllowed = "1 to 64 of a-z, 0-9, _ and -, not starting with _ or -"
 
 // Parse decodes and validates a whole document. Errors: *SyntaxError for
-// malformed JSON and unknown fields, *InvalidError for values.
+// malformed JSON, *InvalidError for unknown members and invalid values.
 func Parse(data []byte) (*Config, error) {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
 	c := Empty()
-	if err := dec.Decode(c); err != nil {
-		return nil, errors.WithStack(&SyntaxError{Offset: dec.InputOffset(), Cause: err})
-	}
-	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
-		return nil, errors.WithStack(&SyntaxError{Offset: dec.InputOffset(), Cause: &TrailingDataError{}})
+	if err := document.Decode(data, c); err != nil {
+		return nil, err
 	}
+	c.normalize()
 	if err := c.Validate(); err != nil {
 		return nil, err
 	}
 	return c, nil
 }
 
-// TrailingDataError says that a document is followed by further data.
-type TrailingDataError struct{}
-
-// Error describes the fault.
-func (*TrailingDataError) Error() string { return "data follows the document" }
-
-type validator struct{ fields []*FieldError }
-
-func (v *validator) check(ok bool, path string, value any, allowed string) {
-	if !ok {
-		v.fields = append(v.fields, &FieldError{Path: path, Value: value, Allowed: allowed})
+// normalize replaces sections that a patch removed with empty ones.
+func (c *Config) normalize() {
+	empty := Empty()
+	if c.Batches == nil {
+		c.Batches = empty.Batches
+	}
+	if c.Teams == nil {
+		c.Teams = empty.Teams
+	}
+	if c.Keys == nil {
+		c.Keys = empty.Keys
+	}
+	if c.Services == nil {
+		c.Services = empty.Services
+	}
+	if c.Routes == nil {
+		c.Routes = empty.Routes
 	}
 }
 
+type validator struct{ document.Checker }
+
 func (v *validator) id(section, id string) string {
 	path := "$." + section + "." + id
-	v.check(idPattern.MatchString(id), path, id, idAllowed)
+	v.Check(idPattern.MatchString(id), path, id, idAllowed)
 	return path
 }
 
@@ -74,8 +75,8 @@
 	v := &validator{}
 	for id, b := range c.Batches {
 		path := v.id("batches", id)
-		v.check(b.Share > 0 && b.Share <= 1e6, path+".share", b.Share, "more than 0, at most 1000000")
-		v.check(!b.Expires.IsZero(), path+".expires", b.Expires, "a time in RFC 3339 form")
+		v.Check(b.Share > 0 && b.Share <= 1e6, path+".share", b.Share, "more than 0, at most 1000000")
+		v.Check(!b.Expires.IsZero(), path+".expires", b.Expires, "a time in RFC 3339 form")
 	}
 	for id, t := range c.Teams {
 		c.validateTeam(v, v.id("teams", id), t)
@@ -90,62 +91,58 @@
 		c.validateRoute(v, v.id("routes", id), r)
 	}
 	c.validateRouteOverlap(v)
-	if len(v.fields) == 0 {
-		return nil
-	}
-	sort.Slice(v.fields, func(i, j int) bool { return v.fields[i].Path < v.fields[j].Path })
-	return errors.WithStack(&InvalidError{Fields: v.fields})
+	return v.Err()
 }
 
 func (c *Config) validateTeam(v *validator, path string, t Team) {
 	_, ok := c.Batches[t.Batch]
-	v.check(ok, path+".batch", t.Batch, "the id of a batch")
-	v.check(t.RatePerSecond >= 0 && t.RatePerSecond <= maxRatePerSecond, path+".rate_per_second", t.RatePerSecond, "0 to 1000000")
-	v.check(t.Burst >= 1 && t.Burst <= maxBurst, path+".burst", t.Burst, "1 to 1000000")
+	v.Check(ok, path+".batch", t.Batch, "the id of a batch")
+	v.Check(t.RatePerSecond >= 0 && t.RatePerSecond <= maxRatePerSecond, path+".rate_per_second", t.RatePerSecond, "0 to 1000000")
+	v.Check(t.Burst >= 1 && t.Burst <= maxBurst, path+".burst", t.Burst, "1 to 1000000")
 }
 
 func (c *Config) validateKey(v *validator, path string, k Key) {
 	_, ok := c.Teams[k.Team]
-	v.check(ok, path+".team", k.Team, "the id of a team")
+	v.Check(ok, path+".team", k.Team, "the id of a team")
 	raw, err := hex.DecodeString(k.SHA256)
 	ok = err == nil && len(raw) == 32 && strings.ToLower(k.SHA256) == k.SHA256
-	v.check(ok, path+".sha256", "the given value", "64 lower-case hex digits")
+	v.Check(ok, path+".sha256", "the given value", "64 lower-case hex digits")
 }
 
 func validateService(v *validator, path string, s Service) {
-	v.check(s.FloorPercent >= 0 && s.FloorPercent <= 100, path+".floor_percent", s.FloorPercent, "0 to 100")
-	v.check(s.Profile == Careful || s.Profile == Fast, path+".profile", s.Profile, "careful or fast")
-	v.check(strings.HasPrefix(s.HealthPath, "/"), path+".health_path", s.HealthPath, "a path that starts with /")
-	v.check(s.ProbeIntervalMS >= minProbeIntervalMS && s.ProbeIntervalMS <= maxProbeIntervalMS,
+	v.Check(s.FloorPercent >= 0 && s.FloorPercent <= 100, path+".floor_percent", s.FloorPercent, "0 to 100")
+	v.Check(s.Profile == Careful || s.Profile == Fast, path+".profile", s.Profile, "careful or fast")
+	v.Check(strings.HasPrefix(s.HealthPath, "/"), path+".health_path", s.HealthPath, "a path that starts with /")
+	v.Check(s.ProbeIntervalMS >= minProbeIntervalMS && s.ProbeIntervalMS <= maxProbeIntervalMS,
 		path+".probe_interval_ms", s.ProbeIntervalMS, "100 to 60000")
 	for id, t := range s.Targets {
 		tp := path + ".targets." + id
-		v.check(idPattern.MatchString(id), tp, id, idAllowed)
+		v.Check(idPattern.MatchString(id), tp, id, idAllowed)
 		_, err := netip.ParseAddrPort(t.Address)
-		v.check(err == nil, tp+".address", t.Address, "an IP address and port, such as 10.0.0.1:8080")
-		v.check(idPattern.MatchString(t.Zone), tp+".zone", t.Zone, idAllowed)
-		v.check(t.Slots >= 1 && t.Slots <= maxSlots, tp+".slots", t.Slots, "1 to 10000")
-		v.check(t.MaxConnections >= 1 && t.MaxConnections <= maxConnections, tp+".max_connections", t.MaxConnections, "1 to 100000")
+		v.Check(err == nil, tp+".address", t.Address, "an IP address and port, such as 10.0.0.1:8080")
+		v.Check(idPattern.MatchString(t.Zone), tp+".zone", t.Zone, idAllowed)
+		v.Check(t.Slots >= 1 && t.Slots <= maxSlots, tp+".slots", t.Slots, "1 to 10000")
+		v.Check(t.MaxConnections >= 1 && t.MaxConnections <= maxConnections, tp+".max_connections", t.MaxConnections, "1 to 100000")
 	}
 }
 
 func (c *Config) validateRoute(v *validator, path string, r Route) {
-	v.check(strings.HasPrefix(r.PathPrefix, "/") && !strings.HasPrefix(r.PathPrefix, "/.arbutus"),
+	v.Check(strings.HasPrefix(r.PathPrefix, "/") && !strings.HasPrefix(r.PathPrefix, "/.arbutus"),
 		path+".path_prefix", r.PathPrefix, "a path that starts with / and not with /.arbutus")
 	for _, m := range r.Methods {
-		v.check(m != "" && strings.ToUpper(m) == m, path+".methods", m, "upper-case HTTP methods")
+		v.Check(m != "" && strings.ToUpper(m) == m, path+".methods", m, "upper-case HTTP methods")
 	}
 	_, ok := c.Services[r.Service]
-	v.check(ok, path+".service", r.Service, "the id of a service")
+	v.Check(ok, path+".service", r.Service, "the id of a service")
 	for _, t := range r.Teams {
 		_, ok := c.Teams[t]
-		v.check(ok, path+".teams", t, "ids of teams")
+		v.Check(ok, path+".teams", t, "ids of teams")
 	}
-	v.check(!r.OpenToAll || len(r.Teams) == 0, path+".teams", r.Teams, "no teams when open_to_all is true")
-	v.check(r.TimeoutMS >= 1 && r.TimeoutMS <= maxTimeoutMS, path+".timeout_ms", r.TimeoutMS, "1 to 600000")
-	v.check(r.MaxAttempts >= 1 && r.MaxAttempts <= maxAttemptsLimit, path+".max_attempts", r.MaxAttempts, "1 to 10")
-	v.check(r.Idempotent || r.MaxAttempts == 1, path+".max_attempts", r.MaxAttempts, "1 on a route that is not idempotent")
-	v.check(!r.Deduplicate || !r.Idempotent, path+".deduplicate", r.Deduplicate, "false on an idempotent route")
+	v.Check(!r.OpenToAll || len(r.Teams) == 0, path+".teams", r.Teams, "no teams when open_to_all is true")
+	v.Check(r.TimeoutMS >= 1 && r.TimeoutMS <= maxTimeoutMS, path+".timeout_ms", r.TimeoutMS, "1 to 600000")
+	v.Check(r.MaxAttempts >= 1 && r.MaxAttempts <= maxAttemptsLimit, path+".max_attempts", r.MaxAttempts, "1 to 10")
+	v.Check(r.Idempotent || r.MaxAttempts == 1, path+".max_attempts", r.MaxAttempts, "1 on a route that is not idempotent")
+	v.Check(!r.Deduplicate || !r.Idempotent, path+".deduplicate", r.Deduplicate, "false on an idempotent route")
 }
 
 // validateRouteOverlap rejects two routes that match the same request equally well.
@@ -159,7 +156,7 @@
 	for _, id := range ids {
 		r := c.Routes[id]
 		for _, other := range byPrefix[r.PathPrefix] {
-			v.check(!methodsOverlap(r.Methods, c.Routes[other].Methods), "$.routes."+id+".path_prefix", r.PathPrefix,
+			v.Check(!methodsOverlap(r.Methods, c.Routes[other].Methods), "$.routes."+id+".path_prefix", r.PathPrefix,
 				"a prefix and methods that differ from route "+other)
 		}
 		byPrefix[r.PathPrefix] = append(byPrefix[r.PathPrefix], id)
--- /dev/null
+++ b/pkg/ctl/change.go
@@ -0,0 +1,256 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
+)
+
+// change holds the flags of every command that submits a patch.
+type change struct {
+	Base   int64 `long:"version" required:"true" description:"configuration version that the change was written against"`
+	DryRun bool  `long:"dry-run" description:"check the change and show the difference, submit nothing"`
+	Wait   bool  `long:"wait" description:"return only when the new version is in force everywhere"`
+}
+
+// waitLimit bounds --wait; a version is in force within seconds.
+const waitLimit = 30 * time.Second
+
+// WaitError says that a version was accepted but not seen in force in time.
+type WaitError struct{ Version int64 }
+
+// Error names the version.
+func (e *WaitError) Error() string {
+	return fmt.Sprintf("version %d was accepted but is not in force after %s", e.Version, waitLimit)
+}
+
+// submit sends or, with --dry-run, only checks a patch.
+func (a *app) submit(c change, mediaType string, patch []byte) error {
+	cl, err := a.client()
+	if err != nil {
+		return err
+	}
+	if c.DryRun {
+		return a.dryRun(cl, c, mediaType, patch)
+	}
+	result, err := cl.patch(c.Base, mediaType, patch)
+	if err != nil {
+		return err
+	}
+	if c.Wait {
+		if err := waitInForce(cl, &result); err != nil {
+			return err
+		}
+	}
+	return a.print(result, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "version %d %s\n", result.Version, result.State)
+	})
+}
+
+func waitInForce(cl *client, result *api.PatchResult) error {
+	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+		var status api.Status
+		if err := cl.get(api.StatusPath, nil, &status); err != nil {
+			return err
+		}
+		if status.ConfigVersion > result.Version || (status.ConfigVersion == result.Version && status.ConfigState == api.InForce) {
+			result.State = api.InForce
+			return nil
+		}
+	}
+	return errors.WithStack(&WaitError{Version: result.Version})
+}
+
+func (a *app) dryRun(cl *client, c change, mediaType string, patch []byte) error {
+	var doc api.Document
+	if err := cl.get(api.ConfigPath, nil, &doc); err != nil {
+		return err
+	}
+	if doc.Version != c.Base {
+		return errors.WithStack(&RefusedError{Failure: api.Failure{
+			Code: api.CodeStaleVersion, Current: doc.Version,
+			Message: fmt.Sprintf("the patch was written against version %d; the current version is %d", c.Base, doc.Version),
+		}})
+	}
+	next, err := doc.Config.Apply(mediaType, patch)
+	if err != nil {
+		return err
+	}
+	differences, err := config.Diff(doc.Config, next)
+	if err != nil {
+		return err
+	}
+	return a.print(differences, func(w io.Writer) {
+		for _, d := range differences {
+			_, _ = fmt.Fprintln(w, d)
+		}
+		if len(differences) == 0 {
+			_, _ = fmt.Fprintln(w, "no difference")
+		}
+	})
+}
+
+// mergePatch submits one member of one section as a merge patch; a nil value removes it.
+func (a *app) mergePatch(c change, section, id string, value any) error {
+	patch, err := json.Marshal(map[string]any{section: map[string]any{id: value}})
+	if err != nil {
+		return errors.WithStack(&UsageError{Reason: err.Error()})
+	}
+	return a.submit(c, config.MergePatchType, patch)
+}
+
+type patchCommand struct {
+	app *app
+	change
+	Merge string `long:"merge" description:"file with a merge patch (RFC 7396); - reads standard input"`
+	JSON  string `long:"json" description:"file with a JSON patch (RFC 6902); - reads standard input"`
+}
+
+// Execute submits the patch.
+func (c *patchCommand) Execute([]string) error {
+	file, mediaType := c.Merge, config.MergePatchType
+	if c.JSON != "" {
+		file, mediaType = c.JSON, config.JSONPatchType
+	}
+	if (c.Merge == "") == (c.JSON == "") {
+		return errors.WithStack(&UsageError{Reason: "give either --merge or --json"})
+	}
+	data, err := readFile(file)
+	if err != nil {
+		return err
+	}
+	return c.app.submit(c.change, mediaType, data)
+}
+
+func readFile(name string) ([]byte, error) {
+	if name == "-" {
+		data, err := io.ReadAll(os.Stdin)
+		return data, errors.WithStack(err)
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return nil, errors.WithStack(&UsageError{Reason: err.Error()})
+	}
+	return data, nil
+}
+
+type keyIssueCommand struct {
+	app *app
+	change
+	ID   string `long:"id" required:"true" description:"id of the new key"`
+	Team string `long:"team" required:"true" description:"team that the key belongs to"`
+}
+
+// Execute creates a key here, submits its digest and prints the key once.
+func (c *keyIssueCommand) Execute([]string) error {
+	key, stored := config.GenerateKey(c.ID, c.Team)
+	submitErr := c.app.mergePatch(c.change, "keys", c.ID, stored)
+	if c.DryRun || (submitErr != nil && !outcomeUnknown(submitErr)) {
+		return submitErr
+	}
+	// After an unknown outcome the key may be in force, so it is shown as well.
+	printErr := c.app.print(map[string]string{"key": key}, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "key %s\nIt is shown only now; arbutuslink keeps a digest.\n", key)
+	})
+	return errors.CombineErrors(submitErr, printErr)
+}
+
+type keyWithdrawCommand struct {
+	app *app
+	change
+	ID string `long:"id" required:"true" description:"id of the key"`
+}
+
+// Execute removes the key.
+func (c *keyWithdrawCommand) Execute([]string) error {
+	return c.app.mergePatch(c.change, "keys", c.ID, nil)
+}
+
+type teamSetCommand struct {
+	app *app
+	change
+	ID    string  `long:"id" required:"true" description:"id of the team"`
+	Batch string  `long:"batch" required:"true" description:"batch that the team belongs to"`
+	Rate  float64 `long:"rate" required:"true" description:"requests per second"`
+	Burst int     `long:"burst" required:"true" description:"requests above the rate"`
+}
+
+// Execute creates or changes the team.
+func (c *teamSetCommand) Execute([]string) error {
+	return c.app.mergePatch(c.change, "teams", c.ID, config.Team{Batch: c.Batch, RatePerSecond: c.Rate, Burst: c.Burst})
+}
+
+type batchSetCommand struct {
+	app *app
+	change
+	ID      string  `long:"id" required:"true" description:"id of the batch"`
+	Share   float64 `long:"share" required:"true" description:"weight when targets are the bottleneck"`
+	Expires string  `long:"expires" required:"true" description:"end of the contract, such as 2027-03-31T22:00:00Z"`
+}
+
+// Execute creates or changes the batch.
+func (c *batchSetCommand) Execute([]string) error {
+	expires, err := time.Parse(time.RFC3339, c.Expires)
+	if err != nil {
+		return errors.WithStack(&UsageError{Reason: "--expires: " + err.Error()})
+	}
+	return c.app.mergePatch(c.change, "batches", c.ID, config.Batch{Share: c.Share, Expires: expires})
+}
+
+type routeSetCommand struct {
+	app *app
+	change
+	ID   string `long:"id" required:"true" description:"id of the route"`
+	File string `long:"file" required:"true" description:"JSON file with the route; - reads standard input"`
+}
+
+// Execute creates or changes the route.
+func (c *routeSetCommand) Execute([]string) error {
+	data, err := readFile(c.File)
+	if err != nil {
+		return err
+	}
+	if !json.Valid(data) {
+		return errors.WithStack(&UsageError{Reason: c.File + " is not JSON"})
+	}
+	return c.app.mergePatch(c.change, "routes", c.ID, json.RawMessage(data))
+}
+
+type routeAccessCommand struct {
+	app *app
+	change
+	ID    string   `long:"id" required:"true" description:"id of the route"`
+	All   bool     `long:"all" description:"open the route to all teams"`
+	Teams []string `long:"team" description:"team that the route is open to; repeat for each"`
+}
+
+// Execute sets the route's access.
+func (c *routeAccessCommand) Execute([]string) error {
+	if c.All && len(c.Teams) > 0 {
+		return errors.WithStack(&UsageError{Reason: "give either --all or --team"})
+	}
+	teams := c.Teams
+	if teams == nil {
+		teams = []string{}
+	}
+	return c.app.mergePatch(c.change, "routes", c.ID, map[string]any{"open_to_all": c.All, "teams": teams})
+}
+
+type removeCommand struct {
+	app     *app
+	section string
+	change
+	ID string `long:"id" required:"true" description:"id of the entry"`
+}
+
+// Execute removes the entry.
+func (c *removeCommand) Execute([]string) error {
+	return c.app.mergePatch(c.change, c.section, c.ID, nil)
+}
--- /dev/null
+++ b/pkg/ctl/client.go
@@ -0,0 +1,117 @@
+// Package ctl implements the commands of arbutusctl.
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/valyala/fasthttp"
+
+	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
+)
+
+// client calls the operators' API of one instance.
+type client struct {
+	server string
+	token  string
+	http   fasthttp.Client
+}
+
+// requestTimeout bounds one call; a patch waits for the platform.
+const requestTimeout = 15 * time.Second
+
+// CallError says that an instance gave no answer.
+type CallError struct {
+	Server string
+	Cause  error
+
+	// change is set when the call may have changed something.
+	change bool
+}
+
+// Error names the instance and the cause.
+func (e *CallError) Error() string { return "no answer from " + e.Server + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// RefusedError is a refusal by the instance.
+type RefusedError struct {
+	Status  int
+	Failure api.Failure
+}
+
+// Error gives the message and the details of the refusal.
+func (e *RefusedError) Error() string {
+	text := e.Failure.Message
+	for _, f := range e.Failure.Fields {
+		text += fmt.Sprintf("\n  %s: %s is not allowed; allowed: %s", f.Path, f.Value, f.Allowed)
+	}
+	for _, c := range e.Failure.Changes {
+		text += fmt.Sprintf("\n  version %d by %s at %s: %s", c.Version, c.Author, c.Time.Format(time.RFC3339), c.Patch)
+	}
+	if e.Failure.Applied == api.AppliedUnknown {
+		text += "\n  The change may have taken effect; read the configuration before repeating it."
+	}
+	return text
+}
+
+func (c *client) get(path string, query url.Values, into any) error {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI(c.server + path + "?" + query.Encode())
+	return c.do(req, into)
+}
+
+func (c *client) post(path string, body, into any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.WithStack(&CallError{Server: c.server, Cause: err})
+	}
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI(c.server + path)
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType(api.ContentTypeJSON)
+	req.SetBody(data)
+	return c.do(req, into)
+}
+
+func (c *client) patch(version int64, mediaType string, patch []byte) (api.PatchResult, error) {
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	req.SetRequestURI(c.server + api.ConfigPath)
+	req.Header.SetMethod(fasthttp.MethodPatch)
+	req.Header.SetContentType(mediaType)
+	req.Header.Set(fasthttp.HeaderIfMatch, strconv.Quote(strconv.FormatInt(version, 10)))
+	req.Header.Set(api.OperationHeader, uuid.NewString())
+	req.SetBody(patch)
+	var result api.PatchResult
+	err := c.do(req, &result)
+	return result, err
+}
+
+func (c *client) do(req *fasthttp.Request, into any) error {
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.Set(api.HeaderAuthorization, api.AuthorizationPrefix+c.token)
+	if err := c.http.DoTimeout(req, resp, requestTimeout); err != nil {
+		return errors.WithStack(&CallError{Server: c.server, Cause: err, change: !req.Header.IsGet()})
+	}
+	if resp.StatusCode() >= fasthttp.StatusBadRequest {
+		refused := &RefusedError{Status: resp.StatusCode()}
+		if err := json.Unmarshal(resp.Body(), &refused.Failure); err != nil {
+			refused.Failure.Message = fmt.Sprintf("%s answered with status %d", c.server, resp.StatusCode())
+		}
+		return errors.WithStack(refused)
+	}
+	if err := json.Unmarshal(resp.Body(), into); err != nil {
+		return errors.WithStack(&CallError{Server: c.server, Cause: err})
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/ctl/dump.go
@@ -0,0 +1,96 @@
+package ctl
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
+)
+
+type dumpCommand struct {
+	app *app
+	All bool `long:"all" description:"ask every member and compare"`
+}
+
+// fleetDump is the state of several instances.
+type fleetDump struct {
+	Instances   map[string]json.RawMessage `json:"instances"`
+	Unreachable map[string]string          `json:"unreachable,omitempty"`
+	Differences []string                   `json:"differences,omitempty"`
+}
+
+// Execute prints the dump of the instance, or of all named ones with differences.
+func (c *dumpCommand) Execute([]string) error {
+	cl, err := c.app.client()
+	if err != nil {
+		return err
+	}
+	servers, err := c.servers(cl)
+	if err != nil {
+		return err
+	}
+	fleet := fleetDump{Instances: map[string]json.RawMessage{}, Unreachable: map[string]string{}}
+	statuses := map[string]api.Status{}
+	for _, server := range servers {
+		one := &client{server: server, token: cl.token}
+		var dump json.RawMessage
+		var status api.Status
+		if err := one.get(api.DumpPath, nil, &dump); err != nil {
+			fleet.Unreachable[server] = err.Error()
+			continue
+		}
+		if err := one.get(api.StatusPath, nil, &status); err != nil {
+			fleet.Unreachable[server] = err.Error()
+			continue
+		}
+		fleet.Instances[server] = dump
+		statuses[server] = status
+	}
+	if len(fleet.Instances) == 0 {
+		return &RefusedError{Failure: api.Failure{Message: "no instance answered"}}
+	}
+	fleet.Differences = differencesBetween(statuses)
+	return c.app.print(fleet, nil)
+}
+
+func (c *dumpCommand) servers(cl *client) ([]string, error) {
+	if !c.All {
+		return []string{cl.server}, nil
+	}
+	var list api.MemberList
+	if err := cl.get(api.MembershipPath, nil, &list); err != nil {
+		return nil, err
+	}
+	scheme, _, _ := strings.Cut(cl.server, "://")
+	servers := make([]string, 0, len(list.Members))
+	for _, m := range list.Members {
+		servers = append(servers, scheme+"://"+m.OperatorAddress)
+	}
+	return servers, nil
+}
+
+// differencesBetween compares versions and membership over instances.
+func differencesBetween(statuses map[string]api.Status) []string {
+	groups := map[string][]string{}
+	for server, s := range statuses {
+		for _, fact := range []string{
+			fmt.Sprintf("config version %d", s.ConfigVersion),
+			fmt.Sprintf("membership version %d", s.MembershipVersion),
+			fmt.Sprintf("fresh %t", s.Fresh),
+			fmt.Sprintf("member %t", s.Member),
+		} {
+			groups[fact] = append(groups[fact], server)
+		}
+	}
+	var differences []string
+	for fact, servers := range groups {
+		if len(servers) < len(statuses) {
+			slices.Sort(servers)
+			differences = append(differences, fmt.Sprintf("%s only at %v", fact, servers))
+		}
+	}
+	slices.Sort(differences)
+	return differences
+}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -16,9 +16,11 @@
 	// Instance is the id from the settings.
 	Instance string `json:"instance"`
 	Zone     string `json:"zone"`
-	// PeerAddress serves other instances, CallerAddress serves callers; IP:port.
-	PeerAddress   string `json:"peer_address"`
-	CallerAddress string `json:"caller_address"`
+	// PeerAddress serves other instances, CallerAddress serves callers and
+	// OperatorAddress serves operators; IP:port.
+	PeerAddress     string `json:"peer_address"`
+	CallerAddress   string `json:"caller_address"`
+	OperatorAddress string `json:"operator_address"`
 }
 
 // Membership is one version of the membership document.
--- /dev/null
+++ b/pkg/operator/api/api.go
@@ -0,0 +1,147 @@
+// Package api defines the messages of the operators' HTTP API, shared by the
+// server and by arbutusctl.
+package api
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+)
+
+// Paths of the API.
+const (
+	ConfigPath     = "/v1/config"
+	HistoryPath    = "/v1/config/history"
+	StatusPath     = "/v1/status"
+	MembershipPath = "/v1/membership"
+	ReplacePath    = "/v1/membership/replace"
+	DumpPath       = "/dump"
+	MetricsPath    = "/metrics"
+)
+
+// OperationHeader identifies a patch, so that a repeated submission of the same
+// patch is recognised after a lost answer.
+const OperationHeader = "X-Operation-Id"
+
+// State says how far a configuration version has come.
+type State string
+
+// States of a version.
+const (
+	// Accepted means that the version is written and is being put in force.
+	Accepted State = "accepted, being put in force"
+	// InForce means that no instance admits requests on an older version.
+	InForce State = "in force"
+)
+
+// Document is the answer to a read of the configuration.
+type Document struct {
+	Version int64          `json:"version"`
+	Config  *config.Config `json:"config"`
+}
+
+// PatchResult is the answer to an accepted patch.
+type PatchResult struct {
+	Version int64 `json:"version"`
+	State   State `json:"state"`
+}
+
+// Change is one entry of the history.
+type Change struct {
+	Version   int64           `json:"version"`
+	Author    string          `json:"author"`
+	Time      time.Time       `json:"time"`
+	MediaType string          `json:"media_type"`
+	Patch     json.RawMessage `json:"patch,omitempty"`
+}
+
+// History is the answer to a read of the history, newest first.
+type History struct {
+	Changes []Change `json:"changes"`
+}
+
+// Status describes the configuration and the membership as the answering
+// instance sees them.
+type Status struct {
+	Instance          string `json:"instance"`
+	Incarnation       string `json:"incarnation"`
+	Member            bool   `json:"member"`
+	Fresh             bool   `json:"fresh"`
+	ConfigVersion     int64  `json:"config_version"`
+	ConfigState       State  `json:"config_state"`
+	MembershipVersion int64  `json:"membership_version"`
+	Members           int    `json:"members"`
+	Witnesses         int    `json:"witnesses"`
+}
+
+// MemberList is the answer to a read of the membership.
+type MemberList struct {
+	Version int64    `json:"version"`
+	Members []Member `json:"members"`
+}
+
+// Member is one member of the fleet.
+type Member struct {
+	Incarnation     string `json:"incarnation"`
+	Instance        string `json:"instance"`
+	Zone            string `json:"zone"`
+	PeerAddress     string `json:"peer_address"`
+	CallerAddress   string `json:"caller_address"`
+	OperatorAddress string `json:"operator_address"`
+	Witness         bool   `json:"witness"`
+}
+
+// Replacement declares members gone after a majority of witnesses was lost.
+type Replacement struct {
+	Gone []string `json:"gone"`
+}
+
+// Failure is the answer to a refused request.
+type Failure struct {
+	// Code is stable; docs/operator-api.md lists the codes.
+	Code    string `json:"code"`
+	Message string `json:"message"`
+	// Applied is "no" when the change did not take effect and "unknown" when
+	// it may have; read the configuration before repeating the patch.
+	Applied string `json:"applied,omitempty"`
+	// Current is the newest version when the patch was written against a stale one.
+	Current int64 `json:"current_version,omitempty"`
+	// Changes lists what was changed since the version of a stale patch.
+	Changes []Change `json:"changes,omitempty"`
+	// Fields lists the invalid values of a patch.
+	Fields []Field `json:"fields,omitempty"`
+}
+
+// Field is one invalid value.
+type Field struct {
+	Path    string `json:"path"`
+	Value   string `json:"value"`
+	Allowed string `json:"allowed"`
+}
+
+// Failure codes.
+const (
+	CodeUnauthorized     = "unauthorized"
+	CodeNotFound         = "not_found"
+	CodeMethod           = "method_not_allowed"
+	CodeVersionMissing   = "version_missing"
+	CodeStaleVersion     = "stale_version"
+	CodePatchInvalid     = "patch_invalid"
+	CodeMediaType        = "media_type_unsupported"
+	CodePreviousPending  = "previous_change_pending"
+	CodePlatformDown     = "platform_unavailable"
+	CodeRequestInvalid   = "request_invalid"
+	CodeReplaceRefused   = "replacement_refused"
+	CodeInternal         = "internal"
+	AppliedNo            = "no"
+	AppliedUnknown       = "unknown"
+	HeaderAllow          = "Allow"
+	HeaderAuthorization  = "Authorization"
+	AuthorizationPrefix  = "Bearer "
+	ParameterSince       = "since"
+	MaxHistoryEntries    = 100
+	MaxPatchBytes        = 8 << 20
+	ContentTypeJSON      = "application/json"
+	ContentTypePlainText = "text/plain; version=0.0.4"
+)
--- /dev/null
+++ b/pkg/operator/errors.go
@@ -0,0 +1,30 @@
+package operator
+
+import "fmt"
+
+// StaleVersionError says that a patch was written against an old version.
+type StaleVersionError struct{ Expected, Current int64 }
+
+// Error names both versions.
+func (e *StaleVersionError) Error() string {
+	return fmt.Sprintf("the patch was written against version %d; the current version is %d", e.Expected, e.Current)
+}
+
+// PendingError says that the previous change has not been delivered yet.
+type PendingError struct{}
+
+// Error describes the fault.
+func (*PendingError) Error() string {
+	return "the previous change is still being delivered; repeat the patch in a moment"
+}
+
+// ReplaceError says why a replacement of the membership was refused.
+type ReplaceError struct{ Reason string }
+
+// Error gives the reason.
+func (e *ReplaceError) Error() string { return "membership not replaced: " + e.Reason }
+
+// requestError says that a request to the API is malformed.
+type requestError struct{ reason string }
+
+func (e *requestError) Error() string { return e.reason }
--- /dev/null
+++ b/pkg/settings/settings_test.go
@@ -0,0 +1,45 @@
+package settings
+
+import (
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/document"
+)
+
+const minimal = `{"instance":"entry-1","availability_zone":"a","caller_address":"127.0.0.1:8001",
+ "operator_address":"127.0.0.1:8002","peer_address":"127.0.0.1:8003",
+ "platform":{"table_endpoint":"http://127.0.0.1:9000","object_endpoint":"http://127.0.0.1:9001","list_url":"http://127.0.0.1:9002/instances"}`
+
+// Guards against settings that leave out optional fields being refused.
+func TestParseEntryAppliesDefaults(t *testing.T) {
+	is := is.New(t)
+	e, err := ParseEntry([]byte(minimal + `,"timings":{"fence_ms":3000}}`))
+	is.NoErr(err)
+	is.Equal(e.Timings.FenceMS, 3000)
+	is.Equal(e.Timings.HeartbeatMS, 500)
+}
+
+// Guards against a process that starts with a wrong setting.
+func TestParseEntryNamesWrongValues(t *testing.T) {
+	cases := []struct{ extra, path string }{
+		{`,"timings":{"heartbeat_ms":1900}}`, "$.timings.heartbeat_ms"},
+		{`,"timings":{"remove_after_ms":100}}`, "$.timings.remove_after_ms"},
+		{`,"log_level":"loud"}`, "$.log_level"},
+		{`,"operator_tokens_sha256":{"ann":"12"}}`, "$.operator_tokens_sha256.ann"},
+		{`,"caller_tls":{"certificate_file":"c.pem"}}`, "$.caller_tls.key_file"},
+		{`,"seed_peers":["host:1"]}`, "$.seed_peers[0]"},
+		{`,"zone":"a"}`, "$.zone"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.path, func(t *testing.T) {
+			is := is.New(t)
+			_, err := ParseEntry([]byte(minimal + tc.extra))
+			var invalid *document.InvalidError
+			is.True(errors.As(err, &invalid))
+			is.Equal(invalid.Fields[0].Path, tc.path)
+		})
+	}
+}
