Add the fleet of processes for experiments

Cause: experiments need platform, targets and instances as separate processes on loopback addresses, with faults between them. Ruled out: free ports chosen by the kernel; two runs could race for them. Each run has its own loopback network and fixed ports. Change: pkg/lab/fleet.

--- /dev/null
+++ b/pkg/certificate/certificate.go
@@ -0,0 +1,99 @@
+// Package certificate serves a TLS certificate from files and reads them again
+// when they change, without a restart.
+package certificate
+
+import (
+	"crypto/tls"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+)
+
+// checkInterval bounds how often the files are looked at.
+const checkInterval = time.Second
+
+// LoadError says that a certificate could not be read.
+type LoadError struct {
+	File  string
+	Cause error
+}
+
+// Error names the file and the cause.
+func (e *LoadError) Error() string { return "certificate " + e.File + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *LoadError) Unwrap() error { return e.Cause }
+
+// Reloader holds the newest valid certificate of a pair of files.
+type Reloader struct {
+	certFile, keyFile string
+	log               *zerolog.Logger
+
+	mu      sync.Mutex
+	current *tls.Certificate
+	checked time.Time
+	changed [2]time.Time
+}
+
+// New loads the pair. Errors: *LoadError.
+func New(certFile, keyFile string, log *zerolog.Logger) (*Reloader, error) {
+	r := &Reloader{certFile: certFile, keyFile: keyFile, log: log}
+	if err := r.load(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// Config returns a server configuration that always uses the newest certificate.
+func (r *Reloader) Config() *tls.Config {
+	return &tls.Config{MinVersion: tls.VersionTLS12, GetCertificate: r.get}
+}
+
+func (r *Reloader) get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.checked) >= checkInterval {
+		r.checked = time.Now()
+		r.reload()
+	}
+	return r.current, nil
+}
+
+// reload keeps the previous certificate when the files are missing or do not
+// match, for example while they are being replaced.
+func (r *Reloader) reload() {
+	changed := r.modified()
+	if changed == r.changed {
+		return
+	}
+	if err := r.load(); err != nil {
+		event.CertFailed.Log(r.log).Err(err).Send()
+		return
+	}
+	event.CertReloaded.Log(r.log).Str("file", r.certFile).Send()
+}
+
+func (r *Reloader) load() error {
+	changed := r.modified()
+	cert, err := tls.LoadX509KeyPair(r.certFile, r.keyFile)
+	if err != nil {
+		return errors.WithStack(&LoadError{File: r.certFile, Cause: err})
+	}
+	r.current, r.changed = &cert, changed
+	return nil
+}
+
+func (r *Reloader) modified() [2]time.Time {
+	var times [2]time.Time
+	for i, file := range []string{r.certFile, r.keyFile} {
+		if info, err := os.Stat(file); err == nil {
+			times[i] = info.ModTime()
+		}
+	}
+	return times
+}
--- /dev/null
+++ b/pkg/lab/deployment/deployment_test.go
@@ -0,0 +1,47 @@
+package deployment
+
+import (
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/settings"
+)
+
+// Guards against an experiment whose configuration the fleet would refuse.
+func TestConfigsAreValid(t *testing.T) {
+	for _, d := range []Deployment{Olomouc(), Skyline()} {
+		is := is.New(t)
+		addresses := map[string]string{}
+		for _, s := range d.Services {
+			for n := range s.Targets {
+				addresses[TargetID(s.Name, n)] = fmt.Sprintf("127.0.0.1:%d", 9000+n)
+			}
+		}
+		c, keys := d.Config(100, addresses, time.Unix(0, 0))
+		is.NoErr(c.Validate())
+		is.Equal(len(keys), len(d.Teams))
+		total := 0.0
+		for _, team := range d.Teams {
+			total += team.Share
+		}
+		is.True(total > 0.999 && total < 1.001)
+	}
+}
+
+// Guards against example files that the programs would refuse.
+func TestExampleFilesAreValid(t *testing.T) {
+	for _, d := range []string{"olomouc", "skyline"} {
+		is := is.New(t)
+		data, err := os.ReadFile("../../../examples/" + d + "/config.json")
+		is.NoErr(err)
+		_, err = config.Parse(data)
+		is.NoErr(err)
+		_, err = settings.LoadEntry("../../../examples/" + d + "/entry.json")
+		is.NoErr(err)
+	}
+}
--- /dev/null
+++ b/pkg/lab/fleet/link.go
@@ -0,0 +1,24 @@
+package fleet
+
+import "github.com/arbutuslink/arbutuslink/pkg/lab/relay"
+
+// Link is the relay before the peer listener of one instance.
+type Link struct{ relay *relay.Relay }
+
+// newLink starts a relay on address that forwards to target.
+func newLink(target, address string) (*Link, error) {
+	r := relay.New(relay.Options{Address: address, Target: target})
+	if err := r.Start(); err != nil {
+		return nil, err
+	}
+	return &Link{relay: r}, nil
+}
+
+// Address is where other instances connect to.
+func (l *Link) Address() string { return l.relay.Addr() }
+
+// Set replaces the faults. Errors: *relay.FaultsError.
+func (l *Link) Set(f relay.Faults) error { return l.relay.SetFaults(f) }
+
+// Close ends the relay and its connections.
+func (l *Link) Close() { _ = l.relay.Close() }
--- /dev/null
+++ b/pkg/metrics/metrics.go
@@ -0,0 +1,28 @@
+// Package metrics builds the tally scope of a process and its scrape endpoint.
+package metrics
+
+import (
+	"io"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+)
+
+// reportInterval is the time between two updates of the scrape endpoint.
+const reportInterval = time.Second
+
+// New returns the root scope, the handler of the scrape endpoint in the
+// Prometheus text format, and a closer that ends the reporting goroutine.
+func New(instance, zone string) (tally.Scope, fasthttp.RequestHandler, io.Closer) {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:         "arbutus",
+		Tags:           map[string]string{"instance": instance, "availability_zone": zone},
+		CachedReporter: reporter,
+		Separator:      prometheus.DefaultSeparator,
+	}, reportInterval)
+	return scope, fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()), closer
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -21,6 +21,9 @@
 	CallerAddress   string `json:"caller_address"`
 	OperatorAddress string `json:"operator_address"`
 	PeerAddress     string `json:"peer_address"`
+	// AdvertisePeerAddress is given to other instances in place of PeerAddress,
+	// for example behind address translation; empty means PeerAddress.
+	AdvertisePeerAddress string `json:"advertise_peer_address"`
 	// SeedPeers are peer addresses to ask when the platform is away at the start.
 	SeedPeers []string `json:"seed_peers"`
 	// OperatorTokens maps operator names to SHA-256 digests of their tokens in hex.
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -29,6 +29,9 @@
 	v.address("$.caller_address", e.CallerAddress)
 	v.address("$.operator_address", e.OperatorAddress)
 	v.address("$.peer_address", e.PeerAddress)
+	if e.AdvertisePeerAddress != "" {
+		v.address("$.advertise_peer_address", e.AdvertisePeerAddress)
+	}
 	for i, seed := range e.SeedPeers {
 		v.address(fmt.Sprintf("$.seed_peers[%d]", i), seed)
 	}
