--- /dev/null
+++ b/pkg/platform/memory/memory.go
@@ -0,0 +1,275 @@
+// Package memory implements the ports of pkg/platform in process, with
+// injected faults. It is meant for tests and for the platform simulator.
+package memory
+
+import (
+	"bytes"
+	"context"
+	"maps"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/lab/lagged"
+	"github.com/arbutuslink/arbutuslink/pkg/platform"
+)
+
+// InjectedError is the cause of an UnavailableError that a fault produced.
+type InjectedError struct {
+	// Fault is "down", "lost before effect" or "lost after effect".
+	Fault string
+}
+
+// Error names the fault.
+func (e *InjectedError) Error() string { return "injected fault: " + e.Fault }
+
+// Options configure a Platform.
+type Options struct {
+	// Clock drives delays and the lag of the list; nil is the system clock.
+	Clock clock.Clock
+	// Plan chooses the faults; nil injects none.
+	Plan Plan
+	// ListLag is the initial lag of the instance list.
+	ListLag time.Duration
+}
+
+// Platform holds the state of the table, the object store and the instance
+// list. It is safe for concurrent use.
+type Platform struct {
+	clock clock.Clock
+
+	mu        sync.Mutex
+	plan      Plan
+	down      bool
+	delay     time.Duration
+	lag       time.Duration
+	rows      map[string]platform.Item
+	objects   map[string][]byte
+	instances map[string]platform.Listed
+	history   lagged.Value[[]platform.Listed]
+}
+
+// New returns an empty platform.
+func New(o Options) *Platform {
+	if o.Clock == nil {
+		o.Clock = clock.System{}
+	}
+	return &Platform{
+		clock: o.Clock, plan: o.Plan, lag: o.ListLag,
+		rows: map[string]platform.Item{}, objects: map[string][]byte{},
+		instances: map[string]platform.Listed{},
+	}
+}
+
+// Table returns the table port.
+func (p *Platform) Table() platform.Table { return table{p} }
+
+// Objects returns the object store port.
+func (p *Platform) Objects() platform.ObjectStore { return objects{p} }
+
+// Instances returns the instance list port.
+func (p *Platform) Instances() platform.InstanceList { return instances{p} }
+
+// SetPlan replaces the plan; nil injects no planned faults.
+func (p *Platform) SetPlan(plan Plan) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.plan = plan
+}
+
+// SetDown makes every call fail without an effect, in addition to the plan.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+}
+
+// SetDelay delays every call, in addition to the plan.
+func (p *Platform) SetDelay(delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.delay = delay
+}
+
+// SetListLag sets how far the instance list lags.
+func (p *Platform) SetListLag(lag time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lag = lag
+}
+
+// Register adds or replaces the entry with the same address.
+func (p *Platform) Register(entry platform.Listed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.instances[entry.Address] = entry
+	p.recordList()
+}
+
+// Deregister removes the entry with the address, if there is one.
+func (p *Platform) Deregister(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.instances, address)
+	p.recordList()
+}
+
+// recordList adds the current list to the history; p.mu is held.
+func (p *Platform) recordList() {
+	list := make([]platform.Listed, 0, len(p.instances))
+	for _, entry := range p.instances {
+		list = append(list, entry)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Address < list[j].Address })
+	p.history.Set(p.clock.SinceBoot(), list)
+}
+
+// call applies the fault of one operation around its effect. The effect runs
+// with p.mu held.
+func (p *Platform) call(ctx context.Context, op Operation, effect func() error) error {
+	fault := p.nextFault(op)
+	if fault.Delay > 0 {
+		if err := p.clock.Sleep(ctx, fault.Delay); err != nil {
+			return unavailable(op, err)
+		}
+	}
+	if err := ctx.Err(); err != nil {
+		return unavailable(op, err)
+	}
+	if fault.Down {
+		return unavailable(op, &InjectedError{"down"})
+	}
+	if fault.LoseBefore {
+		return unavailable(op, &InjectedError{"lost before effect"})
+	}
+	p.mu.Lock()
+	err := effect()
+	p.mu.Unlock()
+	if fault.LoseAfter {
+		return unavailable(op, &InjectedError{"lost after effect"})
+	}
+	return err
+}
+
+func (p *Platform) nextFault(op Operation) Fault {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var fault Fault
+	if p.plan != nil {
+		fault = p.plan.Next(op)
+	}
+	fault.Down = fault.Down || p.down
+	fault.Delay += p.delay
+	return fault
+}
+
+func unavailable(op Operation, cause error) error {
+	return errors.WithStack(&platform.UnavailableError{Operation: string(op), Cause: cause})
+}
+
+func holds(row platform.Item, exists bool, cond platform.Condition) bool {
+	switch {
+	case cond.Absent:
+		return !exists
+	case cond.Attribute == "":
+		return true
+	default:
+		value, present := row[cond.Attribute]
+		return exists && present && value == cond.Equals
+	}
+}
+
+type table struct{ p *Platform }
+
+// Get returns a copy of the row.
+func (t table) Get(ctx context.Context, key string) (platform.Item, error) {
+	var item platform.Item
+	err := t.p.call(ctx, TableGet, func() error {
+		row, exists := t.p.rows[key]
+		if !exists {
+			return errors.WithStack(&platform.NotFoundError{Name: key})
+		}
+		item = maps.Clone(row)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return item, nil
+}
+
+// Put replaces the row if the condition holds.
+func (t table) Put(ctx context.Context, key string, item platform.Item, cond platform.Condition) error {
+	return t.p.call(ctx, TablePut, func() error {
+		row, exists := t.p.rows[key]
+		if !holds(row, exists, cond) {
+			return errors.WithStack(&platform.ConditionError{Name: key})
+		}
+		stored := platform.Item{}
+		maps.Copy(stored, item)
+		t.p.rows[key] = stored
+		return nil
+	})
+}
+
+// Delete removes the row if the condition holds. Without a condition, a
+// missing row is no error.
+func (t table) Delete(ctx context.Context, key string, cond platform.Condition) error {
+	return t.p.call(ctx, TableDelete, func() error {
+		row, exists := t.p.rows[key]
+		if !holds(row, exists, cond) {
+			return errors.WithStack(&platform.ConditionError{Name: key})
+		}
+		delete(t.p.rows, key)
+		return nil
+	})
+}
+
+type objects struct{ p *Platform }
+
+// Get returns a copy of the object.
+func (o objects) Get(ctx context.Context, name string) ([]byte, error) {
+	var data []byte
+	err := o.p.call(ctx, ObjectGet, func() error {
+		stored, exists := o.p.objects[name]
+		if !exists {
+			return errors.WithStack(&platform.NotFoundError{Name: name})
+		}
+		data = bytes.Clone(stored)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return data, nil
+}
+
+// Put stores the object if the name is free.
+func (o objects) Put(ctx context.Context, name string, data []byte) error {
+	return o.p.call(ctx, ObjectPut, func() error {
+		if _, exists := o.p.objects[name]; exists {
+			return errors.WithStack(&platform.ConditionError{Name: name})
+		}
+		o.p.objects[name] = append([]byte{}, data...)
+		return nil
+	})
+}
+
+type instances struct{ p *Platform }
+
+// List returns the list as it was one lag ago, ordered by address.
+func (i instances) List(ctx context.Context) ([]platform.Listed, error) {
+	var list []platform.Listed
+	err := i.p.call(ctx, InstanceGet, func() error {
+		past := i.p.history.At(i.p.clock.SinceBoot() - i.p.lag)
+		list = append([]platform.Listed{}, past...)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return list, nil
+}
