--- a/pkg/platform/instancelist/instancelist.go
+++ b/pkg/platform/instancelist/instancelist.go
@@ -18,8 +18,8 @@
 	operation = "instance list"
 	// defaultTimeout bounds a call whose context has no deadline.
 	defaultTimeout = 5 * time.Second
-	// maxListBytes allows for 550 instances at about 200 bytes each, with a
-	// factor of 10 to spare.
+	// maxListBytes leaves 1,900 bytes for each of the 550 instances of the
+	// expected scale.
 	maxListBytes = 1 << 20
 )
 
--- a/pkg/platform/s3/s3.go
+++ b/pkg/platform/s3/s3.go
@@ -40,8 +40,9 @@
 
 var _ platform.ObjectStore = (*Store)(nil)
 
-// New returns a client of the bucket; it does not connect. Each call makes one
-// attempt and is bounded by its context only.
+// New returns a client of the bucket; it does not connect. Each Put makes one
+// attempt. net/http repeats a Get once when a reused connection closes before
+// it answers. Calls are bounded by their context only.
 func New(o Options) *Store {
 	credentials := aws.Credentials{
 		AccessKeyID: o.AccessKeyID, SecretAccessKey: o.SecretAccessKey, SessionToken: o.SessionToken,
