Test that a target's connection serves one request after another

Cause: the test of connection reuse sent all requests at once, and the server had read them before the watch for cancellation ended. Leaving the read deadline in the past did not fail it.

Change: the test sends two requests one after the other before the pipelined ones. Without the reset of the read deadline it now fails.

--- a/pkg/lab/targetsim/targetsim_test.go
+++ b/pkg/lab/targetsim/targetsim_test.go
@@ -205,15 +205,17 @@
 	is.NoErr(err)
 	defer conn.Close()
 	is.NoErr(conn.SetDeadline(time.Now().Add(5 * time.Second)))
-	_, err = io.WriteString(conn, strings.Repeat("GET /work HTTP/1.1\r\nHost: t\r\n\r\n", 3))
-	is.NoErr(err)
 	reader := bufio.NewReader(conn)
-	for range 3 {
-		response, err := http.ReadResponse(reader, nil)
+	for _, pipelined := range []int{1, 1, 3} {
+		_, err = io.WriteString(conn, strings.Repeat("GET /work HTTP/1.1\r\nHost: t\r\n\r\n", pipelined))
 		is.NoErr(err)
-		_, err = io.Copy(io.Discard, response.Body)
-		is.NoErr(err)
-		is.Equal(response.StatusCode, 200)
+		for range pipelined {
+			response, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, response.Body)
+			is.NoErr(err)
+			is.Equal(response.StatusCode, 200)
+		}
 	}
 }
 
