--- /dev/null
+++ b/pkg/head/document.go
@@ -0,0 +1,136 @@
+package head
+
+import (
+	"context"
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/platform"
+	"github.com/cockroachdb/errors"
+)
+
+// Metadata describes where a configuration version came from.
+type Metadata struct {
+	Author string    `json:"author"`
+	Time   time.Time `json:"time"`
+	// MediaType is the media type of the operator's patch.
+	MediaType string `json:"media_type,omitempty"`
+}
+
+// ConfigDocument is the stored form of one configuration version.
+type ConfigDocument struct {
+	Version   int64  `json:"version"`
+	Operation string `json:"operation"`
+	Metadata
+	PreviousVersion int64 `json:"previous_version"`
+	// PreviousObject is empty when PreviousVersion is 0.
+	PreviousObject string          `json:"previous_object,omitempty"`
+	Config         json.RawMessage `json:"config"`
+}
+
+// Config loads the configuration document that the row names. It returns nil
+// for version 0. Errors: *UnavailableError, *CorruptError.
+func (s *Store) Config(ctx context.Context, row Row) (*ConfigDocument, error) {
+	if row.ConfigObject == "" {
+		return nil, nil
+	}
+	return s.configObject(ctx, row.ConfigObject, row.ConfigVersion)
+}
+
+func (s *Store) configObject(ctx context.Context, name string, version int64) (*ConfigDocument, error) {
+	doc := &ConfigDocument{}
+	if err := s.load(ctx, name, doc); err != nil {
+		return nil, err
+	}
+	return doc, checkVersion(name, version, doc.Version)
+}
+
+// Membership loads a membership document by its object name. It returns an
+// empty membership of version 0 for an empty name. Errors: as of Config.
+func (s *Store) Membership(ctx context.Context, name string) (*membership.Membership, error) {
+	m := &membership.Membership{}
+	if name == "" {
+		return m, nil
+	}
+	return m, s.load(ctx, name, m)
+}
+
+// History lists up to limit configuration versions, the newest first. The
+// documents include the configurations. Errors: as of Config.
+func (s *Store) History(ctx context.Context, row Row, limit int) ([]*ConfigDocument, error) {
+	var history []*ConfigDocument
+	name, version := row.ConfigObject, row.ConfigVersion
+	for name != "" && len(history) < limit {
+		doc, err := s.configObject(ctx, name, version)
+		if err != nil {
+			return nil, err
+		}
+		history = append(history, doc)
+		name, version = doc.PreviousObject, doc.PreviousVersion
+	}
+	return history, nil
+}
+
+func (s *Store) load(ctx context.Context, name string, into any) error {
+	var data []byte
+	err := s.retry(ctx, func() error {
+		var err error
+		data, err = s.objects.Get(ctx, name)
+		return err
+	})
+	if err != nil {
+		return errors.WithStack(&UnavailableError{Cause: err})
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return errors.WithStack(&CorruptError{Name: name, Cause: err})
+	}
+	return nil
+}
+
+func checkVersion(name string, want, got int64) error {
+	if want == got {
+		return nil
+	}
+	return errors.WithStack(&CorruptError{Name: name, Cause: &VersionMismatchError{Want: want, Got: got}})
+}
+
+func (r Row) item() platform.Item {
+	return platform.Item{
+		"revision":                   strconv.FormatInt(r.Revision, 10),
+		"config_version":             strconv.FormatInt(r.ConfigVersion, 10),
+		"membership_version":         strconv.FormatInt(r.MembershipVersion, 10),
+		"delivered":                  strconv.FormatBool(r.Delivered),
+		"operation":                  r.Operation,
+		"config_object":              r.ConfigObject,
+		"membership_object":          r.MembershipObject,
+		"previous_membership_object": r.PreviousMembershipObject,
+	}
+}
+
+func parseRow(item platform.Item) (Row, error) {
+	var err error
+	integer := func(name string) int64 {
+		n, parseErr := strconv.ParseInt(item[name], 10, 64)
+		if parseErr != nil {
+			err = errors.WithStack(&CorruptError{Name: "head row attribute " + name, Cause: parseErr})
+		}
+		return n
+	}
+	delivered, boolErr := strconv.ParseBool(item["delivered"])
+	if boolErr != nil {
+		err = errors.WithStack(&CorruptError{Name: "head row attribute delivered", Cause: boolErr})
+	}
+	row := Row{
+		Revision:                 integer("revision"),
+		ConfigVersion:            integer("config_version"),
+		MembershipVersion:        integer("membership_version"),
+		Delivered:                delivered,
+		Operation:                item["operation"],
+		ConfigObject:             item["config_object"],
+		MembershipObject:         item["membership_object"],
+		PreviousMembershipObject: item["previous_membership_object"],
+	}
+	return row, err
+}
