Add the transport between instances

Cause: heartbeats, fetches, loans and reports need one port with a network adapter and an adapter for tests. Ruled out: one connection pool per address, because a drpc connection carries one call at a time and a heartbeat would wait behind a loan; fetching from the platform alone, because up to 15 witnesses would read the row and its objects at every change.

--- /dev/null
+++ b/pkg/peer/peer.go
@@ -0,0 +1,85 @@
+// Package peer defines how instances call each other.
+package peer
+
+import (
+	"context"
+
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/cockroachdb/errors"
+)
+
+// Transport calls the instance at a peer address (IP:port). It is safe for
+// concurrent use. Every call needs a context with a deadline. Errors:
+// *UnreachableError; the call may have been carried out.
+type Transport interface {
+	Exchange(ctx context.Context, address string, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error)
+	Fetch(ctx context.Context, address string, req *peerpb.FetchRequest) (*peerpb.FetchReply, error)
+	Borrow(ctx context.Context, address string, req *peerpb.BorrowRequest) (*peerpb.BorrowReply, error)
+	Report(ctx context.Context, address string, req *peerpb.ReportRequest) (*peerpb.ReportReply, error)
+}
+
+// Handler answers the calls of other instances. It has the methods of
+// peerpb.DRPCPeerServer.
+type Handler interface {
+	Exchange(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error)
+	Fetch(ctx context.Context, req *peerpb.FetchRequest) (*peerpb.FetchReply, error)
+	Borrow(ctx context.Context, req *peerpb.BorrowRequest) (*peerpb.BorrowReply, error)
+	Report(ctx context.Context, req *peerpb.ReportRequest) (*peerpb.ReportReply, error)
+}
+
+// Handlers is a Handler made of functions. A call whose function is nil fails
+// with *UnsupportedError.
+type Handlers struct {
+	OnExchange func(context.Context, *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error)
+	OnFetch    func(context.Context, *peerpb.FetchRequest) (*peerpb.FetchReply, error)
+	OnBorrow   func(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowReply, error)
+	OnReport   func(context.Context, *peerpb.ReportRequest) (*peerpb.ReportReply, error)
+}
+
+// Exchange calls OnExchange.
+func (h Handlers) Exchange(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	return handle(ctx, "exchange", h.OnExchange, req)
+}
+
+// Fetch calls OnFetch.
+func (h Handlers) Fetch(ctx context.Context, req *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	return handle(ctx, "fetch", h.OnFetch, req)
+}
+
+// Borrow calls OnBorrow.
+func (h Handlers) Borrow(ctx context.Context, req *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
+	return handle(ctx, "borrow", h.OnBorrow, req)
+}
+
+// Report calls OnReport.
+func (h Handlers) Report(ctx context.Context, req *peerpb.ReportRequest) (*peerpb.ReportReply, error) {
+	return handle(ctx, "report", h.OnReport, req)
+}
+
+func handle[Q, R any](ctx context.Context, call string, on func(context.Context, Q) (R, error), req Q) (R, error) {
+	if on == nil {
+		var none R
+		return none, errors.WithStack(&UnsupportedError{Call: call})
+	}
+	return on(ctx, req)
+}
+
+// UnreachableError says that a call to an instance gave no answer.
+type UnreachableError struct {
+	Address string
+	Cause   error
+}
+
+// Error names the address and the cause.
+func (e *UnreachableError) Error() string {
+	return "instance at " + e.Address + " gave no answer: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnreachableError) Unwrap() error { return e.Cause }
+
+// UnsupportedError says that an instance does not serve a call.
+type UnsupportedError struct{ Call string }
+
+// Error names the call.
+func (e *UnsupportedError) Error() string { return "call " + e.Call + " is not served" }
