Add the control loop

Cause: each instance has to join, apply versions, deliver them, remove silent members and keep its fence without a coordination service. Ruled out: goroutines with locks inside the control state, because their order cannot be replayed; the state therefore performs I/O only through one asynchronous call, which the tests drive in virtual time. Change: pkg/control.Loop over a core without goroutines; tests for a withdrawn key under one-way cuts, a frozen process, a dead proposer, racing operators, lost answers, a lost majority, an outage of the platform, leaving and the restart of the whole fleet.

--- /dev/null
+++ b/pkg/control/core_test.go
@@ -0,0 +1,284 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/fence"
+	"github.com/arbutuslink/arbutuslink/pkg/head"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// watchInForce fails the test when an instance acts on a configuration older
+// than one that any instance reports in force.
+func (s *sim) watchInForce() {
+	var inForce int64
+	s.check = func() {
+		for _, n := range s.nodes {
+			v := n.cur.row.ConfigVersion
+			if !n.dead && v > inForce && n.frozenUntil <= s.clock.SinceBoot() && n.status(v).State == InForce {
+				inForce = v
+			}
+		}
+		for _, n := range s.nodes {
+			if !n.dead && n.fresh() && n.cur.row.ConfigVersion < inForce {
+				s.t.Fatalf("%s acts on version %d while %d is in force", n.address, n.cur.row.ConfigVersion, inForce)
+			}
+		}
+	}
+}
+
+// write proposes until the configuration is written.
+func (s *sim) write(n *node, expected int64, change ChangeFunc) {
+	s.t.Helper()
+	done := false
+	var try func()
+	try = func() {
+		s.propose(n, expected, change, func(err error) {
+			var undelivered *head.UndeliveredError
+			var conflict *head.ConflictError
+			switch {
+			case err == nil:
+				done = true
+			case errors.As(err, &undelivered), errors.As(err, &conflict):
+				s.at(50*time.Millisecond, n, try)
+			default:
+				s.t.Fatalf("propose: %v", err)
+			}
+		})
+	}
+	try()
+	s.until(10*time.Second, "write", func() bool { return done })
+}
+
+func allAt(nodes []*node, version int64) func() bool {
+	return func() bool {
+		for _, n := range nodes {
+			if n.cur.row.ConfigVersion < version || !n.cur.row.Delivered {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Guards against a herd of joining instances taking long or loading the platform.
+func TestFleetOf48JoinsAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1)
+	s.fleet(48)
+	took := s.clock.SinceBoot()
+	t.Logf("48 joins took %v, %d reads, %d writes", took, s.platform.reads, s.platform.writes)
+	is.True(took < 8*time.Second)
+	is.True(float64(s.platform.reads)/took.Seconds() < 2000)
+	is.True(float64(s.platform.writes)/took.Seconds() < 300)
+}
+
+// Guards against an instance that hears nothing, or is not heard, keeping a
+// withdrawn key beyond delivery + F + drift.
+func TestWithdrawnKeyStopsUnderOneWayCut(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		s := newSim(t, seed)
+		nodes := s.fleet(6)
+		s.watchInForce()
+		s.write(nodes[0], 0, addKey("k1"))
+		s.until(5*time.Second, "key everywhere", allAt(nodes, 1))
+		apart := nodes[5]
+		setCut := func(cut bool) {
+			for _, n := range nodes[:5] {
+				if seed%2 == 0 {
+					s.cut(n, apart, cut)
+				} else {
+					s.cut(apart, n, cut)
+				}
+			}
+		}
+		setCut(true)
+		s.platform.fault = func(string, bool) bool { return s.platform.caller == apart.address }
+		s.write(nodes[0], 1, withdraw("k1"))
+		s.until(3*time.Second, "delivery", func() bool { return nodes[0].cur.row.Delivered })
+		s.until(fence.Settle(nodes[0].o.F), "key stopped", func() bool {
+			return !apart.fresh() || apart.cur.row.ConfigVersion == 2
+		})
+		s.until(5*time.Second, "in force", func() bool { return nodes[0].status(2).State == InForce })
+		is.Equal(nodes[0].status(3).State, Unknown)
+		is.True(!apart.fresh())
+		setCut(false)
+		s.platform.fault = func(string, bool) bool { return false }
+		s.until(10*time.Second, "recovered", allAt(nodes, 2))
+	}
+}
+
+// Guards against a process that was frozen acting on what it held before.
+func TestFrozenProcessIsFencedWhenItResumes(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 3)
+	nodes := s.fleet(5)
+	s.watchInForce()
+	frozen := nodes[2]
+	frozen.frozenUntil = s.clock.SinceBoot() + 8*time.Second
+	s.run(2500 * time.Millisecond)
+	is.True(!frozen.fresh())
+	s.write(nodes[0], 0, addKey("k1"))
+	s.run(5 * time.Second)
+	_, listed := nodes[0].cur.membership.Find(frozen.self.Incarnation)
+	is.True(!listed) // removed after 3 s of silence
+	old := frozen.self.Incarnation
+	s.until(10*time.Second, "rejoined", func() bool { return frozen.phase == member && frozen.fresh() })
+	is.True(frozen.self.Incarnation != old)
+	is.Equal(frozen.cur.row.ConfigVersion, int64(1))
+}
+
+// Guards against a change blocking all others because its proposer died after
+// its write.
+func TestChangeIsCompletedWhenProposerDies(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 4)
+	nodes := s.fleet(5)
+	s.watchInForce()
+	proposer := nodes[4]
+	base := proposer.cur
+	_, err := proposeConfig(t.Context(), &proposer.o, base, 0, addKey("k1"), head.Metadata{})
+	is.NoErr(err)
+	proposer.dead = true
+	took := s.until(5*time.Second, "completed", allAt(nodes[:4], 1))
+	t.Logf("completed after %v", took)
+	s.until(10*time.Second, "dead member removed", func() bool { return len(nodes[0].cur.membership.Members) == 4 })
+}
+
+// Guards against two racing operators both succeeding or being merged.
+func TestRacingOperators(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 5)
+	nodes := s.fleet(5)
+	s.watchInForce()
+	var won, stale int
+	for i, n := range nodes {
+		s.propose(n, 0, addKey([]string{"k0", "k1", "k2", "k3", "k4"}[i]), func(err error) {
+			var e *head.StaleError
+			switch {
+			case err == nil:
+				won++
+			case errors.As(err, &e):
+				is.Equal(e.Current, int64(1))
+				stale++
+			default:
+				t.Errorf("unexpected: %v", err)
+			}
+		})
+	}
+	s.until(5*time.Second, "settled", allAt(nodes, 1))
+	is.Equal(won, 1)
+	is.Equal(stale, 4)
+	is.Equal(len(nodes[3].cur.config.Config.Keys), 1)
+}
+
+// Guards against lost answers of the platform causing a second version, a lost
+// version or a fleet that does not settle.
+func TestLostAnswers(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		s := newSim(t, seed)
+		s.platform.fault = func(string, bool) bool { return s.random.IntN(5) == 0 }
+		nodes := s.fleet(5)
+		s.watchInForce()
+		for version := range int64(5) {
+			for {
+				var result error
+				done := false
+				s.propose(nodes[version], version, addKey("k1"), func(err error) { result, done = err, true })
+				s.until(10*time.Second, "answer", func() bool { return done })
+				if result == nil {
+					break
+				}
+				var stale *head.StaleError
+				if errors.As(result, &stale) {
+					// Only an attempt whose outcome was reported unknown may have been written.
+					is.Equal(stale.Current, version+1)
+					break
+				}
+				s.run(100 * time.Millisecond)
+			}
+			s.until(10*time.Second, "delivered", allAt(nodes, version+1))
+		}
+		is.Equal(nodes[0].cur.row.ConfigVersion, int64(5))
+	}
+}
+
+// Guards against a fleet that cannot go on after most witnesses were lost at once.
+func TestLostMajority(t *testing.T) {
+	for _, operator := range []bool{false, true} {
+		is := is.New(t)
+		s := newSim(t, 7)
+		nodes := s.fleet(6)
+		s.watchInForce()
+		s.run(6 * time.Second)
+		var gone []string
+		var alive []*node
+		for _, n := range nodes {
+			if n.isWitness() && len(gone) < 3 {
+				n.dead = true
+				gone = append(gone, n.self.Incarnation)
+			} else {
+				alive = append(alive, n)
+			}
+		}
+		if operator {
+			s.platform.fault = func(operation string, _ bool) bool { return operation == "list" }
+			s.run(20 * time.Second)
+			is.True(!alive[0].fresh()) // nothing is replaced without the list or an operator
+			is.NoErr(alive[0].declareGone(gone))
+			is.True(alive[0].declareGone([]string{alive[1].self.Incarnation}) != nil)
+		} else {
+			for _, n := range alive {
+				s.platform.listed = append(s.platform.listed, listedOf(n))
+			}
+		}
+		s.until(20*time.Second, "replaced", func() bool { return joined(alive) })
+	}
+}
+
+// Guards against an outage of the platform stopping traffic or the start of
+// new instances, and against guests that do not become members afterwards.
+func TestPlatformOutage(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 8)
+	nodes := s.fleet(5)
+	s.watchInForce()
+	s.platform.fault = func(string, bool) bool { return true }
+	newcomer := s.start("10.0.1.1:1", "a", nodes[0].address)
+	s.run(time.Hour / 60)
+	for _, n := range nodes {
+		is.True(n.fresh())
+	}
+	is.Equal(newcomer.phase, guest)
+	is.True(newcomer.fresh())
+	is.True(!newcomer.view.Load().Member)
+	s.platform.fault = func(string, bool) bool { return false }
+	s.until(10*time.Second, "joined", func() bool { return joined(append(nodes, newcomer)) })
+}
+
+// Guards against a leaving instance staying listed or joining again, and
+// against a whole fleet that was restarted staying stuck on its dead witnesses.
+func TestLeaveAndRestart(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 9)
+	nodes := s.fleet(4)
+	s.watchInForce()
+	nodes[0].leave()
+	s.until(5*time.Second, "left", func() bool { return nodes[0].phase == left && nodes[0].cur.row.Delivered })
+	s.run(5 * time.Second)
+	is.Equal(nodes[0].phase, left)
+	is.Equal(len(nodes[1].cur.membership.Members), 3)
+	for _, n := range nodes {
+		n.dead = true
+	}
+	restarted := []*node{s.start("10.0.0.1:1", "b"), s.start("10.0.2.1:1", "a")}
+	for _, n := range restarted {
+		s.platform.listed = append(s.platform.listed, listedOf(n))
+	}
+	took := s.until(60*time.Second, "restarted", func() bool { return joined(restarted) })
+	t.Logf("restart of the whole fleet took %v", took)
+}
--- /dev/null
+++ b/pkg/control/documents.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/fence"
+	"github.com/arbutuslink/arbutuslink/pkg/head"
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/cockroachdb/errors"
+)
+
+// documents are a head row with everything that it names. They are immutable.
+type documents struct {
+	row        head.Row
+	config     *config.Snapshot
+	raw        []byte
+	membership *membership.Membership
+	// previous is the membership on which the row's change was written. It is
+	// that of the same version when only the configuration changed.
+	previous *membership.Membership
+}
+
+func emptyDocuments() documents {
+	empty := config.Empty()
+	raw, err := empty.Encode()
+	if err != nil {
+		// The empty configuration holds no value that JSON cannot express.
+		panic(err)
+	}
+	return documents{
+		row: head.Row{Delivered: true}, config: config.NewSnapshot(0, empty), raw: raw,
+		membership: &membership.Membership{}, previous: &membership.Membership{},
+	}
+}
+
+func versionsOf(row head.Row) fence.Versions {
+	return fence.Versions{Config: row.ConfigVersion, Membership: row.MembershipVersion}
+}
+
+// loadDocuments reads from the object store what base does not have.
+func loadDocuments(ctx context.Context, store *head.Store, base documents, row head.Row) (documents, error) {
+	d := documents{row: row, config: base.config, raw: base.raw}
+	if row.ConfigVersion != base.row.ConfigVersion {
+		stored, err := store.Config(ctx, row)
+		if err != nil {
+			return d, err
+		}
+		if err := d.setConfig(stored.Config); err != nil {
+			return d, err
+		}
+	}
+	var err error
+	if d.membership, err = loadMembership(ctx, store, base, row.MembershipObject); err != nil {
+		return d, err
+	}
+	if d.membership.Version != row.MembershipVersion {
+		return d, errors.WithStack(&head.VersionMismatchError{Want: row.MembershipVersion, Got: d.membership.Version})
+	}
+	d.previous, err = loadMembership(ctx, store, base, row.PreviousMembershipObject)
+	return d, err
+}
+
+func loadMembership(ctx context.Context, store *head.Store, base documents, name string) (*membership.Membership, error) {
+	switch name {
+	case base.row.MembershipObject:
+		return base.membership, nil
+	case base.row.PreviousMembershipObject:
+		return base.previous, nil
+	default:
+		return store.Membership(ctx, name)
+	}
+}
+
+func (d *documents) setConfig(raw []byte) error {
+	parsed, err := config.Parse(raw)
+	if err != nil {
+		return err
+	}
+	d.raw, d.config = raw, config.NewSnapshot(d.row.ConfigVersion, parsed)
+	return nil
+}
+
+// encodeReply leaves out the documents that the requester has.
+func (d documents) encodeReply(have *peerpb.Versions) (*peerpb.FetchReply, error) {
+	reply := &peerpb.FetchReply{Versions: versionsMessage(d.row)}
+	var err error
+	if reply.Head, err = encode("head", d.row); err != nil {
+		return nil, err
+	}
+	if have == nil || have.Config != d.row.ConfigVersion {
+		reply.Config = d.raw
+	}
+	if have == nil || have.Membership != d.membership.Version {
+		if reply.Membership, err = encode("membership", d.membership); err != nil {
+			return nil, err
+		}
+	}
+	if have == nil || have.Membership != d.previous.Version {
+		reply.PreviousMembership, err = encode("previous membership", d.previous)
+	}
+	return reply, err
+}
+
+// decodeReply completes a reply with the documents of base, whose versions the
+// request named.
+func decodeReply(base documents, reply *peerpb.FetchReply) (documents, error) {
+	d := documents{config: base.config, raw: base.raw, membership: base.membership, previous: base.membership}
+	if err := decode("head", reply.Head, &d.row); err != nil {
+		return d, err
+	}
+	if len(reply.Config) > 0 {
+		if err := d.setConfig(reply.Config); err != nil {
+			return d, err
+		}
+	}
+	if d.config.Version != d.row.ConfigVersion {
+		return d, errors.WithStack(&IncompleteDocumentsError{Document: "configuration"})
+	}
+	if len(reply.Membership) > 0 {
+		d.membership = &membership.Membership{}
+		if err := decode("membership", reply.Membership, d.membership); err != nil {
+			return d, err
+		}
+	}
+	if d.membership.Version != d.row.MembershipVersion {
+		return d, errors.WithStack(&IncompleteDocumentsError{Document: "membership"})
+	}
+	if len(reply.PreviousMembership) > 0 {
+		d.previous = &membership.Membership{}
+		return d, decode("previous membership", reply.PreviousMembership, d.previous)
+	}
+	return d, nil
+}
+
+func encode(name string, value any) ([]byte, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return nil, errors.WithStack(&MalformedError{Document: name, Cause: err})
+	}
+	return data, nil
+}
+
+func decode(name string, data []byte, into any) error {
+	if err := json.Unmarshal(data, into); err != nil {
+		return errors.WithStack(&MalformedError{Document: name, Cause: err})
+	}
+	return nil
+}
+
+func versionsMessage(row head.Row) *peerpb.Versions {
+	return &peerpb.Versions{
+		Revision: row.Revision, Config: row.ConfigVersion,
+		Membership: row.MembershipVersion, Delivered: row.Delivered,
+	}
+}
--- /dev/null
+++ b/pkg/control/loop.go
@@ -0,0 +1,172 @@
+package control
+
+import (
+	"context"
+	"sync"
+
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/cockroachdb/errors"
+)
+
+// Loop runs the control state of one instance. Its methods are safe for
+// concurrent use; those that need the control goroutine wait until Run has started.
+type Loop struct {
+	core     *core
+	commands chan func()
+	stopped  chan struct{}
+	work     sync.WaitGroup
+	// ctx is that of Run; asynchronous work ends with it. It is used on the
+	// control goroutine alone.
+	ctx context.Context
+}
+
+// New returns a loop that does nothing until Run.
+func New(o Options) *Loop {
+	l := &Loop{commands: make(chan func(), 64), stopped: make(chan struct{})}
+	l.core = newCore(o, l.async)
+	return l
+}
+
+// Run joins the fleet and keeps the control state until ctx ends. It returns
+// nil and may be called once.
+func (l *Loop) Run(ctx context.Context) error {
+	l.ctx = ctx
+	defer l.work.Wait()
+	defer close(l.stopped)
+	l.core.tick()
+	l.work.Go(func() { l.runTicks(ctx) })
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case command := <-l.commands:
+			command()
+		}
+	}
+}
+
+func (l *Loop) runTicks(ctx context.Context) {
+	for l.core.o.Clock.Sleep(ctx, tickInterval) == nil {
+		if l.do(ctx, l.core.tick) != nil {
+			return
+		}
+	}
+}
+
+// async implements asyncFunc. It is called on the control goroutine.
+func (l *Loop) async(work func(ctx context.Context) func()) {
+	ctx := l.ctx
+	l.work.Go(func() {
+		then := work(ctx)
+		select {
+		case l.commands <- then:
+		case <-l.stopped:
+		}
+	})
+}
+
+// do runs f on the control goroutine and waits for it.
+func (l *Loop) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	command := func() {
+		f()
+		close(done)
+	}
+	select {
+	case l.commands <- command:
+	case <-l.stopped:
+		return errors.WithStack(&StoppedError{})
+	case <-ctx.Done():
+		return errors.WithStack(&NoAnswerError{Cause: ctx.Err()})
+	}
+	select {
+	case <-done:
+		return nil
+	case <-l.stopped:
+		return errors.WithStack(&StoppedError{})
+	case <-ctx.Done():
+		return errors.WithStack(&NoAnswerError{Cause: ctx.Err()})
+	}
+}
+
+// View returns the applied state. It is cheap and never nil.
+func (l *Loop) View() *View { return l.core.view.Load() }
+
+// Fresh tells whether this instance is a member or a guest and its fence holds.
+// It is cheap.
+func (l *Loop) Fresh() bool { return l.core.fresh() }
+
+// HandleExchange answers a heartbeat. Errors: *StoppedError, *NoAnswerError.
+func (l *Loop) HandleExchange(ctx context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	var reply *peerpb.ExchangeReply
+	if err := l.do(ctx, func() { reply = l.core.handleExchange(req) }); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// HandleFetch returns the head and the documents that the requester lacks.
+// Errors: *StoppedError, *NoAnswerError, *MalformedError.
+func (l *Loop) HandleFetch(ctx context.Context, req *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	d, err := l.documents(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return d.encodeReply(req.Versions)
+}
+
+func (l *Loop) documents(ctx context.Context) (documents, error) {
+	var d documents
+	err := l.do(ctx, func() { d = l.core.cur })
+	return d, err
+}
+
+// Leave removes this instance from the membership and waits until the removal
+// is delivered. The instance serves until the removal is applied. Errors:
+// *StoppedError, *NoAnswerError when ctx ends first, for example because the
+// platform is away.
+func (l *Loop) Leave(ctx context.Context) error {
+	if err := l.do(ctx, l.core.leave); err != nil {
+		return err
+	}
+	return l.await(ctx, func() bool { return l.core.phase == left && l.core.cur.row.Delivered })
+}
+
+// ReplaceMembership removes members that an operator declares gone after a
+// majority of witnesses was lost, and waits until the change is delivered. The
+// operator must be sure that these processes have ended: one that still runs
+// may act on an old configuration. Errors: *UnknownMemberError,
+// *MemberAliveError, *StoppedError, *NoAnswerError.
+func (l *Loop) ReplaceMembership(ctx context.Context, gone []string) error {
+	var declared error
+	if err := l.do(ctx, func() { declared = l.core.declareGone(gone) }); err != nil {
+		return err
+	}
+	if declared != nil {
+		return declared
+	}
+	return l.await(ctx, func() bool { return l.core.cur.row.Delivered && !listsAny(l.core.cur.membership, gone) })
+}
+
+func listsAny(m *membership.Membership, incarnations []string) bool {
+	for _, id := range incarnations {
+		if _, ok := m.Find(id); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// await checks the condition on the control goroutine until it holds.
+func (l *Loop) await(ctx context.Context, condition func() bool) error {
+	for {
+		holds := false
+		if err := l.do(ctx, func() { holds = condition() }); err != nil || holds {
+			return err
+		}
+		if err := l.core.o.Clock.Sleep(ctx, tickInterval); err != nil {
+			return errors.WithStack(&NoAnswerError{Cause: err})
+		}
+	}
+}
--- /dev/null
+++ b/pkg/control/propose.go
@@ -0,0 +1,157 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/fence"
+	"github.com/arbutuslink/arbutuslink/pkg/head"
+	"github.com/cockroachdb/errors"
+)
+
+// Waits before another try to write a configuration behind an undelivered change.
+const (
+	proposeRetryLow  = 20 * time.Millisecond
+	proposeRetryHigh = 100 * time.Millisecond
+)
+
+// ChangeFunc returns the successor of a configuration, which it must not
+// modify. It may be called more than once.
+type ChangeFunc func(*config.Config) (*config.Config, error)
+
+// ProposeConfig writes the successor of the expected configuration version and
+// returns its number. It waits for other changes to be delivered until ctx
+// ends. Errors: those of change, *head.StaleError with the current number,
+// *head.UndeliveredError when ctx ends while waiting, *head.UnavailableError
+// (see OutcomeUnknown), *config.InvalidError, *StoppedError, *NoAnswerError.
+func (l *Loop) ProposeConfig(ctx context.Context, expected int64, change ChangeFunc, meta head.Metadata) (int64, error) {
+	for {
+		base, err := l.documents(ctx)
+		if err != nil {
+			return 0, err
+		}
+		d, err := proposeConfig(ctx, &l.core.o, base, expected, change, meta)
+		var undelivered *head.UndeliveredError
+		var conflict *head.ConflictError
+		switch {
+		case err == nil:
+			// If the loop has stopped, the other instances complete the version.
+			_ = l.do(ctx, func() { l.core.proposed(d) })
+			return expected + 1, nil
+		case errors.As(err, &undelivered), errors.As(err, &conflict):
+			// The change in the way may be one whose proposer died.
+			if doErr := l.do(ctx, func() { l.core.nextPoll = min(l.core.nextPoll, l.core.now()+tickInterval) }); doErr != nil {
+				return 0, err
+			}
+			if l.core.o.Clock.Sleep(ctx, l.core.between(proposeRetryLow, proposeRetryHigh)) != nil {
+				return 0, err
+			}
+		default:
+			return 0, err
+		}
+	}
+}
+
+// proposeConfig makes one try. When the row that it returns carries other
+// versions than those written, only the row is set.
+func proposeConfig(ctx context.Context, o *Options, base documents, expected int64, change ChangeFunc, meta head.Metadata) (documents, error) {
+	none := documents{}
+	row, err := o.Store.Read(ctx)
+	if err != nil {
+		return none, err
+	}
+	if row.ConfigVersion != expected {
+		return none, errors.WithStack(&head.StaleError{Expected: expected, Current: row.ConfigVersion})
+	}
+	if !row.Delivered {
+		return none, errors.WithStack(&head.UndeliveredError{Row: row})
+	}
+	current, err := loadDocuments(ctx, o.Store, base, row)
+	if err != nil {
+		return none, err
+	}
+	changed, err := change(current.config.Config)
+	if err != nil {
+		return none, err
+	}
+	raw, err := changed.Encode()
+	if err != nil {
+		return none, err
+	}
+	d := documents{row: head.Row{ConfigVersion: expected + 1}, membership: current.membership, previous: current.membership}
+	// The stored form is parsed, so that what is invalid is never written.
+	if err := d.setConfig(raw); err != nil {
+		return none, err
+	}
+	written, err := o.Store.Propose(ctx, row, head.Change{Operation: o.NewID(), Config: raw, Metadata: meta})
+	if err != nil {
+		return none, err
+	}
+	if written.ConfigVersion != expected+1 || written.MembershipVersion != row.MembershipVersion {
+		return documents{row: written}, nil
+	}
+	d.row = written
+	return d, nil
+}
+
+// proposed takes over the delivery of a configuration that was written.
+func (c *core) proposed(d documents) {
+	if d.config == nil {
+		c.nextPoll = 0
+		return
+	}
+	c.learn(d, true)
+}
+
+// VersionState is how far a configuration version has come.
+type VersionState string
+
+// States of a configuration version.
+const (
+	// Unknown versions have not been seen by this instance.
+	Unknown VersionState = "unknown"
+	// Accepted versions are written and being delivered.
+	Accepted VersionState = "accepted"
+	// Settling versions are delivered; instances without contact stop within F.
+	Settling VersionState = "being_put_in_force"
+	// InForce versions bind every instance that admits requests.
+	InForce VersionState = "in_force"
+)
+
+// Status is the state of one configuration version as this instance knows it.
+type Status struct {
+	Version int64        `json:"version"`
+	State   VersionState `json:"state"`
+	// InForceIn is the time until the version is in force; 0 unless Settling.
+	InForceIn time.Duration `json:"in_force_in_ns"`
+}
+
+// Status returns the state of a configuration version. Errors: *StoppedError,
+// *NoAnswerError.
+func (l *Loop) Status(ctx context.Context, version int64) (Status, error) {
+	var status Status
+	err := l.do(ctx, func() { status = l.core.status(version) })
+	return status, err
+}
+
+func (c *core) status(version int64) Status {
+	current := c.cur.row.ConfigVersion
+	if version > current {
+		return Status{Version: version, State: Unknown}
+	}
+	// The delivery of a later version bounds that of an earlier one.
+	delivered, known := time.Duration(0), false
+	for v, at := range c.configDelivered {
+		if v >= version && (!known || at < delivered) {
+			delivered, known = at, true
+		}
+	}
+	if !known {
+		return Status{Version: version, State: Accepted}
+	}
+	if wait := delivered + fence.Settle(c.o.F) - c.now(); wait > 0 {
+		return Status{Version: version, State: Settling, InForceIn: wait}
+	}
+	return Status{Version: version, State: InForce}
+}
