--- /dev/null
+++ b/pkg/limit/dump.go
@@ -0,0 +1,56 @@
+package limit
+
+import "sort"
+
+// Dump is the state of a Limiter for diagnostics.
+type Dump struct {
+	K           int        `json:"k"`
+	Generations int        `json:"generations"`
+	Teams       []TeamDump `json:"teams"`
+}
+
+// TeamDump is the state of one team's pool. Amounts are thousandths of a token.
+type TeamDump struct {
+	Team             string `json:"team"`
+	Parts            int64  `json:"parts"`
+	Tokens           int64  `json:"tokens"`
+	Ceiling          int64  `json:"ceiling"`
+	OnLoan           int64  `json:"on_loan"`
+	Loans            int    `json:"loans"`
+	Borrowed         int64  `json:"borrowed"`
+	Waiting          int    `json:"waiting"`
+	OpenAsks         int    `json:"open_asks"`
+	DemandPerSecond  int64  `json:"demand_per_second"`
+	LastUsedMS int64  `json:"last_used_ms"`
+}
+
+// Dump returns the pools that exist now, sorted by team.
+func (l *Limiter) Dump() Dump {
+	now := l.clock.SinceBoot()
+	l.mu.RLock()
+	entries := make([]*entry, 0, len(l.entries))
+	for _, e := range l.entries {
+		entries = append(entries, e)
+	}
+	l.mu.RUnlock()
+	l.historyMu.RLock()
+	d := Dump{K: l.params.K, Generations: len(l.history.gens), Teams: []TeamDump{}}
+	l.historyMu.RUnlock()
+	for _, e := range entries {
+		e.mu.Lock()
+		d.Teams = append(d.Teams, e.pool.dump(int64(e.pool.demand.at(now))))
+		e.mu.Unlock()
+	}
+	sort.Slice(d.Teams, func(i, j int) bool { return d.Teams[i].Team < d.Teams[j].Team })
+	return d
+}
+
+func (p *Pool) dump(demandPerSecond int64) TeamDump {
+	i := &p.issuer
+	return TeamDump{
+		Team: p.team, Parts: i.share.Parts, Tokens: i.bucket.tokens, Ceiling: i.share.Ceiling(),
+		OnLoan: i.onLoan, Loans: len(i.loans), Borrowed: p.available() - i.bucket.tokens,
+		Waiting: len(p.waiters), OpenAsks: len(p.asks), DemandPerSecond: demandPerSecond,
+		LastUsedMS: p.used.Milliseconds(),
+	}
+}
--- /dev/null
+++ b/pkg/limit/history.go
@@ -0,0 +1,218 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+)
+
+// unsettled marks a version whose settling time is not known yet.
+const unsettled = time.Duration(-1)
+
+// maxGenerations bounds the history. Generations that are still needed are
+// kept beyond it. More history lets a pool that is created on first use start
+// with the tokens that it would hold by now.
+const maxGenerations = 32
+
+// generation is one pair of configuration and membership version as this
+// instance applied it.
+type generation struct {
+	seen time.Duration
+	// settled is the time from which no instance acts on an older generation
+	// and no loan made under an older generation can be spent.
+	settled    time.Duration
+	config     int64
+	membership *membership.Membership
+	// gap stands for versions that this instance did not see; its weight is 0.
+	gap bool
+	// drain says that configuration versions before this one were not seen. A
+	// lower burst may have been in force, so that tokens held by then are void.
+	drain bool
+	// replaced holds the former limits of the teams that this generation changed.
+	replaced map[string]config.Team
+}
+
+// History is the sequence of versions that decides an instance's share. An
+// older version counts until a newer one has settled, and the lowest value of
+// all versions that count applies: shares shrink at once and grow late.
+// It is not safe for concurrent use.
+type History struct {
+	self  string
+	k     int
+	hold  time.Duration
+	gens  []generation
+	teams map[string]config.Team
+}
+
+// NewHistory returns the history of the incarnation self with k issuers per
+// team. hold is the time from delivery until a version has settled.
+func NewHistory(self string, k int, hold time.Duration) *History {
+	return &History{self: self, k: k, hold: hold}
+}
+
+// Observe records the view at the time now. Calls with a known view cost little.
+func (h *History) Observe(now time.Duration, v *control.View) {
+	if v.Membership == nil || v.Config == nil {
+		return
+	}
+	if len(h.gens) == 0 {
+		h.gens = append(h.gens, generation{seen: now, settled: unsettled, membership: v.Membership, gap: true})
+		h.push(now, v.Config, v.Membership, nil)
+	} else if last := h.gens[len(h.gens)-1]; v.Config.Version > last.config || v.Membership.Version > last.membership.Version {
+		h.change(now, v, last)
+	}
+	last := &h.gens[len(h.gens)-1]
+	if v.DeliveredAt != 0 && last.settled == unsettled {
+		last.settled = v.DeliveredAt + h.hold
+	}
+	h.trim(now)
+}
+
+func (h *History) change(now time.Duration, v *control.View, last generation) {
+	from := last.membership.Version
+	if p := v.PreviousMembership; p != nil && p.Version == from+1 && v.Membership.Version == from+2 {
+		h.settleLast(now)
+		h.gens = append(h.gens, generation{seen: now, settled: unsettled, config: last.config, membership: p})
+		from = p.Version
+	}
+	h.settleLast(now)
+	if v.Membership.Version > from+1 {
+		h.gens = append(h.gens, generation{seen: now, settled: unsettled, config: last.config, membership: v.Membership, gap: true})
+	}
+	var replaced map[string]config.Team
+	if v.Config.Version != last.config {
+		replaced = difference(h.teams, v.Config.Config.Teams)
+	}
+	h.push(now, v.Config, v.Membership, replaced)
+	h.gens[len(h.gens)-1].drain = v.Config.Version > last.config+1
+}
+
+// settleLast uses the serial rule: a newer version exists only if the one
+// before it has been delivered.
+func (h *History) settleLast(now time.Duration) {
+	last := &h.gens[len(h.gens)-1]
+	if last.settled == unsettled && !last.gap {
+		last.settled = now + h.hold
+	}
+}
+
+func (h *History) push(now time.Duration, c *config.Snapshot, m *membership.Membership, replaced map[string]config.Team) {
+	h.teams = c.Config.Teams
+	h.gens = append(h.gens, generation{seen: now, settled: unsettled, config: c.Version, membership: m, replaced: replaced})
+}
+
+func difference(old, next map[string]config.Team) map[string]config.Team {
+	replaced := map[string]config.Team{}
+	for id, t := range old {
+		if next[id] != t {
+			replaced[id] = t
+		}
+	}
+	for id := range next {
+		if _, ok := old[id]; !ok {
+			replaced[id] = config.Team{}
+		}
+	}
+	return replaced
+}
+
+func (h *History) trim(now time.Duration) {
+	base := h.base(now)
+	if excess := len(h.gens) - maxGenerations; excess > 0 && base > 0 {
+		h.gens = append([]generation(nil), h.gens[min(base, excess):]...)
+	}
+}
+
+// base is the newest generation that has settled at the time t, or 0.
+func (h *History) base(t time.Duration) int {
+	for i := len(h.gens) - 1; i > 0; i-- {
+		if g := h.gens[i]; g.settled != unsettled && g.settled <= t && g.seen <= t {
+			return i
+		}
+	}
+	return 0
+}
+
+// start is the time from which the history is known.
+func (h *History) start() time.Duration { return h.gens[0].seen }
+
+// drained is the latest time up to t at which held tokens became void.
+func (h *History) drained(t time.Duration) time.Duration {
+	latest := time.Duration(-1)
+	for i := range h.gens {
+		if g := &h.gens[i]; g.drain && g.seen <= t {
+			latest = g.seen
+		}
+	}
+	return latest
+}
+
+// current is the newest membership.
+func (h *History) current() *membership.Membership { return h.gens[len(h.gens)-1].membership }
+
+// ranks caches the issuers of one team per membership version.
+type ranks map[int64][]membership.Member
+
+func (h *History) issuers(team string, cache ranks, m *membership.Membership) []membership.Member {
+	if issuers, ok := cache[m.Version]; ok {
+		return issuers
+	}
+	for version := range cache {
+		if version < h.gens[0].membership.Version {
+			delete(cache, version)
+		}
+	}
+	issuers := m.RankSpread(team, h.k)
+	cache[m.Version] = issuers
+	return issuers
+}
+
+func (h *History) parts(team string, cache ranks, g *generation) int64 {
+	if g.gap {
+		return 0
+	}
+	issuers := h.issuers(team, cache, g.membership)
+	for _, m := range issuers {
+		if m.Incarnation == h.self {
+			return int64(len(issuers))
+		}
+	}
+	return 0
+}
+
+// share returns the team's share in force at the time t and the next time at
+// which it may change.
+func (h *History) share(team string, cache ranks, t time.Duration) (Share, time.Duration) {
+	next := time.Duration(1<<63 - 1)
+	newest := 0
+	for i := range h.gens {
+		g := &h.gens[i]
+		if g.seen <= t {
+			newest = i
+		} else {
+			next = min(next, g.seen)
+		}
+		if g.settled > t {
+			next = min(next, g.settled)
+		}
+	}
+	limits := h.teams[team]
+	base := h.base(t)
+	var result Share
+	for i := len(h.gens) - 1; i >= base; i-- {
+		g := &h.gens[i]
+		if i <= newest {
+			s := shareOf(limits, h.parts(team, cache, g))
+			if i < newest {
+				s = result.minimum(s)
+			}
+			result = s
+		}
+		if old, ok := g.replaced[team]; ok {
+			limits = old
+		}
+	}
+	return result, next
+}
