Add health evaluation, target selection and their simulation

Cause: targets fail partially, and an instance alone sees too few requests of a target to tell a gray failure from chance.

Change: pkg/health has the collector, the evaluator, the follower and the reporter; pkg/balance has the two-choice balancer, the retry budget and the baseline (round robin, ejection after 5 consecutive failures at one instance); pkg/lab/healthsim runs them in simulated time.

--- /dev/null
+++ b/pkg/health/collector.go
@@ -0,0 +1,289 @@
+// Package health observes targets, merges the observations of all instances
+// at the health evaluators and decides which targets take work.
+package health
+
+import (
+	"math/bits"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+)
+
+// ReportInterval is the time between two reports of an instance.
+const ReportInterval = 250 * time.Millisecond
+
+const (
+	// latencyBuckets covers 1 ms to 32 s by powers of two. Bucket 0 is below
+	// 1 ms, bucket i is [2^(i-1), 2^i) ms, and the last one is open-ended.
+	latencyBuckets = 17
+	// activeFor keeps a service in the reports after its last request, so that
+	// a service with sparse traffic still receives current verdicts.
+	activeFor = 5 * time.Second
+	// localDrainFor is how long a drain signal stops new work without being
+	// repeated. It covers the time until the evaluators' verdict arrives.
+	localDrainFor = 10 * time.Second
+	// reportDrainFor repeats a drain signal in several reports, so that the
+	// loss of one report does not lose the signal.
+	reportDrainFor = time.Second
+)
+
+// Outcome classifies a finished request for health decisions.
+type Outcome int
+
+// Outcomes of requests.
+const (
+	// Good is a complete answer that is no server error.
+	Good Outcome = iota
+	// Failed is a server error, a broken answer or a failed connection.
+	Failed
+	// Stalled is a request without a complete answer at its deadline.
+	Stalled
+	// Shed is a refusal by the target because of load.
+	Shed
+	// Ignored says nothing about the target, for example after a cancellation.
+	Ignored
+)
+
+// Load is what a target said about itself in a response.
+type Load struct {
+	// Known is false when the response carried no load header.
+	Known bool
+	// InFlight counts running and queued requests.
+	InFlight int
+	Draining bool
+}
+
+// Collector counts what one instance observes. It is safe for concurrent use.
+type Collector struct {
+	clock    clock.Clock
+	mu       sync.RWMutex
+	services map[string]*serviceWindow
+}
+
+type serviceWindow struct {
+	mu        sync.Mutex
+	targets   map[string]*Observed
+	lastUse   time.Duration
+	everUsed  bool
+	threshold stallThreshold
+}
+
+// Observed holds the observations of one target since the previous report.
+type Observed struct {
+	service *serviceWindow
+	clock   clock.Clock
+
+	// drainSeen is the boot time of the newest drain signal plus one, or 0.
+	drainSeen atomic.Int64
+
+	// The following fields are guarded by service.mu.
+	counts         peerpb.TargetCounts
+	latency        [latencyBuckets]uint32
+	oldest, newest *Open
+	inFlight       uint32
+	loadAt         time.Duration
+	loadKnown      bool
+}
+
+// Open is one request that a target has not finished. Open requests form a
+// list in order of their start, so that stalls are found without a scan.
+type Open struct {
+	previous, next *Open
+	target         *Observed
+	started        time.Duration
+	stalled        bool
+}
+
+// NewCollector returns a collector without observations.
+func NewCollector(c clock.Clock) *Collector {
+	return &Collector{clock: c, services: map[string]*serviceWindow{}}
+}
+
+// Target returns the observations of a target. Callers keep the result, so
+// that a request costs no lookup.
+func (c *Collector) Target(service, target string) *Observed {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.services[service]
+	if s == nil {
+		s = &serviceWindow{targets: map[string]*Observed{}}
+		c.services[service] = s
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.targets[target]
+	if o == nil {
+		o = &Observed{service: s, clock: c.clock}
+		s.targets[target] = o
+	}
+	return o
+}
+
+// Retain drops services and targets that are no longer configured.
+func (c *Collector) Retain(services map[string]config.Service) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, s := range c.services {
+		configured, ok := services[name]
+		if !ok {
+			delete(c.services, name)
+			continue
+		}
+		s.mu.Lock()
+		for target := range s.targets {
+			if _, ok := configured.Targets[target]; !ok {
+				delete(s.targets, target)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
+
+// Begin records that a request is about to be sent. The caller provides the
+// memory of open and calls End exactly once.
+func (o *Observed) Begin(open *Open) {
+	now := o.clock.SinceBoot()
+	o.service.mu.Lock()
+	defer o.service.mu.Unlock()
+	*open = Open{target: o, started: now, previous: o.newest}
+	if o.newest != nil {
+		o.newest.next = open
+	} else {
+		o.oldest = open
+	}
+	o.newest = open
+	o.inFlight++
+	o.service.lastUse, o.service.everUsed = now, true
+}
+
+// End records how the request ended. A request that was already counted as a
+// stall is not counted again.
+func (open *Open) End(outcome Outcome, latency time.Duration, load Load) {
+	o := open.target
+	now := o.clock.SinceBoot()
+	if load.Draining {
+		o.drainSeen.Store(int64(now) + 1)
+	}
+	o.service.mu.Lock()
+	defer o.service.mu.Unlock()
+	o.unlink(open)
+	o.service.lastUse = now
+	if load.Known {
+		o.counts.ReportedLoad, o.loadAt, o.loadKnown = uint32(max(load.InFlight, 0)), now, true
+	}
+	if outcome == Good || outcome == Failed || outcome == Stalled {
+		o.service.threshold.observe(latency)
+	}
+	if open.stalled {
+		return
+	}
+	switch outcome {
+	case Good:
+		o.counts.Answers++
+		o.latency[latencyBucket(latency)]++
+	case Failed:
+		o.counts.Errors++
+	case Stalled:
+		o.counts.Stalls++
+	case Shed:
+		o.counts.Sheds++
+	case Ignored:
+	}
+}
+
+func (o *Observed) unlink(open *Open) {
+	if open.previous != nil {
+		open.previous.next = open.next
+	} else {
+		o.oldest = open.next
+	}
+	if open.next != nil {
+		open.next.previous = open.previous
+	} else {
+		o.newest = open.previous
+	}
+	open.previous, open.next = nil, nil
+	o.inFlight--
+}
+
+// Draining tells whether this instance itself saw a drain signal recently.
+func (o *Observed) Draining(now time.Duration) bool {
+	return o.drainWithin(now, localDrainFor)
+}
+
+func (o *Observed) drainWithin(now, span time.Duration) bool {
+	seen := o.drainSeen.Load()
+	return seen != 0 && now-time.Duration(seen-1) < span
+}
+
+// Report returns the observations since the previous call and starts a new
+// window. Services without recent traffic are left out.
+func (c *Collector) Report() []*peerpb.ServiceReport {
+	now := c.clock.SinceBoot()
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var reports []*peerpb.ServiceReport
+	for name, s := range c.services {
+		if report := s.report(name, now); report != nil {
+			reports = append(reports, report)
+		}
+	}
+	return reports
+}
+
+func (s *serviceWindow) report(name string, now time.Duration) *peerpb.ServiceReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report := &peerpb.ServiceReport{Service: name}
+	open := false
+	limit := s.threshold.current()
+	for target, o := range s.targets {
+		if counts := o.take(target, now, limit); counts != nil {
+			report.Targets = append(report.Targets, counts)
+			open = open || counts.InFlight > 0
+		}
+	}
+	s.threshold.decay()
+	if !open && (!s.everUsed || now-s.lastUse > activeFor) {
+		return nil
+	}
+	return report
+}
+
+// take counts the open requests that exceeded the stall threshold, returns
+// the counts of the window, or nil when there are none, and resets them.
+func (o *Observed) take(target string, now, limit time.Duration) *peerpb.TargetCounts {
+	for open := o.oldest; open != nil && now-open.started >= limit; open = open.next {
+		if !open.stalled {
+			open.stalled = true
+			o.counts.Stalls++
+		}
+	}
+	draining := o.drainWithin(now, reportDrainFor)
+	c := &o.counts
+	if c.Answers == 0 && c.Errors == 0 && c.Stalls == 0 && c.Sheds == 0 && o.inFlight == 0 && !draining {
+		return nil
+	}
+	counts := &peerpb.TargetCounts{
+		Target: target, Answers: c.Answers, Errors: c.Errors, Stalls: c.Stalls, Sheds: c.Sheds,
+		InFlight: o.inFlight, Draining: draining,
+	}
+	if o.loadKnown {
+		counts.ReportedLoad = c.ReportedLoad
+		counts.ReportedAgeMs = uint32((now - o.loadAt).Milliseconds())
+	}
+	if c.Answers > 0 {
+		counts.Latency = append(counts.Latency, o.latency[:]...)
+	}
+	c.Answers, c.Errors, c.Stalls, c.Sheds = 0, 0, 0, 0
+	o.latency = [latencyBuckets]uint32{}
+	return counts
+}
+
+func latencyBucket(latency time.Duration) int {
+	return min(bits.Len64(uint64(max(latency, 0)/time.Millisecond)), latencyBuckets-1)
+}
--- /dev/null
+++ b/pkg/health/decide.go
@@ -0,0 +1,250 @@
+package health
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+)
+
+const (
+	// minPeerSamples makes a target comparable.
+	minPeerSamples = 5
+	// minSlowSamples is the least number of answers for a latency comparison.
+	minSlowSamples = 20
+	// minSlowLog keeps latencies below about 8 ms, where the histogram and the
+	// network dominate, from being compared.
+	minSlowLog = 3.0
+	// minLogDeviation bounds the assumed spread of latencies from below.
+	minLogDeviation = 0.8
+)
+
+// peers is what the other active targets of the service look like.
+type peers struct {
+	comparable int
+	badShare   float64
+	slowCount  int
+	logMean    float64
+}
+
+// evaluate updates the state of every configured target.
+func (s *serviceHealth) evaluate(now time.Duration, svc config.Service) {
+	s.evaluated = now
+	s.forget(now, svc)
+	p := s.profile(svc)
+	names := make([]string, 0, len(svc.Targets))
+	for name := range svc.Targets {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		s.announce(name, s.target(name, now), now, svc.Targets[name].Leaving)
+	}
+	s.release(now, svc)
+	recent := s.tallies(names, now, p.Window)
+	long := s.tallies(names, now, longWindow)
+	slow := s.tallies(names, now, p.SlowWindow)
+	var suspects []string
+	for _, name := range names {
+		t := s.targets[name]
+		switch t.state {
+		case active:
+			if s.suspicious(name, t, now, p, recent, long, slow) {
+				suspects = append(suspects, name)
+			} else {
+				t.floorHeld = false
+			}
+		case ejected:
+			if now-t.since >= t.backOff() && !t.probe.failing(now) {
+				s.move(name, t, trial, now)
+			}
+		case trial:
+			s.judgeTrial(name, t, now, p, slow)
+		}
+	}
+	s.eject(suspects, now, svc)
+}
+
+// announce applies what the target says about itself.
+func (s *serviceHealth) announce(name string, t *targetHealth, now time.Duration, leaving bool) {
+	switch {
+	case leaving || t.isDraining(now):
+		s.move(name, t, draining, now)
+	case t.probe.cold && !withheld(t.state):
+		s.move(name, t, cold, now)
+	case t.state == draining || t.state == cold && !t.probe.cold:
+		s.move(name, t, active, now)
+	}
+}
+
+// release returns ejected targets when the capacity of others went away, so
+// that ejections never hold the service below its floor. The least severe
+// and oldest ejections end first.
+func (s *serviceHealth) release(now time.Duration, svc config.Service) {
+	released := floorReleases(svc, s.state, func(a, b string) bool {
+		x, y := s.targets[a], s.targets[b]
+		if x.cause != y.cause {
+			return x.cause < y.cause
+		}
+		if x.since != y.since {
+			return x.since < y.since
+		}
+		return a < b
+	})
+	for _, name := range released {
+		t := s.targets[name]
+		s.move(name, t, active, now)
+		s.holdFloor(name, t)
+	}
+}
+
+func (s *serviceHealth) holdFloor(name string, t *targetHealth) {
+	if !t.floorHeld {
+		t.floorHeld = true
+		event.FloorHeld.Log(s.log).Str("service", s.name).Str("target", name).Stringer("cause", t.cause).Send()
+	}
+}
+
+// tallies sums the windows of the active targets.
+func (s *serviceHealth) tallies(names []string, now, span time.Duration) map[string]tally {
+	sums := make(map[string]tally, len(names))
+	for _, name := range names {
+		t := s.targets[name]
+		if t.state == active || t.state == trial {
+			sums[name] = t.window.sum(now, span, t.since)
+		}
+	}
+	return sums
+}
+
+// peersOf describes the active targets other than name. Medians keep a
+// minority of failing peers from hiding or feigning a fault.
+func (s *serviceHealth) peersOf(name string, sums map[string]tally) peers {
+	var shares, means []float64
+	for other, sum := range sums {
+		if other == name || s.targets[other].state != active {
+			continue
+		}
+		if sum.total() >= minPeerSamples {
+			shares = append(shares, sum.badShare())
+		}
+		if sum.answers >= minPeerSamples {
+			means = append(means, sum.logMean())
+		}
+	}
+	return peers{comparable: len(shares), badShare: median(shares), slowCount: len(means), logMean: median(means)}
+}
+
+func median(values []float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[len(values)/2]
+}
+
+// minPeers is the number of comparable peers that an ejection needs.
+func (s *serviceHealth) minPeers() int { return max(min(2, len(s.targets)-1), 1) }
+
+// suspicious tells whether the target has been worse than its peers for long
+// enough, and records the cause.
+func (s *serviceHealth) suspicious(
+	name string, t *targetHealth, now time.Duration, p Profile, recent, long, slow map[string]tally,
+) bool {
+	found := reasonNone
+	confirm := p.Confirm
+	switch {
+	case s.failing(name, t, now, p, p.Window, recent), s.failing(name, t, now, p, longWindow, long):
+		found = reasonErrors
+		if sum := recent[name]; sum.stalls >= sum.errors {
+			found = reasonStalls
+		}
+	case t.probe.failing(now) && recent[name].answers == 0 && s.probesWork(name, now):
+		found, confirm = reasonProbe, 0
+	case s.slow(name, p, slow):
+		found, confirm = reasonSlow, p.SlowConfirm
+	}
+	if found == reasonNone {
+		t.suspect = reasonNone
+		return false
+	}
+	if t.suspect == reasonNone {
+		t.suspectSince = now
+	}
+	t.suspect = found
+	return now-t.suspectSince >= confirm
+}
+
+func (s *serviceHealth) failing(
+	name string, t *targetHealth, now time.Duration, p Profile, span time.Duration, sums map[string]tally,
+) bool {
+	sum := sums[name]
+	if sum.bad() < p.MinBad {
+		return false
+	}
+	others := s.peersOf(name, sums)
+	if others.comparable < s.minPeers() || sum.badShare() < others.badShare+minMargin {
+		return false
+	}
+	if t.badInstances(now, span) < min(p.MinInstances, len(s.reporters)) {
+		return false
+	}
+	allowed := min(max(1.25*others.badShare, peerFloor), 0.95)
+	return evidence(sum.bad(), sum.total(), allowed) >= p.Evidence
+}
+
+func (s *serviceHealth) slow(name string, p Profile, sums map[string]tally) bool {
+	sum := sums[name]
+	if sum.answers < minSlowSamples || sum.logMean() < minSlowLog {
+		return false
+	}
+	others := s.peersOf(name, sums)
+	if others.slowCount < s.minPeers() {
+		return false
+	}
+	difference := sum.logMean() - others.logMean
+	return difference >= slowDoublings && slowScore(sum, difference) >= p.SlowScore
+}
+
+// probesWork tells whether the probes of at least half of the other targets
+// do not fail; otherwise the fault is likely to be shared.
+func (s *serviceHealth) probesWork(name string, now time.Duration) bool {
+	good, bad := 0, 0
+	for other, t := range s.targets {
+		switch {
+		case other == name:
+		case t.probe.failing(now):
+			bad++
+		default:
+			good++
+		}
+	}
+	return good > bad
+}
+
+// eject ejects the most severe suspects first, as far as the floor permits.
+func (s *serviceHealth) eject(suspects []string, now time.Duration, svc config.Service) {
+	sort.SliceStable(suspects, func(i, j int) bool {
+		return s.targets[suspects[i]].suspect > s.targets[suspects[j]].suspect
+	})
+	inUse := SlotsInUse(svc, s.state)
+	required := RequiredSlots(svc)
+	for _, name := range suspects {
+		t := s.targets[name]
+		t.cause = t.suspect
+		if inUse-svc.Targets[name].Slots < required {
+			s.holdFloor(name, t)
+			continue
+		}
+		inUse -= svc.Targets[name].Slots
+		if t.everReturned && now-t.returnedAt < flapMemory {
+			t.level++
+		} else {
+			t.level = 0
+		}
+		t.floorHeld = false
+		s.move(name, t, ejected, now)
+	}
+}
--- /dev/null
+++ b/pkg/health/probe.go
@@ -0,0 +1,119 @@
+package health
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/cespare/xxhash/v2"
+)
+
+// ProbeStatus is what a target answers on its health path.
+type ProbeStatus int
+
+// Results of a probe.
+const (
+	// ProbeFailed means that no valid answer arrived in time.
+	ProbeFailed ProbeStatus = iota
+	ProbeOK
+	ProbeDraining
+	ProbeCold
+)
+
+// ProbeTimeout bounds one probe. A probe takes about 25 ms at a healthy target.
+const ProbeTimeout = time.Second
+
+// Prober sends one probe. ctx ends after ProbeTimeout.
+type Prober interface {
+	Probe(ctx context.Context, address, path string) ProbeStatus
+}
+
+// ParseProbe interprets an answer of the health path.
+func ParseProbe(httpStatus int, body []byte) ProbeStatus {
+	var answer struct {
+		Status string `json:"status"`
+	}
+	if httpStatus != 200 || json.Unmarshal(body, &answer) != nil {
+		return ProbeFailed
+	}
+	switch answer.Status {
+	case "ok":
+		return ProbeOK
+	case "draining":
+		return ProbeDraining
+	case "cold":
+		return ProbeCold
+	default:
+		return ProbeFailed
+	}
+}
+
+// ProbeTask is one probe that is due.
+type ProbeTask struct {
+	Service, Target string
+	Address, Path   string
+}
+
+type probeState struct {
+	inFlight       bool
+	planned        bool
+	next           time.Duration
+	goodRun        int
+	badRun         int
+	badSince       time.Duration
+	draining, cold bool
+}
+
+// failing tells whether failures of probes have lasted. One failed probe says
+// little: the health path lags or misleads.
+func (p *probeState) failing(now time.Duration) bool {
+	return p.badRun >= minBadProbes && now-p.badSince >= probeMustLast
+}
+
+func (p *probeState) done(status ProbeStatus, now time.Duration) {
+	p.inFlight = false
+	if status == ProbeFailed {
+		if p.badRun == 0 {
+			p.badSince = now
+		}
+		p.badRun++
+		p.goodRun = 0
+		return
+	}
+	p.badRun = 0
+	if status == ProbeOK {
+		p.goodRun++
+	} else {
+		p.goodRun = 0
+	}
+	p.draining, p.cold = status == ProbeDraining, status == ProbeCold
+}
+
+// dueProbes returns the probes to send now. The phase of a target follows
+// from its name, which spreads the probes over the interval. An evaluator of
+// lower rank probes less often, since its verdicts are a reserve.
+func (s *serviceHealth) dueProbes(now time.Duration, rank int, svc config.Service) []ProbeTask {
+	interval := svc.ProbeInterval() * time.Duration(rank+1)
+	if interval <= 0 || svc.HealthPath == "" {
+		return nil
+	}
+	var due []ProbeTask
+	for name, target := range svc.Targets {
+		t := s.target(name, now)
+		if !t.probe.planned {
+			t.probe.planned = true
+			t.probe.next = now + time.Duration(xxhash.Sum64String(name)%uint64(interval))
+		}
+		if t.probe.inFlight || now < t.probe.next || target.Leaving {
+			continue
+		}
+		t.probe.inFlight = true
+		t.probe.next += interval
+		if t.probe.next <= now {
+			t.probe.next = now + interval
+		}
+		due = append(due, ProbeTask{Service: s.name, Target: name, Address: target.Address, Path: svc.HealthPath})
+	}
+	return due
+}
--- /dev/null
+++ b/pkg/health/ranking.go
@@ -0,0 +1,32 @@
+package health
+
+import (
+	"sync"
+
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+)
+
+// ranking caches the evaluators of each service for one membership version,
+// because ranking sorts all members.
+type ranking struct {
+	mu      sync.Mutex
+	version int64
+	members map[string][]membership.Member
+}
+
+func (r *ranking) evaluators(m *membership.Membership, service string) []membership.Member {
+	if m == nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.members == nil || r.version != m.Version {
+		r.members, r.version = map[string][]membership.Member{}, m.Version
+	}
+	members, ok := r.members[service]
+	if !ok {
+		members = EvaluatorsOf(m, service)
+		r.members[service] = members
+	}
+	return members
+}
--- /dev/null
+++ b/pkg/lab/healthsim/figures_test.go
@@ -0,0 +1,52 @@
+package healthsim
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/matryer/is"
+)
+
+var seeds = flag.Int("seeds", 1, "number of seeds of each scenario")
+
+func measureScenario(policy Policy, scenario Scenario) Result {
+	var r Result
+	for seed := range *seeds {
+		r.Add(Run(policy, scenario, uint64(seed+1)))
+	}
+	return r
+}
+
+func logResult(t *testing.T, name string, r Result) {
+	ms := func(values []time.Duration, q float64) int64 { return Quantile(values, q).Milliseconds() }
+	fast, careful := r.Detection[config.Fast], r.Detection[config.Careful]
+	t.Logf("%s: fast p50/p99/max %d/%d/%d ms, careful %d/%d/%d ms, missed %d; mistaken %d (%.1f target-s); "+
+		"lowest %.1f%%, crossed %d; failed %.3f%%, shed %.3f%% of %d; latency p50/p99 %d/%d ms", name,
+		ms(fast, 0.5), ms(fast, 0.99), ms(fast, 1), ms(careful, 0.5), ms(careful, 0.99), ms(careful, 1), r.Missed,
+		r.Mistaken, r.MistakenTargetSeconds, r.LowestPercent, r.FloorCrossed,
+		100*float64(r.Failed)/float64(r.Requests), 100*float64(r.Shed)/float64(r.Requests), r.Requests,
+		ms(r.Latency, 0.5), ms(r.Latency, 0.99))
+}
+
+// Guards the objectives of the design page: detection p99 within 2 s with the
+// fast profile, no mistaken ejection when all targets are alike, and the floor.
+func TestObjectives(t *testing.T) {
+	for _, scenario := range Scenarios() {
+		t.Run(string(scenario), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			logResult(t, "baseline", measureScenario(BaselinePolicy, scenario))
+			r := measureScenario(FleetPolicy, scenario)
+			logResult(t, "fleet   ", r)
+			is.Equal(r.FloorCrossed, 0)
+			switch scenario {
+			case Healthy, AllSlow, AllSlower:
+				is.Equal(r.Mistaken, 0)
+			case GrayStall:
+				is.True(Quantile(r.Detection[config.Fast], 0.99) <= 2*time.Second)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/lab/healthsim/fleet.go
@@ -0,0 +1,173 @@
+package healthsim
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/balance"
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/health"
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+	"github.com/rs/zerolog"
+)
+
+const (
+	instances     = 48
+	floorPercent  = 70
+	maxWitnesses  = 15
+	probeInterval = time.Second
+	probePoll     = 50 * time.Millisecond
+)
+
+// shape describes one service of the simulated deployments.
+type shape struct {
+	name           string
+	targets, slots int
+	connections    int
+	profile        config.Profile
+	zones          int
+	// idempotent is the share of requests that are idempotent.
+	idempotent float64
+	// faulty is the number of targets that scenarios with single faults affect.
+	faulty int
+}
+
+// shapes are the services of both deployments of the design page.
+var shapes = []shape{
+	{"portal", 30, 2, 400, config.Careful, 4, 0.6, 3},
+	{"payments", 8, 2, 400, config.Careful, 4, 0, 1},
+	{"booking", 25, 4, 350, config.Fast, 3, 0.6, 3},
+	{"manifest", 6, 4, 350, config.Fast, 3, 0.3, 1},
+}
+
+// viewer is the View of one instance; it does not change during a run.
+type viewer struct{ view *control.View }
+
+// View returns the fixed view.
+func (v viewer) View() *control.View { return v.view }
+
+type instance struct {
+	balancer  proxy.Balancer
+	follower  *health.Follower
+	reporter  *health.Reporter
+	evaluator *health.Evaluator
+	baseline  *balance.Baseline
+}
+
+// ejected tells whether the instance keeps ordinary work from the target.
+func (i *instance) ejected(service, target string) bool {
+	if i.baseline != nil {
+		return i.baseline.Ejected(service, target)
+	}
+	standings := i.follower.Standings(service)
+	if standings == nil {
+		return false
+	}
+	state := standings.Targets[target].State
+	return state == peerpb.TargetState_TARGET_STATE_EJECTED || state == peerpb.TargetState_TARGET_STATE_TRIAL
+}
+
+func zoneName(i, zones int) string { return string(rune('a' + i%zones)) }
+
+func buildConfig() *config.Config {
+	c := config.Empty()
+	for _, s := range shapes {
+		svc := config.Service{
+			FloorPercent: floorPercent, Profile: s.profile, HealthPath: "/health",
+			ProbeIntervalMS: int(probeInterval.Milliseconds()), Targets: map[string]config.Target{},
+		}
+		for i := range s.targets {
+			svc.Targets[fmt.Sprintf("%s%02d", s.name, i)] = config.Target{
+				Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Zone: zoneName(i, s.zones),
+				Slots: s.slots, MaxConnections: s.connections,
+			}
+		}
+		c.Services[s.name] = svc
+		c.Routes[s.name] = config.Route{PathPrefix: "/" + s.name, Service: s.name, OpenToAll: true}
+	}
+	return c
+}
+
+// buildFleet makes the instances. Their reports travel over the simulated network.
+func (w *world) buildFleet(policy Policy) {
+	members := make([]membership.Member, instances)
+	for i := range members {
+		members[i] = membership.Member{
+			Incarnation: fmt.Sprintf("i%02d-%d", i, w.seed), Instance: fmt.Sprintf("i%02d", i), Zone: zoneName(i, 4),
+		}
+	}
+	m := (&membership.Membership{}).With(members, nil, maxWitnesses)
+	w.config = buildConfig()
+	snapshot := config.NewSnapshot(1, w.config)
+	log := zerolog.Nop()
+	w.byIncarnation = map[string]*instance{}
+	for n, member := range members {
+		v := viewer{&control.View{Config: snapshot, Membership: m, Self: member, Member: true}}
+		i := &instance{}
+		if policy == BaselinePolicy {
+			i.baseline = balance.NewBaseline(w.engine, v)
+			i.balancer = i.baseline
+		} else {
+			collector := health.NewCollector(w.engine)
+			i.follower = health.NewFollower(w.engine, v, collector, &log)
+			i.reporter = health.NewReporter(w.engine, v, collector, i.follower)
+			i.evaluator = health.NewEvaluator(w.engine, v, &log)
+			i.balancer = balance.New(w.engine, v, collector, i.follower, w.seed<<8+uint64(n))
+			w.startLoops(i)
+		}
+		w.instances = append(w.instances, i)
+		w.byIncarnation[member.Incarnation] = i
+	}
+}
+
+func (w *world) startLoops(i *instance) {
+	phase := time.Duration(w.random.Int64N(int64(health.ReportInterval)))
+	w.engine.every(phase, health.ReportInterval, func() { w.report(i) })
+	w.engine.every(phase, health.ReportInterval, i.evaluator.Tick)
+	w.engine.every(phase, probePoll, func() { w.probe(i) })
+}
+
+func (w *world) report(i *instance) {
+	outgoing := i.reporter.Collect()
+	sort.Slice(outgoing, func(a, b int) bool { return outgoing[a].To.Incarnation < outgoing[b].To.Incarnation })
+	for _, out := range outgoing {
+		w.engine.after(3*network, func() {
+			reply := w.byIncarnation[out.To.Incarnation].evaluator.HandleReport(out.Request)
+			w.engine.after(3*network, func() { i.follower.Hear(out.To.Incarnation, out.Asked, reply) })
+		})
+	}
+}
+
+func (w *world) probe(i *instance) {
+	due := i.evaluator.DueProbes()
+	sort.Slice(due, func(a, b int) bool { return due[a].Target < due[b].Target })
+	for _, task := range due {
+		w.targets[task.Target].probe(func(status health.ProbeStatus) { i.evaluator.ProbeDone(task, status) })
+	}
+}
+
+func (w *world) buildTargets() {
+	w.targets = map[string]*simTarget{}
+	for _, s := range shapes {
+		names := make([]string, 0, s.targets)
+		for name := range w.config.Services[s.name].Targets {
+			names = append(names, name)
+		}
+		sort.Strings(names)
+		for _, name := range names {
+			w.targets[name] = &simTarget{
+				engine: w.engine, name: name, slots: s.slots,
+				random: rand.New(rand.NewPCG(w.seed, uint64(len(w.targets)))),
+			}
+		}
+		w.names[s.name] = names
+		for _, i := range w.random.Perm(s.targets)[:s.faulty] {
+			w.affected[s.name] = append(w.affected[s.name], names[i])
+		}
+	}
+}
