Serve requests end to end with separate processes

Cause: the components had landed but nothing ran them together. Ruled out: starting simulators inside the test process; the demonstration uses real processes on loopback so that signals and sockets are real.

--- /dev/null
+++ b/cmd/arbutus-entry/main.go
@@ -0,0 +1,10 @@
+// Command arbutus-entry is one instance of an arbutuslink fleet.
+package main
+
+import (
+	"os"
+
+	"github.com/arbutuslink/arbutuslink/pkg/entry"
+)
+
+func main() { os.Exit(entry.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
 	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
@@ -53,7 +53,7 @@
 		text += fmt.Sprintf("\n  %s: %s is not allowed; allowed: %s", f.Path, f.Value, f.Allowed)
 	}
 	for _, c := range e.Failure.Changes {
-		text += fmt.Sprintf("\n  version %d by %s at %s: %s", c.Version, c.Author, c.Time.Format(time.RFC3339), c.Patch)
+		text += fmt.Sprintf("\n  version %d by %s at %s: %s", c.Version, c.Author, c.Time.Format(time.RFC3339), strings.Join(c.Differences, ", "))
 	}
 	if e.Failure.Applied == api.AppliedUnknown {
 		text += "\n  The change may have taken effect; read the configuration before repeating it."
@@ -89,7 +89,6 @@
 	req.Header.SetMethod(fasthttp.MethodPatch)
 	req.Header.SetContentType(mediaType)
 	req.Header.Set(fasthttp.HeaderIfMatch, strconv.Quote(strconv.FormatInt(version, 10)))
-	req.Header.Set(api.OperationHeader, uuid.NewString())
 	req.SetBody(patch)
 	var result api.PatchResult
 	err := c.do(req, &result)
--- a/pkg/ctl/read.go
+++ b/pkg/ctl/read.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/url"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -44,9 +45,9 @@
 	}
 	return c.app.print(history, func(w io.Writer) {
 		table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-		_, _ = fmt.Fprintln(table, "VERSION\tAUTHOR\tTIME\tPATCH")
+		_, _ = fmt.Fprintln(table, "VERSION\tAUTHOR\tTIME\tCHANGE")
 		for _, ch := range history.Changes {
-			_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", ch.Version, ch.Author, ch.Time.Format(time.RFC3339), ch.Patch)
+			_, _ = fmt.Fprintf(table, "%d\t%s\t%s\t%s\n", ch.Version, ch.Author, ch.Time.Format(time.RFC3339), strings.Join(ch.Differences, "; "))
 		}
 		_ = table.Flush()
 	})
--- /dev/null
+++ b/pkg/entry/caller.go
@@ -0,0 +1,56 @@
+package entry
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/arbutuslink/arbutuslink/pkg/directory"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+	"github.com/arbutuslink/arbutuslink/pkg/refusal"
+)
+
+const (
+	reservedPrefix = "/.arbutus/"
+	directoryPath  = reservedPrefix + "directory"
+)
+
+// serveCaller is the handler of the callers' listener.
+func (i *Instance) serveCaller(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	switch {
+	case path == directoryPath:
+		i.serveDirectory(ctx)
+	case strings.HasPrefix(path, reservedPrefix):
+		proxy.WriteRefusal(ctx, refusal.New(refusal.RouteUnknown, nil))
+	default:
+		i.proxy.Handle(ctx)
+	}
+}
+
+func (i *Instance) serveDirectory(ctx *fasthttp.RequestCtx) {
+	view := i.control.View()
+	key := proxy.PresentedKey(&ctx.Request.Header)
+	if key == "" {
+		proxy.WriteRefusal(ctx, refusal.New(refusal.KeyMissing, nil))
+		return
+	}
+	_, team, ok := view.Config.Authenticate(key)
+	if !ok {
+		proxy.WriteRefusal(ctx, refusal.New(refusal.KeyInvalid, nil))
+		return
+	}
+	answer := directory.List(view, team, directory.Options{
+		Usable:   i.control.Fresh() && !i.lifecycle.leaving.Load(),
+		K:        i.settings.Limits.IssuersPerTeam,
+		Lifetime: i.settings.Timings.DirectoryLifetime(),
+	})
+	data, err := json.Marshal(answer)
+	if err != nil {
+		proxy.WriteRefusal(ctx, refusal.New(refusal.RequestInvalid, err))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
--- /dev/null
+++ b/pkg/entry/dump.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"context"
+	"runtime"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/arbutuslink/arbutuslink/pkg/balance"
+	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/fairqueue"
+	"github.com/arbutuslink/arbutuslink/pkg/health"
+	"github.com/arbutuslink/arbutuslink/pkg/limit"
+	"github.com/arbutuslink/arbutuslink/pkg/version"
+)
+
+type dumper struct{ instance *Instance }
+
+// Dump is the state of a process. It holds no secrets: the configuration is
+// given by its version only.
+type Dump struct {
+	Program       string                     `json:"program"`
+	Version       string                     `json:"version"`
+	Instance      string                     `json:"instance"`
+	Zone          string                     `json:"availability_zone"`
+	UptimeSeconds float64                    `json:"uptime_seconds"`
+	Goroutines    int                        `json:"goroutines"`
+	Leaving       bool                       `json:"leaving"`
+	OpenRequests  int64                      `json:"open_requests"`
+	ConfigVersion int64                      `json:"config_version"`
+	Control       *control.Dump              `json:"control,omitempty"`
+	Limits        limit.Dump                 `json:"limits"`
+	Evaluator     health.EvaluatorDump       `json:"evaluator"`
+	Follower      health.FollowerDump        `json:"follower"`
+	Balancer      *balance.Dump              `json:"balancer,omitempty"`
+	Baseline      map[string][]string        `json:"baseline_ejected,omitempty"`
+	Queue         map[string]fairqueue.State `json:"queue"`
+}
+
+// Dump collects the state of all components.
+func (d *dumper) Dump() any {
+	i := d.instance
+	dump := Dump{
+		Program: "arbutus-entry", Version: version.Number, Instance: i.settings.Instance, Zone: i.settings.AvailabilityZone,
+		UptimeSeconds: time.Since(i.started).Seconds(), Goroutines: runtime.NumGoroutine(),
+		Leaving: i.lifecycle.leaving.Load(), OpenRequests: i.proxy.Open(), ConfigVersion: i.control.View().Config.Version,
+		Limits: i.limiter.Dump(), Evaluator: i.evaluator.Dump(), Follower: i.follower.Dump(), Queue: i.queue.Dump(),
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	if c, err := i.control.Dump(ctx); err == nil {
+		dump.Control = &c
+	}
+	if i.shared != nil {
+		b := i.shared.Dump()
+		dump.Balancer = &b
+	}
+	if i.baseline != nil {
+		dump.Baseline = i.baselineEjected()
+	}
+	return dump
+}
+
+func (i *Instance) baselineEjected() map[string][]string {
+	ejected := map[string][]string{}
+	for service, s := range i.control.View().Config.Config.Services {
+		for target := range s.Targets {
+			if i.baseline.Ejected(service, target) {
+				ejected[service] = append(ejected[service], target)
+			}
+		}
+	}
+	return ejected
+}
+
+const metricsInterval = time.Second
+
+// publishMetrics updates the gauges that are derived from state.
+func (i *Instance) publishMetrics(ctx context.Context, scope tally.Scope) error {
+	for {
+		view := i.control.View()
+		scope.Gauge("config_version").Update(float64(view.Config.Version))
+		scope.Gauge("membership_version").Update(float64(view.Membership.Version))
+		scope.Gauge("members").Update(float64(len(view.Membership.Members)))
+		scope.Gauge("fresh").Update(oneIf(i.control.Fresh()))
+		scope.Gauge("member").Update(oneIf(view.Member))
+		scope.Gauge("open_requests").Update(float64(i.proxy.Open()))
+		for service, state := range i.queue.Dump() {
+			tagged := scope.Tagged(map[string]string{"service": service})
+			tagged.Gauge("queue_waiting").Update(float64(state.Waiting))
+			tagged.Gauge("queue_limit").Update(state.Limit)
+		}
+		if err := i.clock.Sleep(ctx, metricsInterval); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+}
+
+func oneIf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/entry/entry.go
@@ -0,0 +1,189 @@
+// Package entry assembles one instance from its components and runs it: start,
+// listeners, graceful shutdown and dump.
+package entry
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/arbutuslink/arbutuslink/pkg/balance"
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/fairqueue"
+	"github.com/arbutuslink/arbutuslink/pkg/head"
+	"github.com/arbutuslink/arbutuslink/pkg/health"
+	"github.com/arbutuslink/arbutuslink/pkg/limit"
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/metrics"
+	"github.com/arbutuslink/arbutuslink/pkg/operator"
+	"github.com/arbutuslink/arbutuslink/pkg/peer"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+	"github.com/arbutuslink/arbutuslink/pkg/settings"
+)
+
+// BalancePolicyBaseline selects the policy that others are compared with.
+const BalancePolicyBaseline = "baseline"
+
+// ListenError says that a listener could not be opened.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+// Error names the address and the cause.
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Instance is one instance of the fleet.
+type Instance struct {
+	settings *settings.Entry
+	log      zerolog.Logger
+	clock    clock.Clock
+
+	platform  *services
+	store     *head.Store
+	control   *control.Loop
+	transport *drpcpeer.Client
+	limiter   *limit.Limiter
+	collector *health.Collector
+	evaluator *health.Evaluator
+	follower  *health.Follower
+	reporter  *health.Reporter
+	queue     *fairqueue.Queue
+	shared    *balance.Balancer
+	baseline  *balance.Baseline
+	proxy     *proxy.Proxy
+	lifecycle lifecycle
+	started   time.Time
+}
+
+// New builds an instance; it opens no connection and no listener.
+func New(s *settings.Entry, log zerolog.Logger) *Instance {
+	i := &Instance{settings: s, log: log, clock: clock.System{}, started: time.Now()}
+	i.platform = newServices(s.Platform)
+	i.store = head.NewStore(i.platform.table, i.platform.objects, i.clock)
+	i.transport = drpcpeer.NewClient()
+	i.control = control.New(control.Options{
+		Self: membership.Member{
+			Instance: s.Instance, Zone: s.AvailabilityZone, PeerAddress: advertisedPeer(s),
+			CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress,
+		},
+		Seeds: s.SeedPeers, Store: i.store, Transport: i.transport, Clock: i.clock, List: i.platform.list, Log: log,
+		MaxWitnesses: s.Limits.MaxWitnesses, F: s.Timings.Fence(), RemoveAfter: s.Timings.RemoveAfter(),
+	})
+	i.buildLimits()
+	i.buildHealth()
+	i.buildProxy()
+	return i
+}
+
+func advertisedPeer(s *settings.Entry) string {
+	if s.AdvertisePeerAddress != "" {
+		return s.AdvertisePeerAddress
+	}
+	return s.PeerAddress
+}
+
+func (i *Instance) buildLimits() {
+	params := limit.DefaultParams(i.settings.Timings.Fence())
+	params.K = i.settings.Limits.IssuersPerTeam
+	i.limiter = limit.New(limit.Options{
+		Clock: i.clock, Viewer: i.control, Freshness: i.control, Borrower: i.transport, Params: params,
+	})
+}
+
+func (i *Instance) buildHealth() {
+	i.collector = health.NewCollector(i.clock)
+	i.evaluator = health.NewEvaluator(i.clock, i.control, &i.log)
+	i.follower = health.NewFollower(i.clock, i.control, i.collector, &i.log)
+	i.reporter = health.NewReporter(i.clock, i.control, i.collector, i.follower)
+}
+
+func (i *Instance) buildProxy() {
+	i.queue = fairqueue.New(i.control, i.clock, fairqueue.Options{})
+	var balancer proxy.Balancer
+	if i.settings.BalancePolicy == BalancePolicyBaseline {
+		i.baseline = balance.NewBaseline(i.clock, i.control)
+		balancer = i.baseline
+	} else {
+		i.shared = balance.New(i.clock, i.control, i.collector, i.follower, uint64(i.started.UnixNano()))
+		balancer = i.shared
+	}
+	i.proxy = proxy.New(proxy.Ports{
+		Viewer: i.control, Freshness: i.control, Clock: i.clock, Limiter: i.limiter, Queue: i.queue, Balancer: balancer,
+		Claims: proxy.NewTableClaims(i.platform.table, i.clock, i.settings.Platform.Timeout()), Reporter: i.queue, Log: &i.log,
+	}, proxy.Options{
+		ClockError:     i.settings.Timings.BatchClockError(),
+		MaxHeaderBytes: i.settings.Limits.MaxHeaderBytes, MaxRequestBody: i.settings.Limits.MaxBodyBytes,
+	})
+}
+
+// Run serves until ctx ends, then shuts down gracefully. Errors: *ListenError,
+// *certificate.LoadError, *drpcpeer.ServeError.
+func (i *Instance) Run(ctx context.Context) error {
+	listeners, err := i.listen()
+	if err != nil {
+		return err
+	}
+	scope, scrape, closer := metrics.New(i.settings.Instance, i.settings.AvailabilityZone)
+	defer func() { _ = closer.Close() }()
+
+	// The background parts outlive ctx until the shutdown is complete.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, groupCtx := errgroup.WithContext(background)
+	i.startBackground(groupCtx, group, listeners.peer)
+	group.Go(func() error { return i.publishMetrics(groupCtx, scope) })
+
+	callers := i.proxy.NewServer(i.serveCaller)
+	callers.Concurrency = i.settings.Limits.MaxConnections
+	operators := &fasthttp.Server{
+		Handler:            operator.New(&coordinator{instance: i}, &dumper{instance: i}, scrape, i.settings.OperatorTokens, &i.log).Handle,
+		MaxRequestBodySize: maxOperatorBody, NoDefaultServerHeader: true, Logger: silentLogger{},
+	}
+	group.Go(func() error { return errors.WithStack(callers.Serve(listeners.caller)) })
+	group.Go(func() error { return errors.WithStack(operators.Serve(listeners.operator)) })
+	event.Started.Log(&i.log).Str("callers", i.settings.CallerAddress).Str("operators", i.settings.OperatorAddress).
+		Str("peers", i.settings.PeerAddress).Send()
+
+	select {
+	case <-ctx.Done():
+		i.shutdown(callers, operators)
+	case <-groupCtx.Done():
+	}
+	stop()
+	return ignoreCanceled(group.Wait())
+}
+
+// maxOperatorBody admits a patch that replaces a large configuration.
+const maxOperatorBody = 16 << 20
+
+func (i *Instance) startBackground(ctx context.Context, group *errgroup.Group, listener net.Listener) {
+	handlers := peer.Handlers{
+		OnExchange: i.control.HandleExchange, OnFetch: i.control.HandleFetch,
+		OnBorrow: i.limiter.HandleBorrow, OnReport: i.handleReport,
+	}
+	group.Go(func() error { return drpcpeer.Serve(ctx, listener, handlers) })
+	group.Go(func() error { return i.control.Run(ctx) })
+	group.Go(func() error { return i.limiter.Run(ctx) })
+	group.Go(func() error { return i.reporter.Run(ctx, i) })
+	group.Go(func() error { return i.evaluator.Run(ctx, newProber()) })
+	group.Go(func() error { return i.retainConfigured(ctx) })
+}
+
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/pkg/entry/listen.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"crypto/tls"
+	"net"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutuslink/arbutuslink/pkg/certificate"
+	"github.com/arbutuslink/arbutuslink/pkg/settings"
+)
+
+type listeners struct{ caller, operator, peer net.Listener }
+
+// listen opens all listeners or none.
+func (i *Instance) listen() (*listeners, error) {
+	l := &listeners{}
+	open := []struct {
+		address string
+		tls     *settings.TLS
+		into    *net.Listener
+	}{
+		{i.settings.CallerAddress, i.settings.CallerTLS, &l.caller},
+		{i.settings.OperatorAddress, i.settings.OperatorTLS, &l.operator},
+		{i.settings.PeerAddress, nil, &l.peer},
+	}
+	for _, o := range open {
+		listener, err := i.listenOne(o.address, o.tls)
+		if err != nil {
+			l.close()
+			return nil, err
+		}
+		*o.into = listener
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.caller, l.operator, l.peer} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+func (i *Instance) listenOne(address string, t *settings.TLS) (net.Listener, error) {
+	var config *tls.Config
+	if t != nil {
+		reloader, err := certificate.New(t.CertificateFile, t.KeyFile, &i.log)
+		if err != nil {
+			return nil, err
+		}
+		config = reloader.Config()
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.WithStack(&ListenError{Address: address, Cause: err})
+	}
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	return listener, nil
+}
+
+// silentLogger drops the log lines of fasthttp, which report every connection
+// that a client broke off.
+type silentLogger struct{}
+
+// Printf drops the line.
+func (silentLogger) Printf(string, ...any) {}
--- a/pkg/lab/caller/caller.go
+++ b/pkg/lab/caller/caller.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/arbutuslink/arbutuslink/pkg/lab/targetsim"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
@@ -57,6 +58,8 @@
 	Address string
 	Tries   int
 	Latency time.Duration
+	// TargetTime is how long the simulated target had the request; 0 without its header.
+	TargetTime time.Duration
 	// Err is set when the last try gave no complete answer.
 	Err error
 }
@@ -163,7 +166,17 @@
 		Code:    refusal.Code(resp.Header.Peek(refusal.CodeHeader)),
 		Outcome: refusal.Outcome(resp.Header.Peek(refusal.OutcomeHeader)),
 		Body:    append([]byte(nil), resp.Body()...),
+
+		TargetTime: targetTime(resp),
+	}
+}
+
+func targetTime(resp *fasthttp.Response) time.Duration {
+	micros, err := strconv.ParseInt(string(resp.Header.Peek(targetsim.MicrosHeader)), 10, 64)
+	if err != nil {
+		return 0
 	}
+	return time.Duration(micros) * time.Microsecond
 }
 
 // address returns the address for the given try, asking the directory when the
--- /dev/null
+++ b/pkg/lab/experiment/operator.go
@@ -0,0 +1,125 @@
+package experiment
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/lab/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
+)
+
+// APIError is an answer other than success from an admin or operator address.
+type APIError struct {
+	URL    string
+	Status int
+	Body   string
+}
+
+// Error names the address, the status and the answer.
+func (e *APIError) Error() string { return fmt.Sprintf("%s answered %d: %s", e.URL, e.Status, e.Body) }
+
+// CallError says that an admin or operator address gave no answer.
+type CallError struct {
+	URL   string
+	Cause error
+}
+
+// Error names the address and the cause.
+func (e *CallError) Error() string { return e.URL + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+const apiTimeout = 15 * time.Second
+
+var apiClient = &http.Client{Timeout: apiTimeout}
+
+// call sends a JSON request and decodes the answer when into is not nil.
+func call(method, url string, header map[string]string, body, into any) error {
+	var payload io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return errors.WithStack(&CallError{URL: url, Cause: err})
+		}
+		payload = bytes.NewReader(data)
+	}
+	req, err := http.NewRequest(method, url, payload)
+	if err != nil {
+		return errors.WithStack(&CallError{URL: url, Cause: err})
+	}
+	req.Header.Set(api.HeaderAuthorization, api.AuthorizationPrefix+fleet.OperatorToken)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	resp, err := apiClient.Do(req)
+	if err != nil {
+		return errors.WithStack(&CallError{URL: url, Cause: err})
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.WithStack(&CallError{URL: url, Cause: err})
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return errors.WithStack(&APIError{URL: url, Status: resp.StatusCode, Body: string(data)})
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return errors.WithStack(&CallError{URL: url, Cause: err})
+	}
+	return nil
+}
+
+// Operator drives the operators' API of one instance.
+type Operator struct{ Address string }
+
+// Patch submits a merge patch against a version.
+func (o Operator) Patch(version int64, patch any) (int64, error) {
+	var result api.PatchResult
+	header := map[string]string{
+		"If-Match":     strconv.Quote(strconv.FormatInt(version, 10)),
+		"Content-Type": config.MergePatchType,
+	}
+	err := call(http.MethodPatch, "http://"+o.Address+api.ConfigPath, header, patch, &result)
+	return result.Version, err
+}
+
+// Status returns the status of the instance.
+func (o Operator) Status() (api.Status, error) {
+	var s api.Status
+	err := call(http.MethodGet, "http://"+o.Address+api.StatusPath, nil, nil, &s)
+	return s, err
+}
+
+// Dump decodes the dump of the instance.
+func (o Operator) Dump(into any) error {
+	return call(http.MethodGet, "http://"+o.Address+api.DumpPath, nil, nil, into)
+}
+
+// Members returns the membership of the instance.
+func (o Operator) Members() (api.MemberList, error) {
+	var m api.MemberList
+	err := call(http.MethodGet, "http://"+o.Address+api.MembershipPath, nil, nil, &m)
+	return m, err
+}
+
+// SetTargetFaults replaces fields of a target's faults.
+func SetTargetFaults(t *fleet.Target, faults map[string]any) error {
+	return call(http.MethodPost, "http://"+t.Admin+"/admin/faults", nil, faults, nil)
+}
+
+// SetPlatformFaults replaces fields of the platform's faults.
+func SetPlatformFaults(f *fleet.Fleet, faults map[string]any) error {
+	return call(http.MethodPost, "http://"+f.PlatformAdmin()+"/admin/faults", nil, faults, nil)
+}
--- /dev/null
+++ b/pkg/lab/experiment/run.go
@@ -0,0 +1,295 @@
+// Package experiment runs scripted experiments on a fleet of real processes and
+// measures them.
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/lab/deployment"
+	"github.com/arbutuslink/arbutuslink/pkg/lab/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/lab/report"
+	"github.com/arbutuslink/arbutuslink/pkg/settings"
+)
+
+// Options describe one run.
+type Options struct {
+	Name       string
+	Deployment deployment.Deployment
+	Instances  int
+	// Seconds of measured load.
+	Seconds int
+	// Load is the offered load as a share of the capacity of the targets.
+	Load float64
+	// RateShare is the offered load as a share of the teams' rates.
+	RateShare float64
+	// Policy is the balance policy of the instances.
+	Policy string
+	// Issuers is the number of token issuers per team; 0 takes the default.
+	Issuers   int
+	Seed      uint64
+	Directory string
+	// Script replaces the scenario of the name when it is not nil.
+	Script func(ctx context.Context, r *Run) error
+	// Progress receives one line per phase; nil for none.
+	Progress io.Writer
+}
+
+// Run is an experiment in progress.
+type Run struct {
+	Options Options
+	Fleet   *fleet.Fleet
+	Config  *config.Config
+	// Keys maps teams to their keys.
+	Keys    map[string]string
+	Version int64
+
+	scenario *scenario
+	started  time.Time
+	monitor  *monitor
+
+	mu     sync.Mutex
+	factor map[string]float64
+	faulty map[string]faultPeriod
+}
+
+// faultPeriod is the time in which a target has a fault.
+type faultPeriod struct{ from, until time.Time }
+
+// NotReadyError says that the fleet did not reach a state in time.
+type NotReadyError struct{ What string }
+
+// Error names the state.
+func (e *NotReadyError) Error() string { return "the fleet is not ready: " + e.What }
+
+const (
+	joinTimeout  = 60 * time.Second
+	forceTimeout = 20 * time.Second
+	warmUp       = 3 * time.Second
+	idleWindow   = 4 * time.Second
+)
+
+// Start starts the fleet and puts the configuration in force.
+func Start(ctx context.Context, o Options) (*Run, error) {
+	s, err := chooseScenario(o)
+	if err != nil {
+		return nil, err
+	}
+	r := &Run{Options: o, scenario: s, factor: map[string]float64{}, faulty: map[string]faultPeriod{}}
+	r.progress("starting %d instances and their targets", o.Instances)
+	r.Fleet, err = fleet.New(fleet.Options{
+		Deployment: o.Deployment, Instances: o.Instances, Directory: o.Directory, Relays: s.relays, Seed: o.Seed,
+		Adjust: func(e *settings.Entry) {
+			e.BalancePolicy = o.Policy
+			if o.Issuers > 0 {
+				e.Limits.IssuersPerTeam = o.Issuers
+			}
+			e.LogLevel = "warn"
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := r.prepare(ctx); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+// Close ends all processes.
+func (r *Run) Close() { r.Fleet.Close() }
+
+func (r *Run) prepare(ctx context.Context) error {
+	if err := r.Fleet.Start(ctx); err != nil {
+		return err
+	}
+	if err := r.WaitMembers(ctx, r.Options.Instances); err != nil {
+		return err
+	}
+	rate := r.Options.Deployment.Capacity() * r.Options.Load / r.Options.RateShare
+	r.Config, r.Keys = r.Options.Deployment.Config(rate, r.Fleet.Addresses(), time.Now())
+	return r.Apply(ctx, r.Config)
+}
+
+// Operator returns the operators' API of the n-th instance, from 0.
+func (r *Run) Operator(n int) Operator {
+	return Operator{Address: r.Fleet.Instances[n].Settings.OperatorAddress}
+}
+
+// WaitMembers waits until the fleet has exactly this number of members and the
+// running instances are fresh.
+func (r *Run) WaitMembers(ctx context.Context, count int) error {
+	deadline := time.Now().Add(joinTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if r.membersReady(count) {
+			return nil
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return errors.WithStack(&NotReadyError{What: fmt.Sprintf("%d members", count)})
+}
+
+func (r *Run) membersReady(count int) bool {
+	for n, instance := range r.Fleet.Instances {
+		if !instance.Process.Running() {
+			continue
+		}
+		s, err := r.Operator(n).Status()
+		if err != nil || !s.Member || !s.Fresh || s.Members != count {
+			return false
+		}
+	}
+	return true
+}
+
+// Apply submits a merge patch and waits until it is in force.
+func (r *Run) Apply(ctx context.Context, patch any) error {
+	version, err := r.Operator(0).Patch(r.Version, patch)
+	if err != nil {
+		return err
+	}
+	r.Version = version
+	return r.WaitInForce(ctx, version)
+}
+
+// WaitInForce waits until the first running instance reports the version in force.
+func (r *Run) WaitInForce(ctx context.Context, version int64) error {
+	deadline := time.Now().Add(forceTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		s, err := r.Operator(0).Status()
+		if err == nil && s.ConfigVersion >= version && s.ConfigState == "in force" {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.WithStack(&NotReadyError{What: fmt.Sprintf("version %d in force", version)})
+}
+
+// Measure runs the load and the scenario and returns the report.
+func (r *Run) Measure(ctx context.Context) (*report.Report, error) {
+	r.progress("measuring the idle fleet")
+	cost, err := r.idleCost()
+	if err != nil {
+		return nil, err
+	}
+	r.progress("warming up")
+	loadCtx, stopLoad := context.WithCancel(ctx)
+	defer stopLoad()
+	l := newLoad(r)
+	l.start(loadCtx)
+	time.Sleep(warmUp)
+	r.started = time.Now()
+	r.monitor = newMonitor(r)
+	r.monitor.start(loadCtx)
+	r.progress("measuring %s for %d s", r.Options.Name, r.Options.Seconds)
+	scriptErr := make(chan error, 1)
+	go func() { scriptErr <- r.scenario.script(loadCtx, r) }()
+	if !sleepUntil(ctx, r.started.Add(time.Duration(r.Options.Seconds)*time.Second)) {
+		return nil, errors.WithStack(ctx.Err())
+	}
+	ended := time.Now()
+	stopLoad()
+	if err := <-scriptErr; err != nil && !errors.Is(err, context.Canceled) {
+		return nil, err
+	}
+	records := l.wait()
+	r.monitor.wait()
+	r.progress("collecting")
+	return r.report(records, cost, ended)
+}
+
+func (r *Run) progress(format string, args ...any) {
+	if r.Options.Progress != nil {
+		_, _ = fmt.Fprintf(r.Options.Progress, format+"\n", args...)
+	}
+}
+
+// offered is the current rate of requests of a team per second.
+func (r *Run) offered(team string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	factor, ok := r.factor[team]
+	if !ok {
+		factor = 1
+	}
+	return r.Config.Teams[team].RatePerSecond * r.Options.RateShare * factor
+}
+
+// SetFactor multiplies the offered rate of a team.
+func (r *Run) SetFactor(team string, factor float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.factor[team] = factor
+}
+
+// pickRoute chooses a route in proportion to the capacity of its service.
+func (r *Run) pickRoute(rng *rand.Rand) deployment.Route {
+	d := r.Options.Deployment
+	x := rng.Float64() * d.Capacity()
+	for _, s := range d.Services {
+		if x -= s.Capacity(); x < 0 {
+			return pickWithin(d, s.Name, rng)
+		}
+	}
+	return d.Routes[0]
+}
+
+func pickWithin(d deployment.Deployment, service string, rng *rand.Rand) deployment.Route {
+	x := rng.Float64()
+	var last deployment.Route
+	for _, route := range d.Routes {
+		if route.Service != service {
+			continue
+		}
+		last = route
+		if x -= route.Weight; x < 0 {
+			break
+		}
+	}
+	return last
+}
+
+// Fault sets faults of a target and records the period for the measurement.
+func (r *Run) Fault(t *fleet.Target, faults map[string]any) error {
+	if err := SetTargetFaults(t, faults); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faulty[t.ID] = faultPeriod{from: time.Now()}
+	return nil
+}
+
+// Heal clears the faults of a target.
+func (r *Run) Heal(t *fleet.Target) error {
+	none := map[string]any{
+		"stall": 0, "error_rate": 0, "slow_factor": 0, "flap_period_ms": 0, "silent": false, "half_response": 0, "health": "",
+	}
+	if err := SetTargetFaults(t, none); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	period := r.faulty[t.ID]
+	period.until = time.Now()
+	r.faulty[t.ID] = period
+	return nil
+}
+
+// recovery is the time after a fault in which an ejection still counts as justified.
+const recovery = 15 * time.Second
+
+func (r *Run) hasFault(target string, at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.faulty[target]
+	return ok && at.After(p.from) && (p.until.IsZero() || at.Before(p.until.Add(recovery)))
+}
--- a/pkg/lab/targetsim/serve.go
+++ b/pkg/lab/targetsim/serve.go
@@ -22,6 +22,9 @@
 	deadlineHeader  = "X-Deadline-Ms"
 	teamHeader      = "X-Team"
 	requestIDHeader = "X-Request-Id"
+	// MicrosHeader tells how long the target had the request, in microseconds,
+	// so that a caller can compute the latency that the fleet added.
+	MicrosHeader = "X-Sim-Micros"
 )
 
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
@@ -130,7 +133,7 @@
 }
 
 func (s *Server) answer(ctx *fasthttp.RequestCtx, p plan, outcome Outcome) {
-	body := bytes.Repeat([]byte("x"), s.options.ResponseBytes)
+	body := Body(string(ctx.Request.Header.Peek(requestIDHeader)), s.options.ResponseBytes)
 	switch outcome {
 	case Cancelled:
 		httpserver.Drop(ctx)
@@ -145,9 +148,20 @@
 	default:
 		ctx.SetBody(body)
 	}
+	ctx.Response.Header.Set(MicrosHeader, strconv.FormatInt(time.Since(ctx.Time()).Microseconds(), 10))
 	s.setHeaders(ctx, p)
 }
 
+// Body is the answer to a request: its id, filled up to the size. A caller can
+// tell by it whether an answer is whole and its own.
+func Body(requestID string, size int) []byte {
+	body := append([]byte(requestID), '\n')
+	if len(body) < size {
+		body = append(body, bytes.Repeat([]byte("x"), size-len(body))...)
+	}
+	return body
+}
+
 // truncate announces the whole body, sends half of it and closes.
 func truncate(ctx *fasthttp.RequestCtx, body []byte) {
 	ctx.HijackSetNoResponse(true)
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -23,6 +23,16 @@
 		Tags:           map[string]string{"instance": instance, "availability_zone": zone},
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
+		// The names of tally's own metrics hold dots, which the text format forbids.
+		SanitizeOptions: sanitizers(),
 	}, reportInterval)
 	return scope, fasthttpadaptor.NewFastHTTPHandler(reporter.HTTPHandler()), closer
 }
+
+// sanitizers replaces characters in names as the text format demands. Values
+// of tags stay as they are, because an operator looks for the instance's name.
+func sanitizers() *tally.SanitizeOptions {
+	options := prometheus.DefaultSanitizerOpts
+	options.ValueCharacters.Characters = []rune{'_', '-', '.', ':', '/'}
+	return &options
+}
--- a/pkg/operator/api/api.go
+++ b/pkg/operator/api/api.go
@@ -3,7 +3,6 @@
 package api
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/config"
@@ -20,10 +19,6 @@
 	MetricsPath    = "/metrics"
 )
 
-// OperationHeader identifies a patch, so that a repeated submission of the same
-// patch is recognised after a lost answer.
-const OperationHeader = "X-Operation-Id"
-
 // State says how far a configuration version has come.
 type State string
 
@@ -49,11 +44,12 @@
 
 // Change is one entry of the history.
 type Change struct {
-	Version   int64           `json:"version"`
-	Author    string          `json:"author"`
-	Time      time.Time       `json:"time"`
-	MediaType string          `json:"media_type"`
-	Patch     json.RawMessage `json:"patch,omitempty"`
+	Version   int64     `json:"version"`
+	Author    string    `json:"author"`
+	Time      time.Time `json:"time"`
+	MediaType string    `json:"media_type"`
+	// Differences lists what the change did, one value per line.
+	Differences []string `json:"differences"`
 }
 
 // History is the answer to a read of the history, newest first.
--- a/pkg/operator/errors.go
+++ b/pkg/operator/errors.go
@@ -18,6 +18,19 @@
 	return "the previous change is still being delivered; repeat the patch in a moment"
 }
 
+// UnavailableError says that the platform or the control loop gave no answer.
+type UnavailableError struct {
+	// OutcomeUnknown is set when a change may have taken effect.
+	OutcomeUnknown bool
+	Cause          error
+}
+
+// Error gives the cause.
+func (e *UnavailableError) Error() string { return e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
 // ReplaceError says why a replacement of the membership was refused.
 type ReplaceError struct{ Reason string }
 
--- a/pkg/operator/ports.go
+++ b/pkg/operator/ports.go
@@ -12,11 +12,8 @@
 // Proposal is a configuration change that awaits its number.
 type Proposal struct {
 	// Expected is the version that the patch was written against.
-	Expected int64
-	// Next is the whole document that results.
-	Next      *config.Config
+	Expected  int64
 	Author    string
-	Operation string
 	MediaType string
 	Patch     []byte
 }
@@ -26,15 +23,16 @@
 	// Current returns the newest version that the platform holds, or the newest
 	// that this instance has applied when the platform does not answer.
 	Current(ctx context.Context) (int64, *config.Config, error)
-	// Propose makes the proposal the next version. Errors: *StaleVersionError,
-	// *PendingError, *platform.UnavailableError.
+	// Propose makes the patched configuration the next version. Errors:
+	// *StaleVersionError, *PendingError, *UnavailableError and those of
+	// config.Config.Apply.
 	Propose(ctx context.Context, p Proposal) (int64, error)
 	// History returns changes after the given version, newest first.
 	History(ctx context.Context, since int64) ([]api.Change, error)
 	Status() api.Status
 	Members() api.MemberList
 	// Replace removes members that an operator declares gone. Errors:
-	// *ReplaceError, *platform.UnavailableError.
+	// *ReplaceError, *UnavailableError.
 	Replace(ctx context.Context, gone []string) error
 }
 
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/google/uuid"
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
@@ -18,7 +17,6 @@
 	"github.com/arbutuslink/arbutuslink/pkg/document"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
-	"github.com/arbutuslink/arbutuslink/pkg/platform"
 )
 
 // Server answers operators.
@@ -92,7 +90,7 @@
 func (s *Server) getConfig(ctx *fasthttp.RequestCtx) {
 	version, c, err := s.coordinator.Current(ctx)
 	if err != nil {
-		s.failWith(ctx, err, "")
+		s.failWith(ctx, err)
 		return
 	}
 	ctx.Response.Header.Set(fasthttp.HeaderETag, etag(version))
@@ -102,12 +100,12 @@
 func (s *Server) getHistory(ctx *fasthttp.RequestCtx) {
 	since, err := strconv.ParseInt(string(ctx.QueryArgs().Peek(api.ParameterSince)), 10, 64)
 	if err != nil && ctx.QueryArgs().Has(api.ParameterSince) {
-		s.failWith(ctx, &requestError{"since must be a version number"}, "")
+		s.failWith(ctx, &requestError{"since must be a version number"})
 		return
 	}
 	changes, err := s.coordinator.History(ctx, since)
 	if err != nil {
-		s.failWith(ctx, err, "")
+		s.failWith(ctx, err)
 		return
 	}
 	reply(ctx, fasthttp.StatusOK, api.History{Changes: changes})
@@ -122,14 +120,10 @@
 		})
 		return
 	}
-	p := Proposal{
-		Expected: expected, Author: author, Operation: string(ctx.Request.Header.Peek(api.OperationHeader)),
+	version, err := s.coordinator.Propose(ctx, Proposal{
+		Expected: expected, Author: author,
 		MediaType: string(ctx.Request.Header.ContentType()), Patch: ctx.PostBody(),
-	}
-	if p.Operation == "" {
-		p.Operation = uuid.NewString()
-	}
-	version, err := s.submit(ctx, p)
+	})
 	if err != nil {
 		event.PatchRefused.Log(s.log).Str("author", author).Int64("expected", expected).Err(err).Send()
 		s.failPatch(ctx, expected, err)
@@ -140,25 +134,10 @@
 	reply(ctx, fasthttp.StatusAccepted, api.PatchResult{Version: version, State: api.Accepted})
 }
 
-func (s *Server) submit(ctx *fasthttp.RequestCtx, p Proposal) (int64, error) {
-	current, base, err := s.coordinator.Current(ctx)
-	if err != nil {
-		return 0, err
-	}
-	if current == p.Expected {
-		if p.Next, err = base.Apply(p.MediaType, p.Patch); err != nil {
-			return 0, err
-		}
-	}
-	// A stale number is left to Propose, which also recognises a repeated
-	// submission by its operation id.
-	return s.coordinator.Propose(ctx, p)
-}
-
 func (s *Server) failPatch(ctx *fasthttp.RequestCtx, expected int64, err error) {
 	var stale *StaleVersionError
 	if !errors.As(err, &stale) {
-		s.failWith(ctx, err, api.AppliedUnknown)
+		s.failWith(ctx, err)
 		return
 	}
 	// The history is a help to the operator; without it the refusal is still complete.
@@ -171,19 +150,18 @@
 func (s *Server) replace(ctx *fasthttp.RequestCtx) {
 	var r api.Replacement
 	if err := document.Decode(ctx.PostBody(), &r); err != nil {
-		s.failWith(ctx, err, api.AppliedNo)
+		s.failWith(ctx, err)
 		return
 	}
 	if err := s.coordinator.Replace(ctx, r.Gone); err != nil {
-		s.failWith(ctx, err, api.AppliedUnknown)
+		s.failWith(ctx, err)
 		return
 	}
 	reply(ctx, fasthttp.StatusOK, s.coordinator.Members())
 }
 
-// failWith maps an error to an answer. unavailable is the value of Applied
-// when the platform gave no answer.
-func (s *Server) failWith(ctx *fasthttp.RequestCtx, err error, unavailable string) {
+// failWith maps an error to an answer.
+func (s *Server) failWith(ctx *fasthttp.RequestCtx, err error) {
 	failure := api.Failure{Message: err.Error(), Applied: api.AppliedNo}
 	var (
 		invalid     *document.InvalidError
@@ -193,7 +171,7 @@
 		request     *requestError
 		pending     *PendingError
 		replaced    *ReplaceError
-		unreachable *platform.UnavailableError
+		unreachable *UnavailableError
 	)
 	status := fasthttp.StatusInternalServerError
 	switch {
@@ -213,9 +191,12 @@
 	case errors.As(err, &replaced):
 		status, failure.Code = fasthttp.StatusConflict, api.CodeReplaceRefused
 	case errors.As(err, &unreachable):
-		status, failure.Code, failure.Applied = fasthttp.StatusServiceUnavailable, api.CodePlatformDown, unavailable
+		status, failure.Code = fasthttp.StatusServiceUnavailable, api.CodePlatformDown
+		if unreachable.OutcomeUnknown {
+			failure.Applied = api.AppliedUnknown
+		}
 	default:
-		failure.Code, failure.Applied = api.CodeInternal, unavailable
+		failure.Code, failure.Applied = api.CodeInternal, api.AppliedUnknown
 	}
 	fail(ctx, status, failure)
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -62,8 +62,6 @@
 type Timings struct {
 	// FenceMS is the longest age of a round trip that still counts for the fence.
 	FenceMS int `json:"fence_ms"`
-	// HeartbeatMS is the time between two heartbeats to a witness.
-	HeartbeatMS int `json:"heartbeat_ms"`
 	// RemoveAfterMS is the silence after which a witness reports a member.
 	RemoveAfterMS       int `json:"remove_after_ms"`
 	DirectoryLifetimeMS int `json:"directory_lifetime_ms"`
@@ -88,7 +86,7 @@
 		OperatorTokens: map[string]string{},
 		Platform:       Platform{TableName: "arbutuslink", Bucket: "arbutuslink", Region: "local", TimeoutMS: 2000},
 		Timings: Timings{
-			FenceMS: 2000, HeartbeatMS: 500, RemoveAfterMS: 3000, DirectoryLifetimeMS: 5000,
+			FenceMS: 2000, RemoveAfterMS: 3000, DirectoryLifetimeMS: 5000,
 			ShutdownTimeoutMS: 30_000, BatchClockErrorMS: 500,
 		},
 		Limits: Limits{
@@ -142,9 +140,6 @@
 // Fence is FenceMS as a duration.
 func (t Timings) Fence() time.Duration { return milliseconds(t.FenceMS) }
 
-// Heartbeat is HeartbeatMS as a duration.
-func (t Timings) Heartbeat() time.Duration { return milliseconds(t.HeartbeatMS) }
-
 // RemoveAfter is RemoveAfterMS as a duration.
 func (t Timings) RemoveAfter() time.Duration { return milliseconds(t.RemoveAfterMS) }
 
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -84,8 +84,6 @@
 
 func (v *validator) timings(t Timings) {
 	v.atLeast("$.timings.fence_ms", t.FenceMS, 200, 10_000)
-	v.Check(t.HeartbeatMS >= 10 && t.HeartbeatMS*3 <= t.FenceMS, "$.timings.heartbeat_ms", t.HeartbeatMS,
-		"10 to a third of fence_ms, so that a lost heartbeat does not stop traffic")
 	v.Check(t.RemoveAfterMS >= t.FenceMS && t.RemoveAfterMS <= 600_000, "$.timings.remove_after_ms", t.RemoveAfterMS, "fence_ms to 600000")
 	v.atLeast("$.timings.directory_lifetime_ms", t.DirectoryLifetimeMS, 100, 600_000)
 	v.atLeast("$.timings.shutdown_timeout_ms", t.ShutdownTimeoutMS, 100, 3_600_000)
