--- a/pkg/fence/fence.go
+++ b/pkg/fence/fence.go
@@ -68,7 +68,7 @@
 		case !slices.Contains(f.witnesses, w):
 			delete(f.pending, w)
 		case !r.versions.Newer(applied):
-			f.counted[w] = max(f.counted[w], r.began)
+			f.count(w, r.began)
 			delete(f.pending, w)
 		}
 	}
@@ -87,11 +87,17 @@
 			f.pending[witness] = round{began: began, versions: versions}
 		}
 	} else {
-		f.counted[witness] = max(f.counted[witness], began)
+		f.count(witness, began)
 	}
 	f.publish(now)
 }
 
+func (f *Fence) count(witness string, began time.Duration) {
+	if latest, ok := f.counted[witness]; !ok || began > latest {
+		f.counted[witness] = began
+	}
+}
+
 // Tick renews the answer of this process, which counts for itself as a witness.
 func (f *Fence) Tick(now time.Duration) { f.publish(now) }
 
--- /dev/null
+++ b/pkg/peer/drpcpeer/drpcpeer_test.go
@@ -0,0 +1,132 @@
+package drpcpeer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/peer"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+// start serves the handler on loopback and returns its address and a client.
+func start(t *testing.T, handler peer.Handler) (string, *Client) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- Serve(ctx, listener, handler) }()
+	client := NewClient()
+	t.Cleanup(func() {
+		cancel()
+		_ = client.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	})
+	return listener.Addr().String(), client
+}
+
+func echo(_ context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+	return &peerpb.ExchangeReply{Nonce: req.Nonce}, nil
+}
+
+// Guards against heartbeats waiting behind loans that are stuck, against calls
+// without an end, and against a connection being used again after a timeout.
+func TestHeartbeatsDoNotWaitBehindLoans(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	address, client := start(t, peer.Handlers{
+		OnExchange: echo,
+		OnBorrow: func(_ context.Context, req *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
+			if req.Team == "stuck" {
+				<-release
+			}
+			return &peerpb.BorrowReply{Loan: 7}, nil
+		},
+	})
+	var loans sync.WaitGroup
+	for range 20 {
+		loans.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+			defer cancel()
+			_, err := client.Borrow(ctx, address, &peerpb.BorrowRequest{Team: "stuck"})
+			var unreachable *peer.UnreachableError
+			is.True(errors.As(err, &unreachable))
+		})
+	}
+	time.Sleep(50 * time.Millisecond)
+	for nonce := range uint64(50) {
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		reply, err := client.Exchange(ctx, address, &peerpb.ExchangeRequest{Nonce: nonce})
+		cancel()
+		is.NoErr(err)
+		is.Equal(reply.Nonce, nonce)
+	}
+	loans.Wait()
+	close(release)
+	reply, err := client.Borrow(t.Context(), address, &peerpb.BorrowRequest{})
+	is.NoErr(err)
+	is.Equal(reply.Loan, uint64(7))
+}
+
+// Guards against large configurations being cut off by the default message limit.
+func TestLargeFetch(t *testing.T) {
+	is := is.New(t)
+	address, client := start(t, peer.Handlers{
+		OnFetch: func(context.Context, *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+			return &peerpb.FetchReply{Config: make([]byte, 16<<20)}, nil
+		},
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	reply, err := client.Fetch(ctx, address, &peerpb.FetchRequest{})
+	is.NoErr(err)
+	is.Equal(len(reply.Config), 16<<20)
+}
+
+// Guards against a path whose connections have gone silent staying unusable
+// although new connections work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	backend, client := start(t, peer.Handlers{OnExchange: echo})
+	relay, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = relay.Close() }()
+	go func() {
+		for first := true; ; first = false {
+			conn, err := relay.Accept()
+			if err != nil {
+				return
+			}
+			if !first {
+				go forward(conn, backend)
+			}
+		}
+	}()
+	address := relay.Addr().String()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = client.Exchange(ctx, address, &peerpb.ExchangeRequest{Nonce: 1})
+	is.True(err != nil)
+	reply, err := client.Exchange(t.Context(), address, &peerpb.ExchangeRequest{Nonce: 2})
+	is.NoErr(err)
+	is.Equal(reply.Nonce, uint64(2))
+}
+
+func forward(conn net.Conn, address string) {
+	defer func() { _ = conn.Close() }()
+	backend, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer func() { _ = backend.Close() }()
+	go func() { _, _ = backend.(*net.TCPConn).ReadFrom(conn) }()
+	_, _ = conn.(*net.TCPConn).ReadFrom(backend)
+}
