--- a/pkg/control/core.go
+++ b/pkg/control/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -47,9 +48,13 @@
 	view    atomic.Pointer[View]
 	serving atomic.Bool
 
-	self  membership.Member
-	phase phase
-	cur   documents
+	// The incarnation of self is the id of the process and the number of
+	// rejoins, so that the incarnations of one process can be told.
+	process string
+	rejoins int
+	self    membership.Member
+	phase   phase
+	cur     documents
 
 	// State of the newest change.
 	mine        bool
@@ -95,7 +100,8 @@
 		reports: map[string]unheardReport{}, inFlight: map[string]int{}, unlisted: map[string]time.Duration{},
 	}
 	now := c.now()
-	c.self.Incarnation = o.NewID()
+	c.process = o.NewID()
+	c.self.Incarnation = c.process + ".0"
 	c.lastTick, c.freshLostAt, c.listenFrom = now, now, now
 	c.publish()
 	return c
@@ -268,7 +274,8 @@
 		event.LeftMembership.Log(&c.o.Log).Str("incarnation", c.self.Incarnation).Send()
 	case !listed && c.phase == member:
 		event.RemovedSelf.Log(&c.o.Log).Str("incarnation", c.self.Incarnation).Send()
-		c.self.Incarnation = c.o.NewID()
+		c.rejoins++
+		c.self.Incarnation = c.process + "." + strconv.Itoa(c.rejoins)
 		// This process holds the versions under both of its incarnations.
 		c.holders[c.self.Incarnation] = true
 		c.phase = joining
