Add the weighted fair queue with an adaptive limit per service

Cause: the data path needs a Queue that shares a bottleneck by batch share and then team.

A full queue gives up the newest request of the heaviest team, so that one team cannot shut out the others.

--- /dev/null
+++ b/pkg/fairqueue/fairqueue.go
@@ -0,0 +1,137 @@
+// Package fairqueue shares the capacity that targets have between batches by
+// their shares, and within a batch equally between teams. Each service has a
+// concurrency limit that follows the results of its requests.
+package fairqueue
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+	"github.com/arbutuslink/arbutuslink/pkg/refusal"
+)
+
+// Options bound a Queue. A zero field takes its default.
+type Options struct {
+	// MinLimit is the concurrency that is always permitted per service; default 1.
+	MinLimit float64
+	// MaxWaiting bounds the waiting requests per service; default 256.
+	MaxWaiting int
+	// MaxWait bounds the wait of one request, which also ends with the
+	// request's deadline; default 1 s.
+	MaxWait time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.MinLimit == 0 {
+		o.MinLimit = 1
+	}
+	if o.MaxWaiting == 0 {
+		o.MaxWaiting = 256
+	}
+	if o.MaxWait == 0 {
+		o.MaxWait = time.Second
+	}
+	return o
+}
+
+// Queue implements proxy.Queue and proxy.Reporter. It is safe for concurrent use.
+type Queue struct {
+	viewer  control.Viewer
+	clock   clock.Clock
+	options Options
+
+	mu       sync.RWMutex
+	services map[string]*service
+}
+
+// New returns an empty queue. Shares and slots come from the viewer's configuration.
+func New(viewer control.Viewer, c clock.Clock, options Options) *Queue {
+	return &Queue{viewer: viewer, clock: c, options: options.withDefaults(), services: map[string]*service{}}
+}
+
+// Enter waits for a place at the service of r. Without contention it takes one
+// lock and does not wait. Errors are *refusal.Refusal (overloaded).
+func (q *Queue) Enter(ctx context.Context, r proxy.Request) (func(), error) {
+	s := q.service(r.Service)
+	share := q.viewer.View().Config.Config.Batches[r.Batch].Share
+	w, evicted, admitted := s.enter(r.Batch, share, r.Team, q.options.MaxWaiting)
+	if evicted != nil {
+		close(evicted.refused)
+	}
+	if admitted {
+		return s.leavePlace, nil
+	}
+	if w == nil {
+		return nil, refusal.After(refusal.Overloaded, s.retryAfter())
+	}
+	timer := time.NewTimer(max(0, min(q.options.MaxWait, r.Deadline-q.clock.SinceBoot())))
+	defer timer.Stop()
+	select {
+	case <-w.admitted:
+		return s.leavePlace, nil
+	case <-w.refused:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	if !s.remove(w) {
+		// The place was granted at the same moment; pass it on.
+		s.leave()
+	}
+	return nil, refusal.After(refusal.Overloaded, s.retryAfter())
+}
+
+// Report adapts the concurrency limit of a service to the result of one attempt.
+func (q *Queue) Report(name string, result proxy.Result, latency time.Duration) {
+	q.service(name).report(result, latency, q.clock.SinceBoot())
+}
+
+// State is what a dump shows of one service.
+type State struct {
+	Limit   float64 `json:"limit"`
+	Running int     `json:"running"`
+	Waiting int     `json:"waiting"`
+}
+
+// Dump returns the state of all services by name.
+func (q *Queue) Dump() map[string]State {
+	q.mu.RLock()
+	defer q.mu.RUnlock()
+	states := make(map[string]State, len(q.services))
+	for name, s := range q.services {
+		states[name] = s.state()
+	}
+	return states
+}
+
+func (q *Queue) service(name string) *service {
+	q.mu.RLock()
+	s := q.services[name]
+	q.mu.RUnlock()
+	if s != nil {
+		return s
+	}
+	slots := q.slots(name)
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if s = q.services[name]; s == nil {
+		s = newService(q.options.MinLimit, slots)
+		q.services[name] = s
+	}
+	return s
+}
+
+// slots is the number of requests that the service's targets run at once. It
+// is where the limit starts: an instance may have the service to itself.
+func (q *Queue) slots(name string) float64 {
+	total := 0
+	for _, target := range q.viewer.View().Config.Config.Services[name].Targets {
+		if !target.Leaving {
+			total += target.Slots
+		}
+	}
+	return float64(max(total, 1))
+}
