--- a/pkg/proxy/forward_test.go
+++ b/pkg/proxy/forward_test.go
@@ -296,3 +296,46 @@
 	is.True(<-done)
 	is.Equal(len(r.proxy.pool.idle), 0)
 }
+
+// Guards against deposits with an unknown outcome when all existing
+// connections go silent at once and new ones work. The reuse case shows that
+// the test would notice: each idle connection costs one deposit.
+func TestSilentConnectionsCostNoDeposit(t *testing.T) {
+	for _, reuse := range []time.Duration{0, time.Minute} {
+		t.Run(reuse.String(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var fault atomic.Bool
+			var silent sync.Map
+			tg := newTarget(t, func(c net.Conn, r *http.Request, n int) bool {
+				if n == 0 {
+					silent.Store(c, !fault.Load())
+				}
+				if dead, _ := silent.Load(c); fault.Load() && dead.(bool) {
+					return true
+				}
+				time.Sleep(20 * time.Millisecond)
+				return respond(okText)(c, r, n)
+			})
+			r := newRig(t, Options{NonIdempotentReuse: reuse}, tg.ln.Addr().String())
+			unknown := func() int {
+				var wg sync.WaitGroup
+				var count atomic.Int64
+				for range 4 {
+					wg.Go(func() {
+						response, _, err := r.dial(t).send("POST", "/put", "", r.keyLine())
+						if err != nil || response.Header.Get(refusal.OutcomeHeader) == "unknown" {
+							count.Add(1)
+						}
+					})
+				}
+				wg.Wait()
+				return int(count.Load())
+			}
+			is.Equal(unknown(), 0)
+			fault.Store(true)
+			is.Equal(unknown() > 0, reuse > 0)
+			is.Equal(unknown(), 0)
+		})
+	}
+}
