--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -57,24 +57,22 @@
 // lock and does not wait. Errors are *refusal.Refusal (overloaded).
 func (q *Queue) Enter(ctx context.Context, r proxy.Request) (func(), error) {
 	s := q.service(r.Service)
-	now := q.clock.SinceBoot()
-	wait := min(q.options.MaxWait, r.Deadline-now)
 	share := q.viewer.View().Config.Config.Batches[r.Batch].Share
 	w, evicted, admitted := s.enter(r.Batch, share, r.Team, q.options.MaxWaiting)
 	if evicted != nil {
 		close(evicted.refused)
 	}
 	if admitted {
-		return s.leave, nil
+		return s.leavePlace, nil
 	}
 	if w == nil {
 		return nil, refusal.After(refusal.Overloaded, s.retryAfter())
 	}
-	timer := time.NewTimer(max(wait, 0))
+	timer := time.NewTimer(max(0, min(q.options.MaxWait, r.Deadline-q.clock.SinceBoot())))
 	defer timer.Stop()
 	select {
 	case <-w.admitted:
-		return s.leave, nil
+		return s.leavePlace, nil
 	case <-w.refused:
 	case <-timer.C:
 	case <-ctx.Done():
--- a/pkg/proxy/admit.go
+++ b/pkg/proxy/admit.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -137,10 +138,12 @@
 		if err := c.authorize(); err != nil {
 			return err
 		}
-		if c.request != admitted {
-			// Rate, claim and place were taken under other terms.
-			c.request = admitted
-			return refusal.New(refusal.RouteClosed, nil)
+		now := c.request
+		c.request = admitted
+		if now.Team != admitted.Team || now.Route != admitted.Route || now.Service != admitted.Service ||
+			now.Idempotent != admitted.Idempotent {
+			// Rate, claim and place were taken under other terms. The caller may repeat the request at once.
+			return refusal.After(refusal.NotFresh, time.Millisecond)
 		}
 	} else if !view.Config.BatchActive(admitted.Team, c.p.Clock.Now(), c.p.options.ClockError) {
 		return refusal.New(refusal.BatchExpired, nil)
--- a/pkg/proxy/fixture_test.go
+++ b/pkg/proxy/fixture_test.go
@@ -166,6 +166,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	// A reset on close keeps tests with many connections from using up the local ports.
+	_ = c.(*net.TCPConn).SetLinger(0)
 	t.Cleanup(func() { _ = c.Close() })
 	return &caller{c, bufio.NewReader(c)}
 }
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -126,7 +126,7 @@
 		x.p.pool.discard(x.conn)
 		return x.fail(err)
 	case x.conn.reader.Buffered() > 0 || response.Header.ConnectionClose():
-		x.p.pool.discard(x.conn)
+		x.p.pool.retire(x.conn)
 	default:
 		x.p.pool.put(x.conn)
 	}
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,16 @@
 	idleSince time.Duration
 }
 
+// closeIdle closes a connection whose last exchange was complete. Nothing is
+// in flight, so it resets the connection: an orderly close would hold the local
+// port for a minute, and the usual 28,232 local ports would last for 470/s.
+func (c *targetConn) closeIdle() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // connPool keeps idle connections by target address.
 type connPool struct {
 	clock     clock.Clock
@@ -37,6 +48,9 @@
 
 func newConnPool(c clock.Clock, options Options) *connPool {
 	p := &connPool{clock: c, options: options, idle: map[string][]*targetConn{}}
+	// Idle connections live for seconds, too short for keep-alive probes, which
+	// would cost four system calls for each connection.
+	p.dialer.KeepAlive = -1
 	p.readers.New = func() any { return bufio.NewReaderSize(nil, options.MaxHeaderBytes) }
 	return p
 }
@@ -54,7 +68,7 @@
 			p.attachReader(conn)
 			return conn, nil
 		}
-		_ = conn.Close()
+		conn.closeIdle()
 	}
 	return p.dial(address, deadline)
 }
@@ -65,7 +79,12 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	// Addresses are IP:port, so the resolver and its allocations are not needed.
+	remote, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.WithStack(&ConnectError{Address: address, Cause: err})
+	}
+	raw, err := p.dialer.DialTCP(ctx, "tcp", netip.AddrPort{}, remote)
 	if err != nil {
 		return nil, errors.WithStack(&ConnectError{Address: address, Cause: err})
 	}
@@ -110,16 +129,24 @@
 	}
 	p.mu.Unlock()
 	if full {
-		_ = conn.Close()
+		conn.closeIdle()
 	}
 }
 
-// discard closes a connection that must not be used again.
+// discard closes a connection after an exchange that did not complete. The
+// orderly close is resent if it is lost, so that the target learns of the
+// cancellation.
 func (p *connPool) discard(conn *targetConn) {
 	p.detachReader(conn)
 	_ = conn.Close()
 }
 
+// retire closes a connection after a complete exchange.
+func (p *connPool) retire(conn *targetConn) {
+	p.detachReader(conn)
+	conn.closeIdle()
+}
+
 // sweep closes connections that were idle for too long, at most twice per IdleTimeout.
 func (p *connPool) sweep(now time.Duration) {
 	last := p.lastSweep.Load()
@@ -150,7 +177,7 @@
 	}
 	p.mu.Unlock()
 	for _, conn := range drop {
-		_ = conn.Close()
+		conn.closeIdle()
 	}
 }
 
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -60,6 +60,10 @@
 	// PollInterval is the time between checks, while a target has not begun to
 	// answer, whether the caller is still connected; default 25 ms.
 	PollInterval time.Duration
+	// CallerTimeout bounds the reading of one request and the writing of one
+	// response; default 10 s. CallerIdleTimeout closes callers' idle
+	// connections; default 60 s.
+	CallerTimeout, CallerIdleTimeout time.Duration
 	// MaxHeaderBytes bounds the header of a request and of a response; default 16 KiB.
 	MaxHeaderBytes int
 	// MaxRequestBody and MaxResponseBody bound bodies in bytes; defaults 4 MiB and 32 MiB.
@@ -80,6 +84,8 @@
 	setDefault(&o.IdleTimeout, 5*time.Second)
 	setDefault(&o.MaxIdlePerTarget, 8)
 	setDefault(&o.PollInterval, 25*time.Millisecond)
+	setDefault(&o.CallerTimeout, 10*time.Second)
+	setDefault(&o.CallerIdleTimeout, time.Minute)
 	setDefault(&o.MaxHeaderBytes, 16<<10)
 	setDefault(&o.MaxRequestBody, 4<<20)
 	setDefault(&o.MaxResponseBody, 32<<20)
