limit: test the invariant in simulated fleets

Change: random runs (rapid) and directed sequences against a reference bucket; each mechanism is switched off in turn and must then show an over-limit admission.

--- a/pkg/limit/borrow.go
+++ b/pkg/limit/borrow.go
@@ -67,7 +67,7 @@
 
 // at lets the estimate decay exponentially since the last request.
 func (d *demand) at(now time.Duration) float64 {
-	return d.rate * math.Exp(-(now - d.last).Seconds()/demandWindow.Seconds())
+	return d.rate * math.Exp(-(now-d.last).Seconds()/demandWindow.Seconds())
 }
 
 func (d *demand) add(now time.Duration) {
--- a/pkg/limit/dump.go
+++ b/pkg/limit/dump.go
@@ -11,17 +11,17 @@
 
 // TeamDump is the state of one team's pool. Amounts are thousandths of a token.
 type TeamDump struct {
-	Team             string `json:"team"`
-	Parts            int64  `json:"parts"`
-	Tokens           int64  `json:"tokens"`
-	Ceiling          int64  `json:"ceiling"`
-	OnLoan           int64  `json:"on_loan"`
-	Loans            int    `json:"loans"`
-	Borrowed         int64  `json:"borrowed"`
-	Waiting          int    `json:"waiting"`
-	OpenAsks         int    `json:"open_asks"`
-	DemandPerSecond  int64  `json:"demand_per_second"`
-	LastUsedMS int64  `json:"last_used_ms"`
+	Team            string `json:"team"`
+	Parts           int64  `json:"parts"`
+	Tokens          int64  `json:"tokens"`
+	Ceiling         int64  `json:"ceiling"`
+	OnLoan          int64  `json:"on_loan"`
+	Loans           int    `json:"loans"`
+	Borrowed        int64  `json:"borrowed"`
+	Waiting         int    `json:"waiting"`
+	OpenAsks        int    `json:"open_asks"`
+	DemandPerSecond int64  `json:"demand_per_second"`
+	LastUsedMS      int64  `json:"last_used_ms"`
 }
 
 // Dump returns the pools that exist now, sorted by team.
--- a/pkg/limit/history.go
+++ b/pkg/limit/history.go
@@ -44,6 +44,8 @@
 	hold  time.Duration
 	gens  []generation
 	teams map[string]config.Team
+
+	disabled disabled
 }
 
 // NewHistory returns the history of the incarnation self with k issuers per
@@ -78,7 +80,7 @@
 		from = p.Version
 	}
 	h.settleLast(now)
-	if v.Membership.Version > from+1 {
+	if v.Membership.Version > from+1 && !h.disabled.gap {
 		h.gens = append(h.gens, generation{seen: now, settled: unsettled, config: last.config, membership: v.Membership, gap: true})
 	}
 	var replaced map[string]config.Team
@@ -199,6 +201,9 @@
 		}
 	}
 	limits := h.teams[team]
+	if h.disabled.older {
+		return shareOf(limits, h.parts(team, cache, &h.gens[len(h.gens)-1])), next
+	}
 	base := h.base(t)
 	var result Share
 	for i := len(h.gens) - 1; i >= base; i-- {
--- a/pkg/limit/issuer.go
+++ b/pkg/limit/issuer.go
@@ -23,6 +23,14 @@
 	borrowerLife bool
 	// once credits every return, also repeated ones.
 	once bool
+	// fresh lets an instance act without a fresh fence.
+	fresh bool
+	// gap gives versions that were not seen no effect.
+	gap bool
+	// drain keeps tokens over configuration versions that were not seen.
+	drain bool
+	// older applies only the newest version.
+	older bool
 }
 
 // issuer is the issuing part of a team's pool: minted tokens and loans made.
@@ -49,7 +57,7 @@
 		}
 		i.share = share
 		i.expire(i.bucket.at)
-		if d := h.drained(i.bucket.at); d > i.drained {
+		if d := h.drained(i.bucket.at); d > i.drained && !i.disabled.drain {
 			i.bucket.tokens, i.drained = 0, d
 		}
 		if len(i.loans) > 0 {
--- a/pkg/limit/pool.go
+++ b/pkg/limit/pool.go
@@ -108,7 +108,7 @@
 		team: team, history: history, params: params, cache: ranks{},
 		asks: map[string]*ask{}, peers: map[string]*lender{}, lastReply: -1, used: now,
 	}
-	p.issuer.drained = -1
+	p.issuer.drained, p.issuer.disabled = -1, history.disabled
 	p.issuer.advance(history, team, p.cache, now)
 	return p
 }
