limit: lend only amounts that complete whole tokens

Cause: under load many borrowers held fractions on loan, none could admit, and the locked fractions kept the lenders' ceilings down. Conclusion: issuers whose ceiling is below one token still need fractions.

--- a/pkg/limit/borrow.go
+++ b/pkg/limit/borrow.go
@@ -191,15 +191,33 @@
 	if !fresh || p.issuer.share.Parts == 0 {
 		return Reply{}
 	}
-	r := Reply{Issuer: true, Retry: timeFor(p.issuer.share, Millitoken)}
+	r := Reply{Issuer: true}
 	if m.Millitokens <= 0 {
 		return r
 	}
 	p.used = now
-	spare := p.issuer.bucket.tokens - int64(len(p.waiters))*Millitoken
-	if amount := min(m.Millitokens, spare); amount > 0 {
+	spare := max(0, p.issuer.bucket.tokens-int64(len(p.waiters))*Millitoken)
+	amount := p.lendable(m.Millitokens, spare)
+	if amount > 0 {
 		r.Loan = p.issuer.lend(from, amount, now, p.params.LoanLife)
 		r.Millitokens, r.Life = amount, p.params.BorrowerLife
 	}
+	r.Retry = timeFor(p.issuer.share, min(first(m.Millitokens), max(1, p.issuer.share.Ceiling()/2))-spare)
 	return r
 }
+
+// first is the part of an asked amount that completes the borrower's next whole token.
+func first(asked int64) int64 { return (asked-1)%Millitoken + 1 }
+
+// lendable is the part of spare that completes whole tokens of the borrower.
+// Fractions would wait at many borrowers while none can admit a request; only
+// an issuer that can never hold a whole token lends them.
+func (p *Pool) lendable(asked, spare int64) int64 {
+	if part := first(asked); spare >= part {
+		return min(asked, part+(spare-part)/Millitoken*Millitoken)
+	}
+	if p.issuer.share.Ceiling() >= Millitoken {
+		return 0
+	}
+	return min(asked, spare)
+}
--- a/pkg/limit/bucket.go
+++ b/pkg/limit/bucket.go
@@ -104,8 +104,11 @@
 
 // timeFor returns how long a share needs to mint amount thousandths.
 func timeFor(s Share, amount int64) time.Duration {
+	if amount <= 0 {
+		return 0
+	}
 	if s.Parts == 0 || s.RateMicro <= 0 {
-		return time.Duration(math.MaxInt64)
+		return time.Hour
 	}
 	seconds := float64(amount) * microPerMilli * float64(s.Parts) / float64(s.RateMicro)
 	if seconds > 3600 {
