--- a/pkg/lab/cli/run.go
+++ b/pkg/lab/cli/run.go
@@ -85,6 +85,7 @@
 		r.Safety.MaxExecutions, r.Safety.KeysSeen, r.Safety.RanAfterNotRun, r.Safety.AfterExpiry)
 	row("latency", "p50 %.1f ms, p99 %.1f ms", r.Latency.P50, r.Latency.P99)
 	row("added", "p50 %.2f ms, p99 %.2f ms", r.Added.P50, r.Added.P99)
+	row("direct", "p50 %.2f ms, p99 %.2f ms without the fleet", r.Direct.P50, r.Direct.P99)
 	row("control", "%.2f%% of a core, %.0f bytes/s, %.1f MB per instance", r.ControlCost.CPUPercent, r.ControlCost.BytesPerSecond, r.ControlCost.MemoryMB)
 	return table.Flush()
 }
--- a/pkg/lab/experiment/run.go
+++ b/pkg/lab/experiment/run.go
@@ -185,6 +185,8 @@
 	defer stopLoad()
 	l := newLoad(r)
 	l.start(loadCtx)
+	directCalls := newDirect()
+	directCalls.start(loadCtx, r)
 	time.Sleep(warmUp)
 	r.started = time.Now()
 	r.monitor = newMonitor(r)
@@ -203,7 +205,12 @@
 	records := l.wait()
 	r.monitor.wait()
 	r.progress("collecting")
-	return r.report(records, cost, ended)
+	rep, err := r.report(records, cost, ended)
+	if err != nil {
+		return nil, err
+	}
+	rep.Direct = directCalls.result()
+	return rep, nil
 }
 
 func (r *Run) progress(format string, args ...any) {
--- a/pkg/lab/report/report.go
+++ b/pkg/lab/report/report.go
@@ -21,13 +21,15 @@
 	Seconds    float64           `json:"seconds"`
 	Settings   map[string]string `json:"settings"`
 
-	Requests    Requests    `json:"requests"`
-	Teams       []Team      `json:"teams"`
-	Detection   *Quantiles  `json:"detection_ms,omitempty"`
-	Ejections   Ejections   `json:"ejections"`
-	Floor       Floor       `json:"floor"`
-	Safety      Safety      `json:"safety"`
-	Added       *Quantiles  `json:"added_latency_ms,omitempty"`
+	Requests  Requests   `json:"requests"`
+	Teams     []Team     `json:"teams"`
+	Detection *Quantiles `json:"detection_ms,omitempty"`
+	Ejections Ejections  `json:"ejections"`
+	Floor     Floor      `json:"floor"`
+	Safety    Safety     `json:"safety"`
+	Added     *Quantiles `json:"added_latency_ms,omitempty"`
+	// Direct is the same measure for calls to targets without the fleet.
+	Direct      *Quantiles  `json:"direct_latency_ms,omitempty"`
 	Latency     Quantiles   `json:"latency_ms"`
 	ControlCost ControlCost `json:"control_cost"`
 	Samples     []Sample    `json:"samples"`
