Add hedging behind a field and search the whole header for the key

Change: the search covers the caller's header without the key header only. Options.HedgeDelay, off by default, sends an idempotent request to a second target within the retry budget; the first byte decides and the other connection is closed.

Ruled out: racing complete responses, which needs a second response buffer per request for little gain, since a target that has begun to answer is rarely the slow one.

--- a/pkg/proxy/admit.go
+++ b/pkg/proxy/admit.go
@@ -90,6 +90,7 @@
 	if err := c.checkMisplaced(); err != nil {
 		return err
 	}
+	c.cleanHeader()
 	c.method, c.path = string(source.Method()), string(c.caller.Path())
 	// An instance that is not fresh cannot tell whether a key or route exists.
 	if !c.p.Freshness.Fresh() {
@@ -210,8 +211,8 @@
 	return true
 }
 
-// checkMisplaced refuses a request whose outgoing header, which no longer has
-// the key header, still contains the key or its secret. Header names lose
+// checkMisplaced refuses a request whose header, without the key header, still
+// contains the key or its secret. Header names lose
 // their case in parsing, so the comparison ignores case.
 func (c *call) checkMisplaced() error {
 	secret := bytes.ToLower([]byte(c.key.secret()))
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -26,6 +26,7 @@
 	x.wire = appendDeadline(append(x.wire[:0], x.head...), milliseconds)
 	body := x.caller.Request.Body()
 	x.wrote = true
+	x.writes++
 	var err error
 	if len(body) <= inlineBody {
 		x.wire = append(x.wire, body...)
@@ -107,13 +108,15 @@
 // connection is looked at; a response within one step costs no extra call.
 func (x *exchange) await() error {
 	now := time.Now()
-	part := x.abandonTime(now)
+	// The budget is asked once for each way to use it: a hedge first, and a
+	// retry when the attempt's equal part of the time left has passed.
+	retryAt, hedgeAt := now.Add(x.ioDeadline.Sub(now)/time.Duration(x.attempts-x.writes+1)), x.ioDeadline
+	mayAbandon := x.writes < x.attempts
+	if mayAbandon && x.p.options.HedgeDelay > 0 {
+		hedgeAt = now.Add(x.p.options.HedgeDelay)
+	}
 	for {
-		step := now.Add(x.p.options.PollInterval)
-		if step.After(x.ioDeadline) {
-			step = x.ioDeadline
-		}
-		if err := x.conn.SetReadDeadline(step); err != nil {
+		if err := x.conn.SetReadDeadline(earliest(now.Add(x.p.options.PollInterval), hedgeAt, x.ioDeadline)); err != nil {
 			return exchangeError(AwaitingAnswer, err)
 		}
 		_, err := x.conn.reader.Peek(1)
@@ -129,9 +132,15 @@
 		if peek(x.caller.Conn()) == closedByPeer {
 			return exchangeError(AwaitingAnswer, &CallerGoneError{})
 		}
-		if x.mayAbandon && !now.Before(part) {
-			// The budget is asked once; without it the attempt keeps its time.
-			x.mayAbandon = false
+		if mayAbandon && !now.Before(hedgeAt) {
+			hedgeAt = x.ioDeadline
+			if second := x.hedge(now); second != nil {
+				return x.race(second)
+			}
+			mayAbandon = x.writes < x.attempts
+		}
+		if mayAbandon && !now.Before(retryAt) {
+			mayAbandon = false
 			if x.timeLeft() && x.p.Balancer.MayRetry(x.request.Route) {
 				x.retryGranted = true
 				return exchangeError(AwaitingAnswer, &AttemptTimeoutError{})
@@ -140,8 +149,11 @@
 	}
 }
 
-// abandonTime leaves every further attempt an equal part of the time left.
-func (x *exchange) abandonTime(now time.Time) time.Time {
-	left := max(1, x.attempts-x.attemptIndex)
-	return now.Add(x.ioDeadline.Sub(now) / time.Duration(left))
+func earliest(first time.Time, others ...time.Time) time.Time {
+	for _, t := range others {
+		if t.Before(first) {
+			first = t
+		}
+	}
+	return first
 }
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -16,15 +16,13 @@
 // forward sends the request to targets until one answers or no further
 // attempt is permitted.
 func (c *call) forward() error {
-	var tried []string
-	connects, writes := 0, 0
-	for {
-		attempt, err := c.p.Balancer.Acquire(c.request, tried)
+	for connects := 0; ; {
+		attempt, err := c.p.Balancer.Acquire(c.request, c.tried)
 		if err != nil {
 			return asRefusal(err, refusal.NoTarget)
 		}
-		tried = append(tried, attempt.Target())
-		conn, err := c.connect(attempt.Address(), writes)
+		c.tried = append(c.tried, attempt.Target())
+		conn, err := c.p.pool.get(attempt.Address(), c.maxIdle(), c.ioDeadline)
 		if err != nil {
 			attempt.Done(NotSent, 0, Load{})
 			connects++
@@ -41,31 +39,30 @@
 			c.giveUp(conn, attempt)
 			return err
 		}
-		writes++
-		x := exchange{call: c, conn: conn, attempt: attempt, attemptIndex: writes - 1, mayAbandon: writes < c.attempts}
+		x := exchange{call: c, conn: conn, attempt: attempt}
 		err = x.run()
 		if err == nil {
 			return nil
 		}
-		if !x.retryGranted && !c.mayRetry(err, writes) {
+		if !x.retryGranted && !c.mayRetry(err) {
 			return err
 		}
 		c.caller.Response.ResetBody()
 	}
 }
 
-// connect returns a connection for the next attempt. Only the first attempt of
-// an idempotent request reuses connections freely: a retry must not meet
-// another connection that went silent together with the first.
-func (c *call) connect(address string, writes int) (*targetConn, error) {
-	maxIdle := c.p.options.IdleTimeout
+// maxIdle is the longest idle time of a connection for the next write. Only
+// the first write of an idempotent request reuses connections freely: a retry
+// must not meet another connection that went silent together with the first.
+func (c *call) maxIdle() time.Duration {
 	switch {
-	case writes > 0:
-		maxIdle = 0
+	case c.writes > 0:
+		return 0
 	case !c.request.Idempotent:
-		maxIdle = c.p.options.NonIdempotentReuse
+		return c.p.options.NonIdempotentReuse
+	default:
+		return c.p.options.IdleTimeout
 	}
-	return c.p.pool.get(address, maxIdle, c.ioDeadline)
 }
 
 // giveUp returns an attempt to which nothing was written.
@@ -89,9 +86,9 @@
 func (c *call) timeLeft() bool { return time.Until(c.ioDeadline) > minRetryTime }
 
 // mayRetry decides on another attempt after a failed one and spends the budget.
-func (c *call) mayRetry(err error, writes int) bool {
+func (c *call) mayRetry(err error) bool {
 	var gone *CallerGoneError
-	if !c.request.Idempotent || writes >= c.attempts || !c.timeLeft() || errors.As(err, &gone) {
+	if !c.request.Idempotent || c.writes >= c.attempts || !c.timeLeft() || errors.As(err, &gone) {
 		return false
 	}
 	return c.p.Balancer.MayRetry(c.request.Route)
@@ -102,10 +99,6 @@
 	*call
 	conn    *targetConn
 	attempt Attempt
-	// mayAbandon permits giving up before the deadline in favour of a retry.
-	mayAbandon bool
-	// attemptIndex counts the earlier attempts that wrote.
-	attemptIndex int
 	// retryGranted is set when the exchange was given up and the budget paid.
 	retryGranted bool
 	began        time.Duration
--- a/pkg/proxy/header.go
+++ b/pkg/proxy/header.go
@@ -43,12 +43,17 @@
 	return hex.EncodeToString(raw[:])
 }
 
-// copyHeader copies the caller's header without the key and without the
-// headers that concern the caller's connection.
+// copyHeader copies the caller's header without the key header.
 func (c *call) copyHeader() {
-	source, h := &c.caller.Request.Header, &c.header
-	source.CopyTo(h)
+	h := &c.header
+	c.caller.Request.Header.CopyTo(h)
 	h.SetNoDefaultContentType(true)
+	h.Del(c.key.header)
+}
+
+// cleanHeader removes the headers that concern the caller's connection.
+func (c *call) cleanHeader() {
+	source, h := &c.caller.Request.Header, &c.header
 	h.SetProtocol("HTTP/1.1")
 	if len(source.Peek(fasthttp.HeaderConnection)) > 0 {
 		for name, value := range source.All() {
@@ -64,10 +69,8 @@
 		h.Del(name)
 	}
 	h.ResetConnectionClose()
-	h.Del(c.key.header)
-	h.Del(teamHeader)
+	// X-Deadline-Ms follows the shared header in each attempt.
 	h.Del(deadlineHeader)
-	h.Set(requestIDHeader, c.requestID)
 }
 
 // delListed deletes the headers that a Connection header names. Host and
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -52,6 +52,10 @@
 	// non-idempotent request may reuse. The default of zero means that each
 	// takes a fresh connection: docs/decisions/at-most-once.md gives the reason.
 	NonIdempotentReuse time.Duration
+	// HedgeDelay is the time without a byte of a response after which an
+	// idempotent request is also sent to a second target, within its route's
+	// retry budget. The default of zero turns hedging off.
+	HedgeDelay time.Duration
 	// IdleTimeout closes idle connections to targets; default 5 s.
 	IdleTimeout time.Duration
 	// MaxIdlePerTarget bounds the idle connections to one target; default 8,
@@ -131,6 +135,9 @@
 	ioDeadline time.Time
 	// wrote is set once a byte of the request may have reached a target.
 	wrote bool
+	// tried lists the targets of all attempts; writes counts those that wrote.
+	tried  []string
+	writes int
 	// release takes the claim back; nil without a claim.
 	release func(context.Context)
 	*scratch
--- /dev/null
+++ b/pkg/proxy/retry_test.go
@@ -0,0 +1,104 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/refusal"
+)
+
+// newSilenceable returns a target whose connections from before the fault go silent.
+func newSilenceable(t *testing.T, fault *atomic.Bool) string {
+	var silent sync.Map
+	return newTarget(t, func(c net.Conn, r *http.Request, n int) bool {
+		if n == 0 {
+			silent.Store(c, !fault.Load())
+		}
+		if old, _ := silent.Load(c); fault.Load() && old.(bool) {
+			return true
+		}
+		time.Sleep(20 * time.Millisecond)
+		return respond(okText)(c, r, n)
+	}).ln.Addr().String()
+}
+
+// refused sends four requests at once and counts those that were refused.
+func (r *rig) refused(t *testing.T, path string) int64 {
+	var wg sync.WaitGroup
+	var count atomic.Int64
+	for range 4 {
+		wg.Go(func() {
+			response, _ := r.dial(t).send("POST", path, "", r.keyLine())
+			if response.Header.Get(refusal.OutcomeHeader) != "" {
+				count.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return count.Load()
+}
+
+// Guards against deposits with an unknown outcome when all existing
+// connections go silent at once and new ones work. The reuse case shows that
+// the test would notice.
+func TestSilentConnectionsCostNoDeposit(t *testing.T) {
+	for _, reuse := range []time.Duration{0, time.Minute} {
+		t.Run(reuse.String(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var fault atomic.Bool
+			r := newRig(t, Options{NonIdempotentReuse: reuse}, newSilenceable(t, &fault))
+			is.Equal(r.refused(t, "/put"), int64(0))
+			fault.Store(true)
+			is.Equal(r.refused(t, "/put") > 0, reuse > 0)
+			is.Equal(r.refused(t, "/put"), int64(0))
+		})
+	}
+}
+
+// Guards against a retry or a hedge that meets a second silent connection.
+func TestRetryTakesFreshConnection(t *testing.T) {
+	for _, delay := range []time.Duration{0, 30 * time.Millisecond} {
+		is := is.New(t)
+		var fault atomic.Bool
+		a, b := newSilenceable(t, &fault), newSilenceable(t, &fault)
+		r := newRig(t, Options{HedgeDelay: delay}, a, b)
+		for range 2 {
+			is.Equal(r.refused(t, "/get"), int64(0))
+			r.targets = []string{b, a}
+		}
+		fault.Store(true)
+		is.Equal(r.refused(t, "/get"), int64(0))
+		is.Equal(slices.Contains(r.results, Canceled), delay > 0) // Only a hedge cancels.
+	}
+}
+
+// Guards against a hedge of a non-idempotent request, a hedge that is not
+// canceled, and one that goes on after the caller has gone.
+func TestHedge(t *testing.T) {
+	is := is.New(t)
+	slow, fast := newTarget(t, failures["silent"].answer), newTarget(t, respond(okText))
+	r := newRig(t, Options{HedgeDelay: 20 * time.Millisecond}, slow.ln.Addr().String(), fast.ln.Addr().String())
+	began := time.Now()
+	_, body := r.dial(t).send("POST", "/get", "", r.keyLine())
+	is.Equal(body, "ok")
+	is.True(time.Since(began) < 500*time.Millisecond) // The loser would wait for the deadline of 600 ms.
+	is.Equal(r.results, []Result{Canceled, Answered})
+	r.dial(t).send("POST", "/put", "", r.keyLine())
+	is.Equal(fast.seen.Load(), int64(1))
+	r.targets, r.results = []string{r.targets[0], r.targets[0]}, nil
+	c := r.dial(t)
+	c.start("POST", "/get", "", r.keyLine())
+	time.Sleep(60 * time.Millisecond)
+	is.NoErr(c.Close())
+	is.NoErr(r.proxy.Drain(context.Background()))
+	is.Equal(r.results, []Result{Canceled, Canceled})
+}
