Answer callers with HTTP/1.1 when a target speaks HTTP/1.0

Cause: fasthttp keeps the protocol of a parsed response, so callers of an HTTP/1.0 target got HTTP/1.0 and would close their own connection.

Change: the protocol of a target's response is dropped. The test of responses without body has an HTTP/1.0 target now and failed before the change. The fair queue states at compile time which interfaces it implements.

Conclusion: tests pass twice with -race.

--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -48,6 +48,11 @@
 	services map[string]*service
 }
 
+var (
+	_ proxy.Queue    = (*Queue)(nil)
+	_ proxy.Reporter = (*Queue)(nil)
+)
+
 // New returns an empty queue. Shares and slots come from the viewer's configuration.
 func New(viewer control.Viewer, c clock.Clock, options Options) *Queue {
 	return &Queue{viewer: viewer, clock: c, options: options.withDefaults(), services: map[string]*service{}}
--- a/pkg/proxy/forward_test.go
+++ b/pkg/proxy/forward_test.go
@@ -52,11 +52,12 @@
 	}
 }
 
-// Guards against a HEAD response or one without a body blocking or losing its header.
+// Guards against a HEAD response or one without a body blocking or losing its
+// header, and against a target's HTTP/1.0 reaching the caller.
 func TestResponsesWithoutBody(t *testing.T) {
 	is := is.New(t)
 	for text, method := range map[string]string{
-		"HTTP/1.1 200 OK\nContent-Length: 5\n\n":                     "HEAD",
+		"HTTP/1.0 200 OK\nContent-Length: 5\n\n":                     "HEAD",
 		"HTTP/1.1 304 Not Modified\nContent-Length: 5\n\n":           "GET",
 		"HTTP/1.1 103 Early\nLink: x\n\nHTTP/1.1 204 No Content\n\n": "DELETE",
 	} {
@@ -66,7 +67,7 @@
 		for range 2 {
 			response, body := c.send(method, "/get", "", r.keyLine())
 			is.Equal(body, "")
-			is.True(response.StatusCode == 204 || response.Header.Get("Content-Length") == "5")
+			is.True(response.ProtoMinor == 1 && (response.StatusCode == 204 || response.Header.Get("Content-Length") == "5"))
 		}
 	}
 }
--- a/pkg/proxy/header.go
+++ b/pkg/proxy/header.go
@@ -134,6 +134,9 @@
 // cleanResponse removes what is not meant for the caller. A target cannot
 // speak for arbutuslink, so its refusal headers go as well.
 func cleanResponse(h *fasthttp.ResponseHeader) {
+	// An empty protocol is written as HTTP/1.1. A target's HTTP/1.0 would make
+	// callers treat their own connection as closing.
+	h.SetProtocol(nil)
 	if len(h.Peek(fasthttp.HeaderConnection)) > 0 {
 		var listed []string
 		for name, value := range h.All() {
