--- a/pkg/control/core.go
+++ b/pkg/control/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -47,9 +48,13 @@
 	view    atomic.Pointer[View]
 	serving atomic.Bool
 
-	self  membership.Member
-	phase phase
-	cur   documents
+	// The incarnation of self is the id of the process and the number of
+	// rejoins, so that the incarnations of one process can be told.
+	process string
+	rejoins int
+	self    membership.Member
+	phase   phase
+	cur     documents
 
 	// State of the newest change.
 	mine        bool
@@ -58,7 +63,8 @@
 	deliveredAt time.Duration
 	marking     bool
 	markRetryAt time.Duration
-	// holders are the incarnations that hold the applied versions or newer ones.
+	// holders are the processes that hold the applied versions or newer ones.
+	// What a process holds, it holds for its earlier incarnations as well.
 	holders map[string]bool
 	// gone are witnesses that will never answer again.
 	gone map[string]bool
@@ -95,7 +101,8 @@
 		reports: map[string]unheardReport{}, inFlight: map[string]int{}, unlisted: map[string]time.Duration{},
 	}
 	now := c.now()
-	c.self.Incarnation = o.NewID()
+	c.process = o.NewID()
+	c.self.Incarnation = c.process + ".0"
 	c.lastTick, c.freshLostAt, c.listenFrom = now, now, now
 	c.publish()
 	return c
@@ -183,7 +190,7 @@
 	c.cur, c.mine, c.learnedAt, c.deliveredAt = d, mine, now, 0
 	c.takeoverAt = now + c.between(takeoverLow, takeoverHigh)
 	c.markRetryAt = 0
-	c.holders = map[string]bool{c.self.Incarnation: true}
+	c.holders = map[string]bool{c.process: true}
 	c.updateMembers(now)
 	c.updatePhase()
 	c.fence.SetMembership(now, c.self.Incarnation, d.membership.Witnesses, after)
@@ -268,9 +275,8 @@
 		event.LeftMembership.Log(&c.o.Log).Str("incarnation", c.self.Incarnation).Send()
 	case !listed && c.phase == member:
 		event.RemovedSelf.Log(&c.o.Log).Str("incarnation", c.self.Incarnation).Send()
-		c.self.Incarnation = c.o.NewID()
-		// This process holds the versions under both of its incarnations.
-		c.holders[c.self.Incarnation] = true
+		c.rejoins++
+		c.self.Incarnation = c.process + "." + strconv.Itoa(c.rejoins)
 		c.phase = joining
 	}
 }
--- a/pkg/control/core_test.go
+++ b/pkg/control/core_test.go
@@ -131,6 +131,30 @@
 	is.Equal(frozen.cur.row.ConfigVersion, int64(1))
 }
 
+// Guards against an answer that waited in a frozen process counting from its
+// arrival instead of from the start of the round trip.
+func TestAnswersThatWaitedInFrozenProcess(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(t, seed)
+		nodes := s.fleet(5)
+		s.watchInForce()
+		check, frozen, armed := s.check, nodes[2], false
+		s.check = func() {
+			check()
+			if !armed && len(frozen.inFlight) == 4 {
+				armed = true
+				s.at(s.delay(3*time.Millisecond), &node{}, func() {
+					frozen.frozenUntil = s.clock.SinceBoot() + 8*time.Second
+				})
+			}
+		}
+		s.run(time.Second)
+		s.write(nodes[0], 0, addKey("k1"))
+		s.run(10 * time.Second)
+		s.until(15*time.Second, "rejoined", func() bool { return joined(nodes) })
+	}
+}
+
 // Guards against a change blocking all others because its proposer died after
 // its write.
 func TestChangeIsCompletedWhenProposerDies(t *testing.T) {
@@ -282,3 +306,52 @@
 	took := s.until(60*time.Second, "restarted", func() bool { return joined(restarted) })
 	t.Logf("restart of the whole fleet took %v", took)
 }
+
+// Guards against a change that can never be delivered because it removes a
+// majority of the witnesses, which live on under new incarnations.
+func TestRemovalOfLivingMajorityIsDelivered(t *testing.T) {
+	s := newSim(t, 10)
+	nodes := s.fleet(5)
+	s.watchInForce()
+	s.removeMajority(nodes)
+	s.until(takeoverLow, "delivered", func() bool { return nodes[0].cur.row.Delivered })
+	s.until(5*time.Second, "all are members again", func() bool { return joined(nodes) })
+}
+
+// Guards against the majority of the previous witnesses being passed over: here
+// it serves on its own side of a partition, and the list shows it alive.
+func TestRemovalOfSeparateMajorityIsNotDelivered(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 11)
+	nodes := s.fleet(5)
+	s.watchInForce()
+	apart := map[string]bool{}
+	for _, n := range nodes[1:4] {
+		apart[n.address] = true
+		for _, o := range []*node{nodes[0], nodes[4]} {
+			s.cut(o, n, true)
+			s.cut(n, o, true)
+		}
+	}
+	s.platform.fault = func(string, bool) bool { return apart[s.platform.caller] }
+	s.removeMajority(nodes)
+	s.run(20 * time.Second)
+	is.True(nodes[1].fresh())
+	is.True(!nodes[0].cur.row.Delivered)
+	clear(s.cuts)
+	s.until(10*time.Second, "delivered after the partition", func() bool { return nodes[0].cur.row.Delivered })
+}
+
+// removeMajority writes a membership without three of five living witnesses.
+func (s *sim) removeMajority(nodes []*node) {
+	var removed []string
+	for _, n := range nodes {
+		s.platform.listed = append(s.platform.listed, listedOf(n))
+	}
+	for _, n := range nodes[1:4] {
+		removed = append(removed, n.self.Incarnation)
+	}
+	nodes[0].propose(nodes[0].cur, nodes[0].cur.membership.With(nil, removed, 5))
+	before := nodes[0].versions().Membership
+	s.until(time.Second, "written", func() bool { return nodes[0].versions().Membership > before })
+}
--- a/pkg/control/delivery.go
+++ b/pkg/control/delivery.go
@@ -43,7 +43,7 @@
 	}
 	count := 0
 	for _, w := range m.Witnesses {
-		if c.holders[w] || c.gone[w] {
+		if c.holders[processOf(w)] || c.gone[w] {
 			count++
 		}
 	}
--- a/pkg/control/dump.go
+++ b/pkg/control/dump.go
@@ -20,7 +20,7 @@
 	Head        head.Row               `json:"head"`
 	Membership  *membership.Membership `json:"membership"`
 	DeliveredAt time.Duration          `json:"delivered_at_ns"`
-	// Holders and Gone are incarnations.
+	// Holders are processes, Gone and Suspects are incarnations.
 	Holders    []string                 `json:"holders"`
 	Gone       []string                 `json:"gone"`
 	Suspects   []string                 `json:"suspects"`
--- a/pkg/control/exchange.go
+++ b/pkg/control/exchange.go
@@ -82,7 +82,7 @@
 func (c *core) noteVersions(from string, v *peerpb.Versions, address string) {
 	theirs := fence.Versions{Config: v.GetConfig(), Membership: v.GetMembership()}
 	if !c.versions().Newer(theirs) {
-		c.holders[from] = true
+		c.holders[processOf(from)] = true
 	}
 	switch {
 	case theirs.Newer(c.versions()):
--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/event"
@@ -243,15 +244,23 @@
 	c.checkDelivered()
 }
 
-// onList tells whether the list may mean this member: an entry for one of its
-// addresses that names no other incarnation.
+// onList tells whether the list may mean the process of this member: an entry
+// for one of its addresses that names no other process. The list may show an
+// earlier incarnation of the same process.
 func onList(m membership.Member, listed []platform.Listed) bool {
 	return slices.ContainsFunc(listed, func(l platform.Listed) bool {
-		sameAddress := l.Address == m.PeerAddress || l.Address == m.CallerAddress
-		return l.Incarnation == m.Incarnation || (sameAddress && l.Incarnation == "")
+		if l.Incarnation != "" {
+			return processOf(l.Incarnation) == processOf(m.Incarnation)
+		}
+		return l.Address == m.PeerAddress || l.Address == m.CallerAddress
 	})
 }
 
+func processOf(incarnation string) string {
+	process, _, _ := strings.Cut(incarnation, ".")
+	return process
+}
+
 // declareGone is the operator's word that members will never answer again.
 func (c *core) declareGone(incarnations []string) error {
 	now := c.now()
