--- a/pkg/control/core.go
+++ b/pkg/control/core.go
@@ -63,7 +63,8 @@
 	deliveredAt time.Duration
 	marking     bool
 	markRetryAt time.Duration
-	// holders are the incarnations that hold the applied versions or newer ones.
+	// holders are the processes that hold the applied versions or newer ones.
+	// What a process holds, it holds for its earlier incarnations as well.
 	holders map[string]bool
 	// gone are witnesses that will never answer again.
 	gone map[string]bool
@@ -189,7 +190,7 @@
 	c.cur, c.mine, c.learnedAt, c.deliveredAt = d, mine, now, 0
 	c.takeoverAt = now + c.between(takeoverLow, takeoverHigh)
 	c.markRetryAt = 0
-	c.holders = map[string]bool{c.self.Incarnation: true}
+	c.holders = map[string]bool{c.process: true}
 	c.updateMembers(now)
 	c.updatePhase()
 	c.fence.SetMembership(now, c.self.Incarnation, d.membership.Witnesses, after)
@@ -276,8 +277,6 @@
 		event.RemovedSelf.Log(&c.o.Log).Str("incarnation", c.self.Incarnation).Send()
 		c.rejoins++
 		c.self.Incarnation = c.process + "." + strconv.Itoa(c.rejoins)
-		// This process holds the versions under both of its incarnations.
-		c.holders[c.self.Incarnation] = true
 		c.phase = joining
 	}
 }
