Use shared load only beyond the usual, spare cold and busy targets

Cause: all instances moved to the targets that the shared load, which is 250 ms old, called idle; latency was worse than round robin. Cold targets were ejected as slow, and in a shared overload targets with a queue by chance were ejected.

Change: only load beyond 1.5 times the service's median counts. Slow needs an empty queue or a lower throughput than the peers. No slow ejection within 20 s of a cold signal. The short window needs a difference of 0.25. A suspect is probed out of turn once, so that a cold restart is known early; a target that says cold is ejected only for stalls above 0.8.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -82,8 +83,10 @@
 	leaving     bool
 	observed    *health.Observed
 
-	inFlight  int
-	standing  health.Standing
+	inFlight int
+	standing health.Standing
+	// excess is the shared load beyond what is usual in the service.
+	excess    float64
 	shedAt    time.Duration
 	everShed  bool
 	trialOpen int
@@ -145,6 +148,25 @@
 			t.trialSet = false
 		}
 	}
+	s.shareLoad()
+}
+
+// shareLoad derives the excess load of each target from the shared loads.
+func (s *service) shareLoad() {
+	perSlot := make([]float64, 0, len(s.targets))
+	for _, t := range s.targets {
+		if t.standing.State == peerpb.TargetState_TARGET_STATE_ACTIVE {
+			perSlot = append(perSlot, float64(t.standing.Load)/float64(t.slots))
+		}
+	}
+	usual := 0.0
+	if len(perSlot) > 0 {
+		slices.Sort(perSlot)
+		usual = excessFrom * max(perSlot[len(perSlot)/2], 0.5)
+	}
+	for _, t := range s.targets {
+		t.excess = max(float64(t.standing.Load)-usual*float64(t.slots), 0)
+	}
 }
 
 // attempt implements proxy.Attempt.
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -11,6 +11,10 @@
 const (
 	// sharedLoadLife is the age at which the load from a verdict counts nothing.
 	sharedLoadLife = time.Second
+	// excessFrom times the median load per slot is the load up to which targets
+	// count as equally loaded. Smaller differences come and go faster than
+	// reports travel; with them, all instances move to the same targets.
+	excessFrom = 1.5
 	// slowStart is the time in which a cold or returned target reaches full weight.
 	slowStart     = 10 * time.Second
 	slowStartFrom = 0.1
@@ -84,7 +88,7 @@
 func (t *target) score(now time.Duration) float64 {
 	load := float64(t.inFlight)
 	if age := now - t.standing.LoadAt; age < sharedLoadLife {
-		load += float64(t.standing.Load) * (1 - float64(age)/float64(sharedLoadLife))
+		load += t.excess * (1 - float64(age)/float64(sharedLoadLife))
 	}
 	return (load + 1) / (float64(t.slots) * t.weight(now))
 }
--- a/pkg/health/decide.go
+++ b/pkg/health/decide.go
@@ -19,6 +19,12 @@
 	minSlowLog = 3.0
 	// minLogDeviation bounds the assumed spread of latencies from below.
 	minLogDeviation = 0.8
+	// coldGrace after the last cold signal keeps a target that warms up from
+	// being ejected as slow. It covers the balancers' slow start.
+	coldGrace = 20 * time.Second
+	// queuedThroughput is the share of its peers' throughput from which a slow
+	// target with a queue counts as busy, not as slow.
+	queuedThroughput = 0.7
 )
 
 // peers is what the other active targets of the service look like.
@@ -27,6 +33,8 @@
 	badShare   float64
 	slowCount  int
 	logMean    float64
+	// answersPerSlot is the median throughput in the window.
+	answersPerSlot float64
 }
 
 // evaluate updates the state of every configured target.
@@ -40,7 +48,10 @@
 	}
 	sort.Strings(names)
 	for _, name := range names {
-		s.announce(name, s.target(name, now), now, svc.Targets[name].Leaving)
+		t := s.target(name, now)
+		t.averageLoad(now)
+		t.slots = svc.Targets[name].Slots
+		s.announce(name, t, now, svc.Targets[name].Leaving)
 	}
 	s.release(now, svc)
 	recent := s.tallies(names, now, p.Window)
@@ -50,7 +61,7 @@
 	for _, name := range names {
 		t := s.targets[name]
 		switch t.state {
-		case active:
+		case active, cold:
 			if s.suspicious(name, t, now, p, recent, long, slow) {
 				suspects = append(suspects, name)
 			} else {
@@ -112,7 +123,7 @@
 	sums := make(map[string]tally, len(names))
 	for _, name := range names {
 		t := s.targets[name]
-		if t.state == active || t.state == trial {
+		if t.state == active || t.state == trial || t.state == cold {
 			sums[name] = t.window.sum(now, span, t.since)
 		}
 	}
@@ -122,7 +133,7 @@
 // peersOf describes the active targets other than name. Medians keep a
 // minority of failing peers from hiding or feigning a fault.
 func (s *serviceHealth) peersOf(name string, sums map[string]tally) peers {
-	var shares, means []float64
+	var shares, means, perSlot []float64
 	for other, sum := range sums {
 		if other == name || s.targets[other].state != active {
 			continue
@@ -132,9 +143,13 @@
 		}
 		if sum.answers >= minPeerSamples {
 			means = append(means, sum.logMean())
+			perSlot = append(perSlot, float64(sum.answers)/float64(max(s.targets[other].slots, 1)))
 		}
 	}
-	return peers{comparable: len(shares), badShare: median(shares), slowCount: len(means), logMean: median(means)}
+	return peers{
+		comparable: len(shares), badShare: median(shares),
+		slowCount: len(means), logMean: median(means), answersPerSlot: median(perSlot),
+	}
 }
 
 func median(values []float64) float64 {
@@ -153,17 +168,21 @@
 func (s *serviceHealth) suspicious(
 	name string, t *targetHealth, now time.Duration, p Profile, recent, long, slow map[string]tally,
 ) bool {
+	if sum := recent[name]; 2*sum.bad() >= p.MinBad && sum.badShare() >= minMargin {
+		t.probe.hasten(now)
+	}
 	found := reasonNone
 	confirm := p.Confirm
 	switch {
-	case s.failing(name, t, now, p, p.Window, recent), s.failing(name, t, now, p, longWindow, long):
+	case s.failing(name, t, now, p, p.Window, suddenMargin, recent),
+		s.failing(name, t, now, p, longWindow, minMargin, long):
 		found = reasonErrors
 		if sum := recent[name]; sum.stalls >= sum.errors {
 			found = reasonStalls
 		}
 	case t.probe.failing(now) && recent[name].answers == 0 && s.probesWork(name, now):
 		found, confirm = reasonProbe, 0
-	case s.slow(name, p, slow):
+	case s.slow(name, t, now, p, slow):
 		found, confirm = reasonSlow, p.SlowConfirm
 	}
 	if found == reasonNone {
@@ -178,14 +197,17 @@
 }
 
 func (s *serviceHealth) failing(
-	name string, t *targetHealth, now time.Duration, p Profile, span time.Duration, sums map[string]tally,
+	name string, t *targetHealth, now time.Duration, p Profile, span time.Duration, margin float64, sums map[string]tally,
 ) bool {
 	sum := sums[name]
 	if sum.bad() < p.MinBad {
 		return false
 	}
+	if t.state == cold {
+		margin = coldMargin
+	}
 	others := s.peersOf(name, sums)
-	if others.comparable < s.minPeers() || sum.badShare() < others.badShare+minMargin {
+	if others.comparable < s.minPeers() || sum.badShare() < others.badShare+margin {
 		return false
 	}
 	if t.badInstances(now, span) < min(p.MinInstances, len(s.reporters)) {
@@ -195,17 +217,29 @@
 	return evidence(sum.bad(), sum.total(), allowed) >= p.Evidence
 }
 
-func (s *serviceHealth) slow(name string, p Profile, sums map[string]tally) bool {
+// slow tells whether the target answers much later than its peers, for a
+// reason other than warming up or a queue that has built up by chance. A queue
+// by chance leaves the throughput as it is, a slow target's is lower.
+func (s *serviceHealth) slow(
+	name string, t *targetHealth, now time.Duration, p Profile, sums map[string]tally,
+) bool {
 	sum := sums[name]
 	if sum.answers < minSlowSamples || sum.logMean() < minSlowLog {
 		return false
 	}
+	if t.probe.warming(now) {
+		return false
+	}
 	others := s.peersOf(name, sums)
 	if others.slowCount < s.minPeers() {
 		return false
 	}
 	difference := sum.logMean() - others.logMean
-	return difference >= slowDoublings && slowScore(sum, difference) >= p.SlowScore
+	if difference < slowDoublings || slowScore(sum, difference) < p.SlowScore {
+		return false
+	}
+	slots := float64(max(t.slots, 1))
+	return t.loadAverage <= slots || float64(sum.answers)/slots < queuedThroughput*others.answersPerSlot
 }
 
 // probesWork tells whether the probes of at least half of the other targets
@@ -234,11 +268,15 @@
 	for _, name := range suspects {
 		t := s.targets[name]
 		t.cause = t.suspect
-		if inUse-svc.Targets[name].Slots < required {
+		slots := svc.Targets[name].Slots
+		if t.state == cold {
+			slots = 0 // a cold target is not in use
+		}
+		if inUse-slots < required {
 			s.holdFloor(name, t)
 			continue
 		}
-		inUse -= svc.Targets[name].Slots
+		inUse -= slots
 		if t.everReturned && now-t.returnedAt < flapMemory {
 			t.level++
 		} else {
--- a/pkg/health/probe.go
+++ b/pkg/health/probe.go
@@ -21,6 +21,9 @@
 	ProbeCold
 )
 
+// hastenEvery is the least time between two probes out of turn.
+const hastenEvery = 2 * time.Second
+
 // ProbeTimeout bounds one probe. A probe takes about 25 ms at a healthy target.
 const ProbeTimeout = time.Second
 
@@ -63,8 +66,26 @@
 	badRun         int
 	badSince       time.Duration
 	draining, cold bool
+	everCold       bool
+	coldAt         time.Duration
+	hastened       bool
+	hastenedAt     time.Duration
+}
+
+// hasten asks for one probe at once, because a target that has restarted cold
+// fails real work before its next regular probe. It does so at most every
+// hastenEvery, so that an overload is not made worse by probes.
+func (p *probeState) hasten(now time.Duration) {
+	if p.hastened && now-p.hastenedAt < hastenEvery {
+		return
+	}
+	p.hastened, p.hastenedAt = true, now
+	p.next = min(p.next, now)
 }
 
+// warming tells whether the target was cold a short time ago.
+func (p *probeState) warming(now time.Duration) bool { return p.everCold && now-p.coldAt < coldGrace }
+
 // failing tells whether failures of probes have lasted. One failed probe says
 // little: the health path lags or misleads.
 func (p *probeState) failing(now time.Duration) bool {
@@ -87,7 +108,14 @@
 	} else {
 		p.goodRun = 0
 	}
-	p.draining, p.cold = status == ProbeDraining, status == ProbeCold
+	p.draining, p.cold = status == ProbeDraining, false
+	if status == ProbeCold {
+		p.sawCold(now)
+	}
+}
+
+func (p *probeState) sawCold(now time.Duration) {
+	p.cold, p.everCold, p.coldAt = true, true, now
 }
 
 // dueProbes returns the probes to send now. The phase of a target follows
@@ -109,10 +137,7 @@
 			continue
 		}
 		t.probe.inFlight = true
-		t.probe.next += interval
-		if t.probe.next <= now {
-			t.probe.next = now + interval
-		}
+		t.probe.next = now + interval
 		due = append(due, ProbeTask{Service: s.name, Target: name, Address: target.Address, Path: svc.HealthPath})
 	}
 	return due
--- a/pkg/health/profile.go
+++ b/pkg/health/profile.go
@@ -34,6 +34,11 @@
 	// minMargin is the least difference between the failure shares of a target
 	// and its peers. Smaller differences cost less than a lost target.
 	minMargin = 0.10
+	// suddenMargin is the least difference in the short window. When a shared
+	// overload begins, the first targets reach 0.11 before their peers follow.
+	suddenMargin = 0.25
+	// coldMargin is the least difference for a target that says it is cold.
+	coldMargin = 0.8
 	// peerFloor is the failure share that every target is allowed.
 	peerFloor = 0.02
 	// slowDoublings is the least difference of mean binary logarithms of
@@ -58,7 +63,7 @@
 	}
 	fastProfile = Profile{
 		Window: 2 * time.Second, MinBad: 4, Evidence: 14, MinInstances: 2,
-		SlowWindow: 4 * time.Second, SlowScore: 6, SlowConfirm: 500 * time.Millisecond, TrialGood: 10,
+		SlowWindow: 4 * time.Second, SlowScore: 8, SlowConfirm: time.Second, TrialGood: 10,
 	}
 	// aloneProfile is used by an instance without verdicts. It has a small part
 	// of the evidence and cannot tell its own path from the target.
--- a/pkg/health/service.go
+++ b/pkg/health/service.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -29,6 +30,10 @@
 	// warmUp is the time that an evaluator observes before it gives verdicts.
 	// A new first evaluator would otherwise return every ejected target.
 	warmUp = 2 * time.Second
+	// loadMemory is the time constant of the shared load. The load of the moment
+	// is older than a request takes when it reaches the instances, and they
+	// would all move to the same targets.
+	loadMemory = time.Second
 )
 
 // reason orders the causes of an ejection by severity.
@@ -69,6 +74,9 @@
 	drainSeen    bool
 	drainAt      time.Duration
 	probe        probeState
+	slots        int
+	loadAverage  float64
+	loadAt       time.Duration
 }
 
 // serviceHealth is the pure core of the evaluator for one service. It takes
@@ -137,7 +145,7 @@
 			t.drainSeen, t.drainAt = true, now
 		}
 		if c.Cold {
-			t.probe.cold = true
+			t.probe.sawCold(now)
 		}
 	}
 }
@@ -165,6 +173,13 @@
 	return t.drainSeen && now-t.drainAt < memory
 }
 
+// averageLoad updates the moving average of load.
+func (t *targetHealth) averageLoad(now time.Duration) {
+	keep := math.Exp(-(now - t.loadAt).Seconds() / loadMemory.Seconds())
+	t.loadAverage = keep*t.loadAverage + (1-keep)*float64(t.load(now))
+	t.loadAt = now
+}
+
 // load is the number of requests that all instances have open at the target.
 func (t *targetHealth) load(now time.Duration) uint32 {
 	var total uint32
@@ -223,7 +238,7 @@
 	for name := range svc.Targets {
 		tv := &peerpb.TargetVerdict{Target: name, State: active}
 		if t := s.targets[name]; t != nil {
-			tv.State, tv.Load = t.state, t.load(now)
+			tv.State, tv.Load = t.state, uint32(math.Round(t.loadAverage))
 		}
 		v.Targets = append(v.Targets, tv)
 	}
