Compare failures with the worse fifth of the peers

Cause: while a shared overload grows, targets reach the stall threshold at different times. Against the median of the peers the first of them looked faulty. Requests queued before a target was known to be cold counted as its stalls.

Change: the share that four fifths of the peers stay within replaces the median, except for a target that fails 75% and more while most peers are well, so that a whole zone can still be ejected.

--- a/pkg/health/decide.go
+++ b/pkg/health/decide.go
@@ -31,8 +31,12 @@
 type peers struct {
 	comparable int
 	badShare   float64
-	slowCount  int
-	logMean    float64
+	// highShare is the failure share that four fifths of the peers stay within.
+	// In a growing overload the targets fail at different times; the median
+	// alone would make the first of them look faulty.
+	highShare float64
+	slowCount int
+	logMean   float64
 	// answersPerSlot is the median throughput in the window.
 	answersPerSlot float64
 }
@@ -124,7 +128,13 @@
 	for _, name := range names {
 		t := s.targets[name]
 		if t.state == active || t.state == trial || t.state == cold {
-			sums[name] = t.window.sum(now, span, t.since)
+			since := t.since
+			if t.state == cold {
+				// Requests from before the target was known to be cold may
+				// still be queued there.
+				since += maxStall
+			}
+			sums[name] = t.window.sum(now, span, since)
 		}
 	}
 	return sums
@@ -147,17 +157,19 @@
 		}
 	}
 	return peers{
-		comparable: len(shares), badShare: median(shares),
+		comparable: len(shares), badShare: median(shares), highShare: quantile(shares, 0.8),
 		slowCount: len(means), logMean: median(means), answersPerSlot: median(perSlot),
 	}
 }
 
-func median(values []float64) float64 {
+func median(values []float64) float64 { return quantile(values, 0.5) }
+
+func quantile(values []float64, q float64) float64 {
 	if len(values) == 0 {
 		return 0
 	}
 	slices.Sort(values)
-	return values[len(values)/2]
+	return values[min(int(q*float64(len(values))), len(values)-1)]
 }
 
 // minPeers is the number of comparable peers that an ejection needs.
@@ -207,13 +219,19 @@
 		margin = coldMargin
 	}
 	others := s.peersOf(name, sums)
-	if others.comparable < s.minPeers() || sum.badShare() < others.badShare+margin {
+	usual := others.highShare
+	if sum.badShare() >= completeShare && others.badShare <= peerFloor {
+		// More than a fifth of the targets may fail together, for example those
+		// of one zone. The others show that the fault is not shared by all.
+		usual = others.badShare
+	}
+	if others.comparable < s.minPeers() || sum.badShare() < usual+margin {
 		return false
 	}
 	if t.badInstances(now, span) < min(p.MinInstances, len(s.reporters)) {
 		return false
 	}
-	allowed := min(max(1.25*others.badShare, peerFloor), 0.95)
+	allowed := min(max(1.25*usual, peerFloor), 0.95)
 	return evidence(sum.bad(), sum.total(), allowed) >= p.Evidence
 }
 
--- a/pkg/health/profile.go
+++ b/pkg/health/profile.go
@@ -37,6 +37,8 @@
 	// suddenMargin is the least difference in the short window. When a shared
 	// overload begins, the first targets reach 0.11 before their peers follow.
 	suddenMargin = 0.25
+	// completeShare is the failure share of a target that hardly works at all.
+	completeShare = 0.75
 	// coldMargin is the least difference for a target that says it is cold.
 	coldMargin = 0.8
 	// peerFloor is the failure share that every target is allowed.
