--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -65,13 +65,25 @@
 	}
 }
 
+// allowedMethods lists the methods of each path for the header Allow.
+var allowedMethods = map[string]string{
+	api.ConfigPath:     fasthttp.MethodGet + ", " + fasthttp.MethodPatch,
+	api.HistoryPath:    fasthttp.MethodGet,
+	api.StatusPath:     fasthttp.MethodGet,
+	api.MembershipPath: fasthttp.MethodGet,
+	api.ReplacePath:    fasthttp.MethodPost,
+	api.DumpPath:       fasthttp.MethodGet,
+	api.MetricsPath:    fasthttp.MethodGet,
+}
+
 func (s *Server) unknown(ctx *fasthttp.RequestCtx, path string) {
-	switch path {
-	case api.ConfigPath, api.HistoryPath, api.StatusPath, api.MembershipPath, api.ReplacePath, api.DumpPath, api.MetricsPath:
-		fail(ctx, fasthttp.StatusMethodNotAllowed, api.Failure{Code: api.CodeMethod, Message: "the method is not allowed on " + path})
-	default:
+	methods, ok := allowedMethods[path]
+	if !ok {
 		fail(ctx, fasthttp.StatusNotFound, api.Failure{Code: api.CodeNotFound, Message: "there is no " + path})
+		return
 	}
+	ctx.Response.Header.Set(api.HeaderAllow, methods)
+	fail(ctx, fasthttp.StatusMethodNotAllowed, api.Failure{Code: api.CodeMethod, Message: "the method is not allowed on " + path})
 }
 
 // authenticate compares against every token so that the time taken does not
@@ -122,10 +134,10 @@
 	}
 	version, err := s.coordinator.Propose(ctx, Proposal{
 		Expected: expected, Author: author,
-		MediaType: string(ctx.Request.Header.ContentType()), Patch: ctx.PostBody(),
+		MediaType: mediaType(string(ctx.Request.Header.ContentType())), Patch: ctx.PostBody(),
 	})
 	if err != nil {
-		event.PatchRefused.Log(s.log).Str("author", author).Int64("expected", expected).Err(err).Send()
+		event.PatchRefused.Log(s.log).Str("author", author).Int64("expected", expected).Str("error", redactKeys(err.Error())).Send()
 		s.failPatch(ctx, expected, err)
 		return
 	}
@@ -167,7 +179,7 @@
 		invalid     *document.InvalidError
 		syntax      *document.SyntaxError
 		patch       *config.PatchError
-		mediaType   *config.UnknownPatchTypeError
+		patchType   *config.UnknownPatchTypeError
 		request     *requestError
 		pending     *PendingError
 		replaced    *ReplaceError
@@ -182,7 +194,7 @@
 		}
 	case errors.As(err, &syntax), errors.As(err, &patch):
 		status, failure.Code = fasthttp.StatusUnprocessableEntity, api.CodePatchInvalid
-	case errors.As(err, &mediaType):
+	case errors.As(err, &patchType):
 		status, failure.Code = fasthttp.StatusUnsupportedMediaType, api.CodeMediaType
 	case errors.As(err, &request):
 		status, failure.Code = fasthttp.StatusBadRequest, api.CodeRequestInvalid
@@ -232,6 +244,11 @@
 }
 
 func fail(ctx *fasthttp.RequestCtx, status int, failure api.Failure) {
+	failure.Message = redactKeys(failure.Message)
+	for i := range failure.Fields {
+		failure.Fields[i].Path = redactKeys(failure.Fields[i].Path)
+		failure.Fields[i].Value = redactKeys(failure.Fields[i].Value)
+	}
 	// Failure holds only strings and numbers and always encodes.
 	data, _ := json.Marshal(failure)
 	ctx.SetStatusCode(status)
