Report lost answers of arbutusctl truthfully, add --ca-file

Change: exit code 3 follows the failure code; retries are off; these answers and failed waits exit with 4; the key is shown whenever it may be in force, in one document. --ca-file selects the certificate authorities.

--- a/pkg/ctl/change.go
+++ b/pkg/ctl/change.go
@@ -23,42 +23,63 @@
 // waitLimit bounds --wait; a version is in force within seconds.
 const waitLimit = 30 * time.Second
 
-// WaitError says that a version was accepted but not seen in force in time.
-type WaitError struct{ Version int64 }
+// WaitError says that a version was accepted but not seen in force.
+type WaitError struct {
+	Version int64
+	// Cause is nil when the time limit passed.
+	Cause error
+}
 
-// Error names the version.
+// Error names the version and the cause.
 func (e *WaitError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("version %d was accepted; whether it is in force is not known: %s", e.Version, e.Cause)
+	}
 	return fmt.Sprintf("version %d was accepted but is not in force after %s", e.Version, waitLimit)
 }
 
-// submit sends or, with --dry-run, only checks a patch.
+// Unwrap returns the cause.
+func (e *WaitError) Unwrap() error { return e.Cause }
+
+// submit sends or, with --dry-run, only checks a patch, and prints the result.
 func (a *app) submit(c change, mediaType string, patch []byte) error {
+	result, err := a.send(c, mediaType, patch)
+	if err != nil || result == nil {
+		return err
+	}
+	return a.print(result, func(w io.Writer) { printResult(w, result) })
+}
+
+func printResult(w io.Writer, r *api.PatchResult) {
+	_, _ = fmt.Fprintf(w, "version %d %s\n", r.Version, r.State)
+}
+
+// send returns nil without an error after a dry run.
+func (a *app) send(c change, mediaType string, patch []byte) (*api.PatchResult, error) {
 	cl, err := a.client()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if c.DryRun {
-		return a.dryRun(cl, c, mediaType, patch)
+		return nil, a.dryRun(cl, c, mediaType, patch)
 	}
 	result, err := cl.patch(c.Base, mediaType, patch)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if c.Wait {
 		if err := waitInForce(cl, &result); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	return a.print(result, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "version %d %s\n", result.Version, result.State)
-	})
+	return &result, nil
 }
 
 func waitInForce(cl *client, result *api.PatchResult) error {
 	for deadline := time.Now().Add(waitLimit); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
 		var status api.Status
 		if err := cl.get(api.StatusPath, nil, &status); err != nil {
-			return err
+			return errors.WithStack(&WaitError{Version: result.Version, Cause: err})
 		}
 		if status.ConfigVersion > result.Version || (status.ConfigVersion == result.Version && status.ConfigState == api.InForce) {
 			result.State = api.InForce
@@ -97,11 +118,19 @@
 	})
 }
 
-// mergePatch submits one member of one section as a merge patch; a nil value removes it.
-func (a *app) mergePatch(c change, section, id string, value any) error {
+// memberPatch is a merge patch of one member of one section; a nil value removes it.
+func memberPatch(section, id string, value any) ([]byte, error) {
 	patch, err := json.Marshal(map[string]any{section: map[string]any{id: value}})
 	if err != nil {
-		return errors.WithStack(&UsageError{Reason: err.Error()})
+		return nil, errors.WithStack(&UsageError{Reason: err.Error()})
+	}
+	return patch, nil
+}
+
+func (a *app) mergePatch(c change, section, id string, value any) error {
+	patch, err := memberPatch(section, id, value)
+	if err != nil {
+		return err
 	}
 	return a.submit(c, config.MergePatchType, patch)
 }
@@ -151,15 +180,33 @@
 // Execute creates a key here, submits its digest and prints the key once.
 func (c *keyIssueCommand) Execute([]string) error {
 	key, stored := config.GenerateKey(c.ID, c.Team)
-	submitErr := c.app.mergePatch(c.change, "keys", c.ID, stored)
-	if c.DryRun || (submitErr != nil && !outcomeUnknown(submitErr)) {
-		return submitErr
+	patch, err := memberPatch("keys", c.ID, stored)
+	if err != nil {
+		return err
+	}
+	result, err := c.app.send(c.change, config.MergePatchType, patch)
+	if c.DryRun || (err != nil && !outcomeUnknown(err)) {
+		return err
+	}
+	if result == nil {
+		// After an unknown outcome the key may be in force, so it is shown as well.
+		result = &api.PatchResult{State: "unknown"}
 	}
-	// After an unknown outcome the key may be in force, so it is shown as well.
-	printErr := c.app.print(map[string]string{"key": key}, func(w io.Writer) {
+	issued := issuedKey{PatchResult: *result, Key: key}
+	printErr := c.app.print(issued, func(w io.Writer) {
+		if result.Version > 0 {
+			printResult(w, result)
+		}
 		_, _ = fmt.Fprintf(w, "key %s\nIt is shown only now; arbutuslink keeps a digest.\n", key)
 	})
-	return errors.CombineErrors(submitErr, printErr)
+	return errors.CombineErrors(err, printErr)
+}
+
+// issuedKey is the output of key issue. The version is 0 and the state unknown
+// when the instance did not say whether the change took effect.
+type issuedKey struct {
+	api.PatchResult
+	Key string `json:"key"`
 }
 
 type keyWithdrawCommand struct {
--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -2,6 +2,8 @@
 package ctl
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"net/url"
@@ -19,7 +21,19 @@
 type client struct {
 	server string
 	token  string
-	http   fasthttp.Client
+	http   *fasthttp.Client
+}
+
+// newClient returns a client that trusts the system's certificate authorities,
+// or only those of roots when it is not nil.
+func newClient(server, token string, roots *x509.CertPool) *client {
+	return &client{server: server, token: token, http: &fasthttp.Client{
+		// fasthttp repeats requests whose connection was closed, by itself. A patch
+		// that took effect would then be reported as stale.
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		TLSConfig:                 &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots},
+	}}
 }
 
 // requestTimeout bounds one call; a patch waits for the platform.
@@ -99,18 +113,30 @@
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	req.Header.Set(api.HeaderAuthorization, api.AuthorizationPrefix+c.token)
+	change := !req.Header.IsGet()
 	if err := c.http.DoTimeout(req, resp, requestTimeout); err != nil {
-		return errors.WithStack(&CallError{Server: c.server, Cause: err, change: !req.Header.IsGet()})
+		return errors.WithStack(&CallError{Server: c.server, Cause: err, change: change})
 	}
 	if resp.StatusCode() >= fasthttp.StatusBadRequest {
-		refused := &RefusedError{Status: resp.StatusCode()}
-		if err := json.Unmarshal(resp.Body(), &refused.Failure); err != nil {
-			refused.Failure.Message = fmt.Sprintf("%s answered with status %d", c.server, resp.StatusCode())
-		}
-		return errors.WithStack(refused)
+		return errors.WithStack(c.refused(resp, change))
 	}
 	if err := json.Unmarshal(resp.Body(), into); err != nil {
-		return errors.WithStack(&CallError{Server: c.server, Cause: err})
+		return errors.WithStack(&CallError{Server: c.server, Cause: err, change: change})
 	}
 	return nil
 }
+
+// refused decodes a refusal. An answer without a failure code comes from
+// something between arbutusctl and the instance; it does not tell whether a
+// change reached the instance.
+func (c *client) refused(resp *fasthttp.Response, change bool) *RefusedError {
+	refused := &RefusedError{Status: resp.StatusCode()}
+	if err := json.Unmarshal(resp.Body(), &refused.Failure); err == nil && refused.Failure.Code != "" {
+		return refused
+	}
+	refused.Failure = api.Failure{Message: fmt.Sprintf("%s answered with status %d", c.server, resp.StatusCode())}
+	if change {
+		refused.Failure.Applied = api.AppliedUnknown
+	}
+	return refused
+}
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -27,6 +28,7 @@
 type options struct {
 	Server    string `long:"server" env:"ARBUTUS_SERVER" default:"http://127.0.0.1:8002" description:"operator address of any instance"`
 	TokenFile string `long:"token-file" env:"ARBUTUS_TOKEN_FILE" description:"file with the operator token"`
+	CAFile    string `long:"ca-file" env:"ARBUTUS_CA_FILE" description:"PEM file with the certificate authorities to trust in place of the system's"`
 	Output    string `long:"output" choice:"text" choice:"json" default:"text" description:"form of the output"`
 	Version   func() `long:"version" description:"print the version and exit"`
 }
@@ -107,7 +109,7 @@
 	switch {
 	case errors.As(err, &flagsErr), errors.As(err, &usage):
 		return ExitUsage
-	case errors.As(err, &refused) && refused.Failure.Current > 0:
+	case errors.As(err, &refused) && refused.Failure.Code == api.CodeStaleVersion:
 		return ExitStale
 	case outcomeUnknown(err):
 		return ExitUnknown
@@ -120,7 +122,8 @@
 func outcomeUnknown(err error) bool {
 	var refused *RefusedError
 	var call *CallError
-	return (errors.As(err, &refused) && refused.Failure.Applied == api.AppliedUnknown) || (errors.As(err, &call) && call.change)
+	var wait *WaitError
+	return errors.As(err, &wait) || (errors.As(err, &refused) && refused.Failure.Applied == api.AppliedUnknown) || (errors.As(err, &call) && call.change)
 }
 
 // addCommands registers every command; the tags of the command types are
@@ -168,7 +171,27 @@
 	if token == "" {
 		return nil, errors.WithStack(&TokenError{})
 	}
-	return &client{server: strings.TrimSuffix(a.opts.Server, "/"), token: token}, nil
+	roots, err := a.roots()
+	if err != nil {
+		return nil, err
+	}
+	return newClient(strings.TrimSuffix(a.opts.Server, "/"), token, roots), nil
+}
+
+// roots reads --ca-file; nil selects the system's certificate authorities.
+func (a *app) roots() (*x509.CertPool, error) {
+	if a.opts.CAFile == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(a.opts.CAFile)
+	if err != nil {
+		return nil, errors.WithStack(&UsageError{Reason: "--ca-file: " + err.Error()})
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, errors.WithStack(&UsageError{Reason: "--ca-file: " + a.opts.CAFile + " holds no PEM certificate"})
+	}
+	return pool, nil
 }
 
 // print writes v as JSON, or calls text.
--- a/pkg/ctl/dump.go
+++ b/pkg/ctl/dump.go
@@ -34,14 +34,17 @@
 	fleet := fleetDump{Instances: map[string]json.RawMessage{}, Unreachable: map[string]string{}}
 	statuses := map[string]api.Status{}
 	for _, server := range servers {
-		one := &client{server: server, token: cl.token}
+		one := &client{server: server, token: cl.token, http: cl.http}
 		var dump json.RawMessage
 		var status api.Status
-		if err := one.get(api.DumpPath, nil, &dump); err != nil {
-			fleet.Unreachable[server] = err.Error()
-			continue
+		err := one.get(api.DumpPath, nil, &dump)
+		if err == nil {
+			err = one.get(api.StatusPath, nil, &status)
 		}
-		if err := one.get(api.StatusPath, nil, &status); err != nil {
+		if err != nil {
+			if !c.All {
+				return err
+			}
 			fleet.Unreachable[server] = err.Error()
 			continue
 		}
