Compute quantiles of reports by nearest rank, reject other JSON files

Cause: the histogram rounds the rank of a quantile to the nearest, so p99 of 51 values was the 50th. Any JSON object was read as an empty report.

Change: the rank is rounded up; a report must name its experiment.

--- a/pkg/lab/report/report.go
+++ b/pkg/lab/report/report.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"os"
 	"time"
 
@@ -122,6 +123,12 @@
 // Unwrap returns the cause.
 func (e *FileError) Unwrap() error { return e.Cause }
 
+// NotReportError says that a JSON document is no report.
+type NotReportError struct{}
+
+// Error names the member that every report has.
+func (*NotReportError) Error() string { return "the document names no experiment, so it is no report" }
+
 // Write stores the report as JSON. The error is a *FileError.
 func (r *Report) Write(file string) error {
 	data, err := json.MarshalIndent(r, "", "  ")
@@ -144,6 +151,9 @@
 	if err := json.Unmarshal(data, r); err != nil {
 		return nil, errors.WithStack(&FileError{File: file, Cause: err})
 	}
+	if r.Experiment == "" {
+		return nil, errors.WithStack(&FileError{File: file, Cause: &NotReportError{}})
+	}
 	return r, nil
 }
 
@@ -157,8 +167,12 @@
 	return hdrhistogram.New(1, maxRecordedMicros, significantDigits)
 }
 
-// Summarize returns the quantiles of a histogram of microseconds.
+// Summarize returns the quantiles of a histogram of microseconds. A quantile is
+// the smallest value that at least that share of the values does not exceed;
+// the histogram's own rounding to the nearest rank understates p99 of few values.
 func Summarize(h *hdrhistogram.Histogram) Quantiles {
 	ms := func(micros int64) float64 { return float64(micros) / 1000 }
-	return Quantiles{Count: h.TotalCount(), P50: ms(h.ValueAtQuantile(50)), P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max())}
+	n := float64(h.TotalCount())
+	at := func(share float64) float64 { return ms(h.ValueAtQuantile(100 * math.Ceil(share*n) / max(n, 1))) }
+	return Quantiles{Count: h.TotalCount(), P50: at(0.5), P99: at(0.99), Max: ms(h.Max())}
 }
