--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -186,11 +187,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			calls := 0
-			url := serveHandler(is, t, func(ctx *fasthttp.RequestCtx) { calls++; handler(ctx) })
+			var calls atomic.Int64
+			url := serveHandler(is, t, func(ctx *fasthttp.RequestCtx) { calls.Add(1); handler(ctx) })
 			code, stdout, _ := run(t, url, "key", "issue", "--version", "3", "--id", "k1", "--team", "school")
 			is.Equal(code, ExitUnknown)
-			is.Equal(calls, 1)
+			is.Equal(calls.Load(), int64(1))
 			is.Equal(strings.Count(stdout, "al_k1."), 1) // the key may be in force, so it is shown
 		})
 	}
--- a/pkg/entry/caller.go
+++ b/pkg/entry/caller.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"strings"
 
@@ -26,6 +27,20 @@
 		proxy.WriteRefusal(ctx, refusal.New(refusal.RouteUnknown, nil))
 	default:
 		i.proxy.Handle(ctx)
+		hideKey(&ctx.Response.Header)
+	}
+}
+
+const (
+	requestIDHeader = "X-Request-Id"
+	keyPrefix       = "al_"
+)
+
+// hideKey drops the request id of a refusal when it holds a key: the proxy
+// repeats the id that the caller gave.
+func hideKey(h *fasthttp.ResponseHeader) {
+	if len(h.Peek(refusal.CodeHeader)) > 0 && bytes.Contains(h.Peek(requestIDHeader), []byte(keyPrefix)) {
+		h.Del(requestIDHeader)
 	}
 }
 
--- /dev/null
+++ b/pkg/entry/secrets_test.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/lab/targetsim"
+	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
+)
+
+// Guards against caller keys, operator tokens and the platform's secret in
+// logs, dumps, metrics and answers of an instance, and against keys that reach
+// a target.
+func TestSecretsAppearNowhere(t *testing.T) {
+	f := start(t, nil)
+	good, goodStored := config.GenerateKey("good", "school")
+	old, oldStored := config.GenerateKey("old", "school")
+	unknown, _ := config.GenerateKey("unknown", "school")
+	wrong, _ := config.GenerateKey("good", "school") // the id exists, the secret is wrong
+	f.patch("0", f.document(map[string]config.Key{"good": goodStored, "old": oldStored}))
+
+	// The token issuers of a new team start empty.
+	f.until(func() bool {
+		status, _ := f.send(http.MethodGet, f.settings.CallerAddress, "/preview", "", map[string]string{"X-Arbutus-Key": good})
+		return status == http.StatusOK
+	})
+	f.sendKeys(t, good, http.StatusOK)
+	f.sendKeys(t, old, http.StatusOK)
+	f.patch("1", map[string]any{"keys": map[string]any{"old": nil}})
+	for _, key := range []string{old, unknown, wrong} {
+		f.sendKeys(t, key, http.StatusUnauthorized)
+	}
+	// Failures of the target are logged with their causes.
+	f.is.NoErr(f.target.SetFaults(targetsim.Faults{HalfResponse: 1}))
+	f.sendKeys(t, good, serverError)
+	f.is.NoErr(f.target.SetFaults(targetsim.Faults{Silent: true}))
+	f.sendKeys(t, good, serverError)
+	f.is.Equal(f.target.Summary().KeysSeen, 0)
+
+	f.sendOperators([]string{good, old, unknown, wrong})
+	for _, path := range []string{api.DumpPath, api.MetricsPath, api.ConfigPath, api.HistoryPath, api.StatusPath, api.MembershipPath} {
+		status, body := f.operator(http.MethodGet, path, "", nil)
+		f.is.Equal(status, http.StatusOK)
+		f.is.True(body != "")
+	}
+	f.is.True(strings.Contains(f.log.String(), "answer_incomplete")) // the debug log was captured
+	secrets := []string{operatorToken, "wrong-operator-token", f.settings.Platform.SecretAccessKey}
+	for _, key := range []string{good, old, unknown, wrong} {
+		_, secret, _ := strings.Cut(key, ".")
+		secrets = append(secrets, secret, strings.ToLower(secret))
+	}
+	for _, secret := range secrets {
+		for place, text := range map[string]string{"log": f.log.String(), "answers": f.answers.String()} {
+			for line := range strings.Lines(text) {
+				if strings.Contains(line, secret) {
+					t.Errorf("the secret %s is in the %s: %s", secret, place, line)
+				}
+			}
+		}
+	}
+}
+
+// serverError stands for any status of 500 or more: the code depends on how
+// many attempts the request had.
+const serverError = 500
+
+// sendKeys presents a key in the right places, where status is expected, and in
+// wrong ones.
+func (f *fixture) sendKeys(t *testing.T, key string, status int) {
+	right := []map[string]string{{"X-Arbutus-Key": key}, {"Authorization": "Bearer " + key}}
+	for n, header := range right {
+		for _, path := range []string{"/preview/1", "/confirm/1"} {
+			got, body := f.send(http.MethodPost, f.settings.CallerAddress, path, "order", header)
+			if got != status && (status != serverError || got < serverError) {
+				t.Errorf("header %d on %s: status %d, want %d: %s", n, path, got, status, body)
+			}
+		}
+	}
+	f.send(http.MethodGet, f.settings.CallerAddress, "/.arbutus/directory", "", right[0])
+	f.send(http.MethodGet, f.settings.CallerAddress, "/nowhere", "", right[0])
+	header := func(name, value string) map[string]string {
+		return map[string]string{"X-Arbutus-Key": key, name: value}
+	}
+	misplaced := []struct {
+		path   string
+		header map[string]string
+	}{
+		{"/preview?key=" + key, right[0]},
+		{"/preview/" + key, nil},
+		{"/" + key, nil},
+		{"/preview", header("Cookie", "key="+key)},
+		{"/preview", header("X-Request-Id", key)},
+		{"/confirm", header("Idempotency-Key", key)},
+		{"/preview", header("Authorization", "Bearer "+key)},
+		{"/preview", map[string]string{"Authorization": "Basic " + key}},
+		{"/.arbutus/" + key, nil},
+	}
+	for _, m := range misplaced {
+		got, _ := f.send(http.MethodPost, f.settings.CallerAddress, m.path, "order", m.header)
+		f.is.True(got >= 400 && got < 500) // a misplaced key is refused
+	}
+}
+
+// sendOperators presents wrong tokens, and caller keys in wrong places, to the
+// operators' API.
+func (f *fixture) sendOperators(keys []string) {
+	address := f.settings.OperatorAddress
+	for _, token := range append([]string{"wrong-operator-token"}, keys...) {
+		status, _ := f.send(http.MethodGet, address, api.StatusPath, "", map[string]string{"Authorization": "Bearer " + token})
+		f.is.Equal(status, http.StatusUnauthorized)
+	}
+	for _, secret := range append([]string{operatorToken}, keys...) {
+		for _, body := range []string{`{"keys":{"x":"` + secret + `"}}`, `{"` + secret + `":1}`, secret} {
+			f.operator(http.MethodPatch, api.ConfigPath, body, map[string]string{"If-Match": "2", "Content-Type": config.MergePatchType})
+		}
+		f.operator(http.MethodPatch, api.ConfigPath, "{}", map[string]string{"If-Match": secret, "Content-Type": secret})
+	}
+	status, _ := f.send(http.MethodGet, f.settings.CallerAddress, "/preview", "", map[string]string{"X-Arbutus-Key": operatorToken})
+	f.is.Equal(status, http.StatusUnauthorized)
+}
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	"github.com/valyala/fasthttp"
@@ -17,7 +19,11 @@
 // New returns the root scope, the handler of the scrape endpoint in the
 // Prometheus text format, and a closer that ends the reporting goroutine.
 func New(instance, zone string) (tally.Scope, fasthttp.RequestHandler, io.Closer) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// The default registry is shared by the process, so a second instance in it,
+	// as in tests, would register its metrics twice.
+	registry := client.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "arbutus",
 		Tags:           map[string]string{"instance": instance, "availability_zone": zone},
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -137,7 +137,7 @@
 		MediaType: mediaType(string(ctx.Request.Header.ContentType())), Patch: ctx.PostBody(),
 	})
 	if err != nil {
-		event.PatchRefused.Log(s.log).Str("author", author).Int64("expected", expected).Str("error", redactKeys(err.Error())).Send()
+		event.PatchRefused.Log(s.log).Str("author", author).Int64("expected", expected).Str("error", redact(ctx, err.Error())).Send()
 		s.failPatch(ctx, expected, err)
 		return
 	}
@@ -244,10 +244,10 @@
 }
 
 func fail(ctx *fasthttp.RequestCtx, status int, failure api.Failure) {
-	failure.Message = redactKeys(failure.Message)
+	failure.Message = redact(ctx, failure.Message)
 	for i := range failure.Fields {
-		failure.Fields[i].Path = redactKeys(failure.Fields[i].Path)
-		failure.Fields[i].Value = redactKeys(failure.Fields[i].Value)
+		failure.Fields[i].Path = redact(ctx, failure.Fields[i].Path)
+		failure.Fields[i].Value = redact(ctx, failure.Fields[i].Value)
 	}
 	// Failure holds only strings and numbers and always encodes.
 	data, _ := json.Marshal(failure)
--- a/pkg/operator/server_test.go
+++ b/pkg/operator/server_test.go
@@ -180,12 +180,13 @@
 	})
 }
 
-// Guards against a caller key that an operator put in the wrong place being
-// logged or sent back.
-func TestMisplacedKeyIsNotRepeated(t *testing.T) {
+// Guards against a caller key or operator token that an operator put in the
+// wrong place being logged or sent back.
+func TestMisplacedSecretIsNotRepeated(t *testing.T) {
 	key, _ := config.GenerateKey("k1", "school")
 	for _, body := range []string{
 		`{"keys":{"k1":"` + key + `"}}`, `{"keys":{"k1":{"team":"` + key + `"}}}`, `{"keys":{"` + key + `":{}}}`, `{"` + key + `":1}`,
+		`{"` + token + `":1}`,
 	} {
 		is := is.New(t)
 		h := newHarness()
@@ -193,6 +194,7 @@
 		is.Equal(resp.StatusCode(), 422)
 		is.True(!strings.Contains(string(resp.Body()), key))
 		is.True(!strings.Contains(h.log.String(), key))
+		is.True(!strings.Contains(string(resp.Body())+h.log.String(), token))
 	}
 }
 
