limit: ask several issuers at once and wait up to one second

Cause: asking one issuer after the other took a round trip each; a wait of 250 ms refused requests that a team's next tokens cover.

--- a/pkg/limit/borrow.go
+++ b/pkg/limit/borrow.go
@@ -132,13 +132,23 @@
 		if l := p.peers[id]; id == p.history.self || p.asks[id] != nil || l != nil && l.notBefore > now {
 			continue
 		}
-		p.asks[id] = &ask{amount: missing, asked: now}
-		out = append(out, Message{To: id, Millitokens: missing, Asked: now})
-		missing = 0
+		amount := min(missing, p.chunk(len(issuers)))
+		p.asks[id] = &ask{amount: amount, asked: now}
+		out = append(out, Message{To: id, Millitokens: amount, Asked: now})
+		missing -= amount
 	}
 	return out
 }
 
+// chunk is the most that one issuer can hold, in whole tokens if it can hold one.
+func (p *Pool) chunk(issuers int) int64 {
+	ceiling := shareOf(p.history.teams[p.team], int64(issuers)).Ceiling()
+	if ceiling > Millitoken {
+		ceiling -= ceiling % Millitoken
+	}
+	return max(1, ceiling)
+}
+
 // Reply brings the answer to m; ok is false when the call failed. Poll must follow.
 func (p *Pool) Reply(now time.Duration, m Message, r Reply, ok bool) {
 	if a := p.asks[m.To]; a != nil && a.asked == m.Asked && m.Millitokens > 0 {
--- a/pkg/limit/pool.go
+++ b/pkg/limit/pool.go
@@ -42,7 +42,7 @@
 	return Params{
 		K:    16,
 		Hold: fence + fence/drift + life + life/drift, LoanLife: life, BorrowerLife: life - life/drift,
-		MaxWait: 250 * time.Millisecond, AskTimeout: 50 * time.Millisecond, Silence: 500 * time.Millisecond,
+		MaxWait: time.Second, AskTimeout: 50 * time.Millisecond, Silence: 500 * time.Millisecond,
 		Prefetch: 10 * time.Millisecond, Parallel: 4,
 	}
 }
