limit: give teams with a small burst fewer issuers

Cause: an issuer that can never hold a whole token makes borrowers gather fractions. Change: a team has at most burst/2 issuers. A configuration version that an instance missed now counts as no weight, as a missed membership does.

--- a/pkg/limit/borrow.go
+++ b/pkg/limit/borrow.go
@@ -212,7 +212,7 @@
 		r.Loan = p.issuer.lend(from, amount, now, p.params.LoanLife)
 		r.Millitokens, r.Life = amount, p.params.BorrowerLife
 	}
-	r.Retry = timeFor(p.issuer.share, min(first(m.Millitokens), max(1, p.issuer.share.Ceiling()/2))-spare)
+	r.Retry = timeFor(p.issuer.share, first(m.Millitokens)-spare)
 	return r
 }
 
@@ -220,14 +220,10 @@
 func first(asked int64) int64 { return (asked-1)%Millitoken + 1 }
 
 // lendable is the part of spare that completes whole tokens of the borrower.
-// Fractions would wait at many borrowers while none can admit a request; only
-// an issuer that can never hold a whole token lends them.
+// Fractions would wait at many borrowers while none can admit a request.
 func (p *Pool) lendable(asked, spare int64) int64 {
 	if part := first(asked); spare >= part {
 		return min(asked, part+(spare-part)/Millitoken*Millitoken)
 	}
-	if p.issuer.share.Ceiling() >= Millitoken {
-		return 0
-	}
-	return min(asked, spare)
+	return 0
 }
--- a/pkg/limit/issuer.go
+++ b/pkg/limit/issuer.go
@@ -27,8 +27,6 @@
 	fresh bool
 	// gap gives versions that were not seen no effect.
 	gap bool
-	// drain keeps tokens over configuration versions that were not seen.
-	drain bool
 	// older applies only the newest version.
 	older bool
 }
@@ -40,7 +38,6 @@
 	onLoan   int64
 	lastID   uint64
 	share    Share
-	drained  time.Duration
 	disabled disabled
 }
 
@@ -57,9 +54,6 @@
 		}
 		i.share = share
 		i.expire(i.bucket.at)
-		if d := h.drained(i.bucket.at); d > i.drained && !i.disabled.drain {
-			i.bucket.tokens, i.drained = 0, d
-		}
 		if len(i.loans) > 0 {
 			next = min(next, i.loans[0].expires)
 		}
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -73,7 +73,7 @@
 		clock: o.Clock, viewer: o.Viewer, freshness: o.Freshness, borrower: o.Borrower, params: o.Params,
 		entries: map[string]*entry{}, jobs: make(chan job, maxJobs),
 	}
-	l.history = NewHistory(o.Viewer.View().Self.Incarnation, o.Params.K, o.Params.Hold)
+	l.history = NewHistory(o.Viewer.View().Self.Incarnation, o.Params)
 	l.observe()
 	return l
 }
@@ -262,7 +262,7 @@
 	l.mu.RUnlock()
 	if !known {
 		issuer := false
-		for _, m := range v.Membership.RankSpread(team, l.params.K) {
+		for _, m := range l.params.Issuers(v.Membership, team, v.Config.Config.Teams[team]) {
 			issuer = issuer || m.Incarnation == v.Self.Incarnation
 		}
 		if !issuer {
--- a/pkg/limit/pool.go
+++ b/pkg/limit/pool.go
@@ -4,14 +4,19 @@
 	"slices"
 	"time"
 
+	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
 )
 
 // Params are the constants of token issue and loans. All instances of a fleet
 // use the same K, Hold and LoanLife.
 type Params struct {
-	// K is the number of issuers per team.
+	// K is the largest number of issuers per team.
 	K int
+	// MinCeiling is the number of tokens that an issuer must be able to hold:
+	// a team with a small burst has fewer than K issuers. Fractions of a token
+	// at many issuers admit nothing.
+	MinCeiling int
 	// Hold is the time from delivery of a version until no instance acts on an
 	// older one and no loan made under an older one can be spent.
 	Hold time.Duration
@@ -40,13 +45,23 @@
 func DefaultParams(fence time.Duration) Params {
 	const life = time.Second
 	return Params{
-		K:    16,
+		K: 16, MinCeiling: 2,
 		Hold: fence + fence/drift + life + life/drift, LoanLife: life, BorrowerLife: life - life/drift,
 		MaxWait: time.Second, AskTimeout: 50 * time.Millisecond, Silence: 500 * time.Millisecond,
 		Prefetch: 10 * time.Millisecond, Parallel: 4,
 	}
 }
 
+// issuerCount is the number of issuers of a team, at least one.
+func (p Params) issuerCount(t config.Team) int {
+	return max(1, min(p.K, t.Burst/max(1, p.MinCeiling)))
+}
+
+// Issuers returns the members that issue the team's tokens under the membership.
+func (p Params) Issuers(m *membership.Membership, team string, t config.Team) []membership.Member {
+	return m.RankSpread(team, p.issuerCount(t))
+}
+
 // Decision is the state of a ticket.
 type Decision int
 
@@ -108,7 +123,7 @@
 		team: team, history: history, params: params, cache: ranks{},
 		asks: map[string]*ask{}, peers: map[string]*lender{}, lastReply: -1, used: now,
 	}
-	p.issuer.drained, p.issuer.disabled = -1, history.disabled
+	p.issuer.disabled = history.disabled
 	p.issuer.advance(history, team, p.cache, now)
 	return p
 }
@@ -245,7 +260,7 @@
 
 // issuers lists the team's issuers by the newest membership.
 func (p *Pool) issuers() []membership.Member {
-	return p.history.issuers(p.team, p.cache, p.history.current())
+	return p.history.issuers(p.team, p.cache, p.history.current(), p.history.teams[p.team])
 }
 
 // Cancel removes a waiting ticket. A ticket that was decided keeps its decision.
