--- /dev/null
+++ b/pkg/limit/limiter_test.go
@@ -0,0 +1,169 @@
+package limit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/arbutuslink/arbutuslink/pkg/refusal"
+)
+
+// fleet connects limiters directly; a silent member answers nothing.
+type fleet struct {
+	limiters map[string]*Limiter
+	silent   sync.Map
+	calls    atomic.Int64
+	clock    *shifted
+}
+
+// shifted is the system clock plus a shift, so that buckets are full at once.
+type shifted struct {
+	clock.System
+	shift atomic.Int64
+}
+
+func (s *shifted) SinceBoot() time.Duration {
+	return s.System.SinceBoot() + time.Duration(s.shift.Load())
+}
+
+func (f *fleet) Borrow(ctx context.Context, address string, r *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
+	f.calls.Add(1)
+	if _, silent := f.silent.Load(address); silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return f.limiters[address].HandleBorrow(ctx, r)
+}
+
+// peerView is the view of one member; fresh can be switched off.
+type peerView struct {
+	view  *control.View
+	stale atomic.Bool
+}
+
+func (p *peerView) View() *control.View { return p.view }
+func (p *peerView) Fresh() bool         { return !p.stale.Load() }
+
+// startFleet runs six limiters; "school" has two issuers. It returns the
+// addresses of the issuers and of the others.
+func startFleet(t *testing.T, wait time.Duration) (f *fleet, views map[string]*peerView, issuers, others []string) {
+	f = &fleet{limiters: map[string]*Limiter{}, clock: &shifted{}}
+	views = map[string]*peerView{}
+	c := config.Empty()
+	c.Teams["school"] = config.Team{RatePerSecond: 0.001, Burst: 4}
+	var add []membership.Member
+	for i := range 6 {
+		add = append(add, membership.Member{Incarnation: fmt.Sprint("i", i), PeerAddress: fmt.Sprint("p", i), Zone: fmt.Sprint(i % 2)})
+	}
+	m := (&membership.Membership{}).With(add, nil, 5)
+	p := DefaultParams(2 * time.Second)
+	p.MaxWait = wait
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	for _, self := range m.Members {
+		v := &peerView{view: &control.View{Config: config.NewSnapshot(1, c), Membership: m, Self: self, Member: true, DeliveredAt: 1}}
+		l := New(Options{Clock: f.clock, Viewer: v, Freshness: v, Borrower: f, Params: p})
+		f.limiters[self.PeerAddress], views[self.PeerAddress] = l, v
+		running.Go(func() { _ = l.Run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); running.Wait() })
+	f.clock.shift.Store(int64(24 * time.Hour))
+	for _, issuer := range p.Issuers(m, "school", c.Teams["school"]) {
+		issuers = append(issuers, issuer.PeerAddress)
+	}
+	for a := range f.limiters {
+		if a != issuers[0] && a != issuers[1] {
+			others = append(others, a)
+		}
+	}
+	return f, views, issuers, others
+}
+
+func code(err error) refusal.Code {
+	var r *refusal.Refusal
+	if errors.As(err, &r) {
+		return r.Code
+	}
+	return ""
+}
+
+// Guards against the adapter losing tokens between issuers and borrowers, or
+// admitting more than the burst when many goroutines and instances compete.
+func TestBurstOverManyInstances(t *testing.T) {
+	is := is.New(t)
+	f, _, issuers, others := startFleet(t, 300*time.Millisecond)
+	var admitted, exceeded atomic.Int64
+	var wg sync.WaitGroup
+	for n := range 24 {
+		address := append([]string{issuers[0]}, others...)[n%3]
+		wg.Go(func() {
+			switch err := f.limiters[address].Take(context.Background(), "school"); {
+			case err == nil:
+				admitted.Add(1)
+			case code(err) == refusal.RateExceeded.Code:
+				exceeded.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(admitted.Load(), int64(4))
+	is.Equal(exceeded.Load(), int64(20))
+}
+
+// Guards against a silent issuer stopping a team, and against a refusal that
+// blames the team when no issuer could be reached.
+func TestSilentIssuers(t *testing.T) {
+	is := is.New(t)
+	f, _, issuers, others := startFleet(t, 300*time.Millisecond)
+	f.silent.Store(issuers[0], true)
+	is.NoErr(f.limiters[others[0]].Take(context.Background(), "school"))
+	f.silent.Store(issuers[1], true)
+	is.Equal(code(f.limiters[others[1]].Take(context.Background(), "school")), refusal.RateUnavailable.Code)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	start := time.Now()
+	is.True(f.limiters[others[1]].Take(ctx, "school") != nil)
+	is.True(time.Since(start) < 250*time.Millisecond) // ctx ends the wait
+}
+
+// Guards against issuing without a fresh fence, and against memory and
+// messages for teams without traffic or without configuration.
+func TestStaleAndIdle(t *testing.T) {
+	is := is.New(t)
+	f, views, issuers, others := startFleet(t, 300*time.Millisecond)
+	is.Equal(len(f.limiters[issuers[0]].Dump().Teams), 0)
+	is.Equal(code(f.limiters[issuers[0]].Take(context.Background(), "unknown")), refusal.RateExceeded.Code)
+	_, err := f.limiters[others[0]].HandleBorrow(context.Background(), &peerpb.BorrowRequest{Team: "school", Millitokens: 1000})
+	is.NoErr(err)
+	is.Equal(len(f.limiters[others[0]].Dump().Teams), 0) // no issuer, no pool
+	views[issuers[0]].stale.Store(true)
+	is.Equal(code(f.limiters[issuers[0]].Take(context.Background(), "school")), refusal.NotFresh.Code)
+	r, err := f.limiters[issuers[0]].HandleBorrow(context.Background(), &peerpb.BorrowRequest{Team: "school", Millitokens: 1000})
+	is.NoErr(err)
+	is.Equal(r.GetMillitokens(), int64(0))
+	is.Equal(f.calls.Load(), int64(0))
+	views[issuers[0]].stale.Store(false)
+	is.NoErr(f.limiters[others[0]].Take(context.Background(), "school"))
+	f.clock.shift.Add(int64(10 * time.Second))
+	for range 40 {
+		time.Sleep(20 * time.Millisecond)
+		if len(f.limiters[others[0]].Dump().Teams) == 0 {
+			break
+		}
+	}
+	is.Equal(len(f.limiters[others[0]].Dump().Teams), 0) // swept after use
+	_, err = json.Marshal(f.limiters[issuers[0]].Dump())
+	is.NoErr(err)
+}
