limit: shorten the pauses of a pool whose oldest request has waited long

Cause: with requests spread evenly, an empty issuer served whoever asked first after its next token, and old requests ran out of time by bad luck. Change: the pause before the next attempt is at most a sixteenth of the oldest request's remaining wait. Waiting takes at most half of a request's time, and at most 256 requests of a team wait at one instance.

--- a/pkg/limit/borrow.go
+++ b/pkg/limit/borrow.go
@@ -11,6 +11,8 @@
 	minPause = 2 * time.Millisecond
 	// maxPause bounds the wait for an issuer that expects to be empty for long.
 	maxPause = 50 * time.Millisecond
+	// patienceParts is the number of attempts in the rest of a request's wait.
+	patienceParts = 16
 	// giveBackAfter is how long a borrowed token may stay unused.
 	giveBackAfter = 20 * time.Millisecond
 	// prefetchParts bounds prefetching to one part in so many of the burst. A
@@ -164,7 +166,7 @@
 	if m.Millitokens > 0 {
 		p.peers[m.To] = &lender{}
 		if r.Millitokens < m.Millitokens {
-			p.peers[m.To].notBefore = now + max(minPause, min(r.Retry, maxPause))
+			p.peers[m.To].notBefore = now + max(minPause, min(r.Retry, maxPause, p.patience(now)))
 		}
 	}
 	if p.issuer.disabled.borrowerLife {
@@ -177,6 +179,15 @@
 	}
 }
 
+// patience shortens the pauses of a pool whose oldest request has waited long,
+// so that it competes harder than pools with new requests.
+func (p *Pool) patience(now time.Duration) time.Duration {
+	if len(p.waiters) == 0 {
+		return maxPause
+	}
+	return (p.waiters[0].deadline - now) / patienceParts
+}
+
 // giveBack returns borrowed tokens that nothing has needed for a while.
 func (p *Pool) giveBack(now time.Duration) {
 	surplus := p.available() - p.wanted(now)
--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -138,7 +138,8 @@
 	now := l.clock.SinceBoot()
 	deadline := now + l.params.MaxWait
 	if d, ok := ctx.Deadline(); ok {
-		deadline = min(deadline, now+d.Sub(l.clock.Now()))
+		// At least half of the request's time is left for the target.
+		deadline = min(deadline, now+d.Sub(l.clock.Now())/2)
 	}
 	l.historyMu.RLock()
 	t := e.pool.Take(now, deadline)
--- a/pkg/limit/pool.go
+++ b/pkg/limit/pool.go
@@ -62,6 +62,10 @@
 	return m.RankSpread(team, p.issuerCount(t))
 }
 
+// maxWaiting bounds the requests of one team that wait at one instance, since
+// every decision visits all of them.
+const maxWaiting = 256
+
 // Decision is the state of a ticket.
 type Decision int
 
@@ -134,7 +138,7 @@
 	p.used = now
 	p.demand.add(now)
 	t := &Ticket{start: now, deadline: min(deadline, now+p.params.MaxWait)}
-	if limit := 8 + int(p.fleetRate()*p.params.MaxWait.Seconds()); len(p.waiters) >= limit {
+	if limit := 8 + int(min(maxWaiting, p.fleetRate()*p.params.MaxWait.Seconds())); len(p.waiters) >= limit {
 		t.decide(Exceeded, p.retryAfter())
 		return t
 	}
