Find routes by path segments instead of a scan

Cause: Match scanned all routes; 5,700 routes are expected. Ruled out: a radix tree from a library; a map per prefix needs no dependency and costs one lookup per path segment. Prefixes that differ only in a trailing slash now count as the same when overlaps are checked. Conclusion: the cost no longer grows with the number of routes; not timed yet.

--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -82,6 +82,38 @@
 	is.True(!ok)
 }
 
+// Guards against a shorter prefix, or a route for all methods, hiding a more
+// specific route.
+func TestMatchPrefersTheMostSpecificRoute(t *testing.T) {
+	c := sample()
+	add := func(id, prefix string, methods ...string) {
+		c.Routes[id] = Route{PathPrefix: prefix, Methods: methods, Service: "portal", OpenToAll: true, TimeoutMS: 1, MaxAttempts: 1}
+	}
+	add("all", "/")
+	add("orders", "/orders/")
+	add("order-lines", "/orders/lines")
+	add("order-lines-post", "/orders/lines", "POST")
+	cases := []struct{ method, path, want string }{
+		{"GET", "/", "all"},
+		{"GET", "/other/x", "all"},
+		{"GET", "/orders", "orders"},
+		{"GET", "/orders/7", "orders"},
+		{"GET", "/orders/lines/7", "order-lines"},
+		{"POST", "/orders/lines", "order-lines-post"},
+		{"POST", "/preview/1", "all"},
+		{"GET", "/preview//x", "preview"},
+	}
+	s := NewSnapshot(1, c)
+	for _, tc := range cases {
+		t.Run(tc.method+tc.path, func(t *testing.T) {
+			is := is.New(t)
+			m, ok := s.Match(tc.method, tc.path)
+			is.True(ok)
+			is.Equal(m.ID, tc.want)
+		})
+	}
+}
+
 // Guards against admission after the contract's end, also with a slow clock.
 func TestBatchActive(t *testing.T) {
 	is := is.New(t)
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -12,7 +12,9 @@
 	Version int64
 	Config  *Config
 
-	routes []compiledRoute
+	// routes maps a path prefix without a trailing slash to its routes; those
+	// with methods come first.
+	routes map[string][]compiledRoute
 }
 
 type compiledRoute struct {
@@ -32,18 +34,20 @@
 
 // NewSnapshot compiles a validated configuration.
 func NewSnapshot(version int64, c *Config) *Snapshot {
-	s := &Snapshot{Version: version, Config: c}
+	s := &Snapshot{Version: version, Config: c, routes: make(map[string][]compiledRoute, len(c.Routes))}
 	for id, r := range c.Routes {
-		s.routes = append(s.routes, compiledRoute{id: id, route: r, methods: toSet(r.Methods), teams: toSet(r.Teams)})
+		prefix := strings.TrimSuffix(r.PathPrefix, "/")
+		s.routes[prefix] = append(s.routes[prefix], compiledRoute{id: id, route: r, methods: toSet(r.Methods), teams: toSet(r.Teams)})
+	}
+	for _, group := range s.routes {
+		sort.Slice(group, func(i, j int) bool {
+			a, b := len(group[i].methods) > 0, len(group[j].methods) > 0
+			if a != b {
+				return a
+			}
+			return group[i].id < group[j].id
+		})
 	}
-	// The longest prefix wins; among equal prefixes a route with methods is more specific.
-	sort.Slice(s.routes, func(i, j int) bool {
-		a, b := s.routes[i], s.routes[j]
-		if len(a.route.PathPrefix) != len(b.route.PathPrefix) {
-			return len(a.route.PathPrefix) > len(b.route.PathPrefix)
-		}
-		return a.id < b.id
-	})
 	return s
 }
 
@@ -56,24 +60,22 @@
 }
 
 // Match finds the route of a request by the longest path prefix. A prefix
-// matches whole path segments only.
+// matches whole path segments only. The time grows with the number of segments
+// of the path, not with the number of routes.
 func (s *Snapshot) Match(method, path string) (RouteMatch, bool) {
-	for i := range s.routes {
-		r := &s.routes[i]
-		if !matchesPrefix(path, r.route.PathPrefix) {
-			continue
+	for prefix := path; ; {
+		for i := range s.routes[prefix] {
+			r := &s.routes[prefix][i]
+			if len(r.methods) == 0 || r.methods[method] {
+				return RouteMatch{ID: r.id, Route: r.route, teams: r.teams}, true
+			}
 		}
-		if len(r.methods) > 0 && !r.methods[method] {
-			continue
+		cut := strings.LastIndexByte(prefix, '/')
+		if cut < 0 {
+			return RouteMatch{}, false
 		}
-		return RouteMatch{ID: r.id, Route: r.route, teams: r.teams}, true
+		prefix = prefix[:cut]
 	}
-	return RouteMatch{}, false
-}
-
-func matchesPrefix(path, prefix string) bool {
-	rest, ok := strings.CutPrefix(path, prefix)
-	return ok && (rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/')
 }
 
 // Open tells whether the route admits the team.
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -155,11 +155,12 @@
 	byPrefix := map[string][]string{}
 	for _, id := range ids {
 		r := c.Routes[id]
-		for _, other := range byPrefix[r.PathPrefix] {
+		prefix := strings.TrimSuffix(r.PathPrefix, "/")
+		for _, other := range byPrefix[prefix] {
 			v.Check(!methodsOverlap(r.Methods, c.Routes[other].Methods), "$.routes."+id+".path_prefix", r.PathPrefix,
 				"a prefix and methods that differ from route "+other)
 		}
-		byPrefix[r.PathPrefix] = append(byPrefix[r.PathPrefix], id)
+		byPrefix[prefix] = append(byPrefix[prefix], id)
 	}
 }
 
