--- a/pkg/control/core.go
+++ b/pkg/control/core.go
@@ -75,7 +75,9 @@
 	// heard is the boot time of the last message of a member, since that of its listing.
 	heard, since map[string]time.Duration
 	// listenFrom is the time from which silence of others is evidence.
-	listenFrom    time.Duration
+	listenFrom time.Duration
+	// silent is the result of unheard at the last tick.
+	silent        []string
 	reports       map[string]unheardReport
 	suspectedFrom time.Duration
 	inFlight      map[string]int
@@ -142,6 +144,7 @@
 		c.reports = map[string]unheardReport{}
 	}
 	c.lastTick = now
+	c.silent = c.unheard(now)
 	c.fence.Tick(now)
 	c.noteFreshness(now)
 	if now >= c.nextHeartbeat {
--- a/pkg/control/exchange.go
+++ b/pkg/control/exchange.go
@@ -103,7 +103,7 @@
 		Witness: c.isWitness(),
 	}
 	if reply.Witness {
-		reply.Unheard = c.unheard(now)
+		reply.Unheard = c.silent
 	}
 	return reply
 }
--- a/pkg/control/history_test.go
+++ b/pkg/control/history_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/head"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
 	"github.com/arbutuslink/arbutuslink/pkg/peer"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/memory"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
@@ -68,20 +70,35 @@
 	platform *fakePlatform
 }
 
-// startLoops runs loops with the system clock over an in-process network.
-func startLoops(t *testing.T, n int) *loopFleet {
+// startLoops runs loops with the system clock over an in-process network or TCP.
+func startLoops(t *testing.T, n int, tcp bool) *loopFleet {
 	f := &loopFleet{platform: newFakePlatform()}
 	network := memory.NewNetwork()
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	for i := range n {
 		address := fmt.Sprintf("10.0.0.%d:1", i)
+		var transport peer.Transport = network.Transport(address)
+		var listener net.Listener
+		if tcp {
+			var err error
+			if listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+				t.Fatal(err)
+			}
+			client := drpcpeer.NewClient()
+			t.Cleanup(func() { _ = client.Close() })
+			address, transport = listener.Addr().String(), client
+		}
 		l := New(Options{
 			Self:      membership.Member{Instance: address, Zone: string(rune('a' + i%3)), PeerAddress: address},
 			Store:     head.NewStore(fakeTable{f.platform}, fakeObjects{f.platform}, clock.System{}),
-			Transport: network.Transport(address), Clock: clock.System{},
+			Transport: transport, Clock: clock.System{},
 		})
-		network.Register(address, peer.Handlers{OnExchange: l.HandleExchange, OnFetch: l.HandleFetch})
+		handler := peer.Handlers{OnExchange: l.HandleExchange, OnFetch: l.HandleFetch}
+		network.Register(address, handler)
+		if tcp {
+			running.Go(func() { _ = drpcpeer.Serve(ctx, listener, handler) })
+		}
 		f.loops = append(f.loops, l)
 		running.Go(func() { _ = l.Run(ctx) })
 	}
@@ -139,7 +156,7 @@
 // that took effect, and a read that goes back, while answers are lost.
 func TestConfigHistoryIsLinearizable(t *testing.T) {
 	is := is.New(t)
-	f := startLoops(t, 3)
+	f := startLoops(t, 3, false)
 	f.await(t, "joined", (*Loop).Fresh)
 	random := rand.New(rand.NewPCG(1, 2))
 	f.platform.mu.Lock()
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"github.com/arbutuslink/arbutuslink/pkg/fence"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 	"github.com/cockroachdb/errors"
@@ -116,6 +117,25 @@
 	return d.encodeReply(req.Versions)
 }
 
+// Versions returns the applied numbers, which every message to another instance
+// must carry.
+func (l *Loop) Versions() *peerpb.Versions { return versionsMessage(l.View().Head) }
+
+// Observe takes the numbers of a message that another component received from
+// the incarnation at the peer address. It does not wait, and it is cheap when
+// the numbers are not newer than the applied ones.
+func (l *Loop) Observe(from, address string, v *peerpb.Versions) {
+	theirs := fence.Versions{Config: v.GetConfig(), Membership: v.GetMembership()}
+	if !theirs.Newer(versionsOf(l.View().Head)) {
+		return
+	}
+	select {
+	case l.commands <- func() { l.core.noteVersions(from, v, address) }:
+	default:
+		// The loop is busy; the next heartbeat brings the numbers again.
+	}
+}
+
 func (l *Loop) documents(ctx context.Context) (documents, error) {
 	var d documents
 	err := l.do(ctx, func() { d = l.core.cur })
--- a/pkg/control/loop_test.go
+++ b/pkg/control/loop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -14,8 +15,13 @@
 // Guards against the loop losing a command, answering late or not ending, and
 // against an invalid configuration being written.
 func TestLoopFromJoinToLeave(t *testing.T) {
+	for _, tcp := range []bool{false, true} {
+		t.Run(fmt.Sprintf("tcp=%v", tcp), func(t *testing.T) { joinToLeave(t, startLoops(t, 5, tcp)) })
+	}
+}
+
+func joinToLeave(t *testing.T, f *loopFleet) {
 	is := is.New(t)
-	f := startLoops(t, 5)
 	f.await(t, "joined", func(l *Loop) bool { return l.Fresh() && len(l.View().Membership.Members) == 5 })
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -184,7 +184,7 @@
 		}
 	}
 	if c.isWitness() {
-		count(c.unheard(now))
+		count(c.silent)
 	}
 	var found []string
 	for _, m := range c.cur.membership.Members {
