--- a/pkg/control/view.go
+++ b/pkg/control/view.go
@@ -16,9 +16,11 @@
 	Head       head.Row
 	Config     *config.Snapshot
 	Membership *membership.Membership
-	// PreviousMembership is the version before Membership; nil at version 1.
+	// PreviousMembership is the membership on which the newest change was
+	// written: the version before Membership, or Membership's own version when
+	// only the configuration changed. It is nil for the first membership.
 	PreviousMembership *membership.Membership
-	// Self is the incarnation of this process.
+	// Self is this process. Its incarnation changes when it rejoins after its removal.
 	Self membership.Member
 	// Member is false for a guest and for an instance that has not joined yet.
 	Member bool
