Let stalls of a target that still answers hold for 1 s

Cause: requests queue behind one long request and stall together. One target with 15 stalls of 52 requests in 2 s was ejected while its peers had up to 6, because the evidence counts stalls as independent.

Ruled out: longer windows, which delay the detection of complete stalls.

Change: an ejection for stalls is immediate (fast) only if 75% of the requests of the last 0.5 s failed; otherwise the stalls must hold for 1 s.

--- a/pkg/health/decide.go
+++ b/pkg/health/decide.go
@@ -191,6 +191,9 @@
 		found = reasonErrors
 		if sum := recent[name]; sum.stalls >= sum.errors {
 			found = reasonStalls
+			if t.window.sum(now, partialWindow, t.since).badShare() < completeShare {
+				confirm = max(confirm, partialConfirm)
+			}
 		}
 	case t.probe.failing(now) && recent[name].answers == 0 && s.probesWork(name, now):
 		found, confirm = reasonProbe, 0
--- a/pkg/health/profile.go
+++ b/pkg/health/profile.go
@@ -39,6 +39,11 @@
 	suddenMargin = 0.25
 	// completeShare is the failure share of a target that hardly works at all.
 	completeShare = 0.75
+	// Stalls of a target that still answers within partialWindow must hold for
+	// partialConfirm. Requests that queue behind a long one stall together, so
+	// their number says less than the same number of errors.
+	partialWindow  = 500 * time.Millisecond
+	partialConfirm = time.Second
 	// coldMargin is the least difference for a target that says it is cold.
 	coldMargin = 0.8
 	// peerFloor is the failure share that every target is allowed.
