--- a/pkg/lab/cli/cli.go
+++ b/pkg/lab/cli/cli.go
@@ -36,6 +36,7 @@
 
 Examples:
   arbutus-lab demo
+  arbutus-lab up --env out/lab.env
   arbutus-lab run gray-stall --deployment skyline --instances 48 --seconds 30 --report out/gray-stall.json
   arbutus-lab compare out/a.json out/b.json
   arbutus-lab plot out/a.json --to out/a.png`
@@ -79,6 +80,7 @@
 		data        any
 	}{
 		{"demo", "run a small fleet end to end and check it", &demoCommand{app: a}},
+		{"up", "start a small fleet and run it until interrupted", &upCommand{app: a}},
 		{"run", "run an experiment", &runCommand{app: a}},
 		{"list", "list the experiments", &listCommand{app: a}},
 		{"compare", "compare two reports", &compareCommand{app: a}},
