--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -76,17 +76,12 @@
 // Run executes arbutusctl and returns its exit code.
 func Run(args []string, stdout, stderr io.Writer) int {
 	a := &app{stdout: stdout}
-	parser := flags.NewNamedParser("arbutusctl", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = longDescription
 	printed := false
 	a.opts.Version = func() {
 		printed = true
 		_, _ = fmt.Fprintln(stdout, "arbutusctl", version.Number)
 	}
-	if _, err := parser.AddGroup("Global options", "", &a.opts); err != nil {
-		panic(err) // the tags of options are wrong
-	}
-	a.addCommands(parser)
+	parser := a.newParser()
 	_, err := parser.ParseArgs(args)
 	if printed {
 		return ExitOK
@@ -94,6 +89,16 @@
 	return exitCode(err, stdout, stderr)
 }
 
+func (a *app) newParser() *flags.Parser {
+	parser := flags.NewNamedParser("arbutusctl", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = longDescription
+	if _, err := parser.AddGroup("Global options", "", &a.opts); err != nil {
+		panic(err) // the tags of options are wrong
+	}
+	a.addCommands(parser)
+	return parser
+}
+
 func exitCode(err error, stdout, stderr io.Writer) int {
 	var flagsErr *flags.Error
 	if errors.As(err, &flagsErr) && flagsErr.Type == flags.ErrHelp {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
 	"github.com/arbutuslink/arbutuslink/pkg/metrics"
 	"github.com/arbutuslink/arbutuslink/pkg/operator"
+	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
 	"github.com/arbutuslink/arbutuslink/pkg/peer"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
@@ -149,7 +150,7 @@
 	callers.Concurrency = i.settings.Limits.MaxConnections
 	operators := &fasthttp.Server{
 		Handler:            operator.New(&coordinator{instance: i}, &dumper{instance: i}, scrape, i.settings.OperatorTokens, &i.log).Handle,
-		MaxRequestBodySize: maxOperatorBody, NoDefaultServerHeader: true, Logger: silentLogger{},
+		MaxRequestBodySize: api.MaxBodyBytes, NoDefaultServerHeader: true, Logger: silentLogger{},
 	}
 	group.Go(func() error { return errors.WithStack(callers.Serve(listeners.caller)) })
 	group.Go(func() error { return errors.WithStack(operators.Serve(listeners.operator)) })
@@ -165,9 +166,6 @@
 	return ignoreCanceled(group.Wait())
 }
 
-// maxOperatorBody admits a patch that replaces a large configuration.
-const maxOperatorBody = 16 << 20
-
 func (i *Instance) startBackground(ctx context.Context, group *errgroup.Group, listener net.Listener) {
 	handlers := peer.Handlers{
 		OnExchange: i.control.HandleExchange, OnFetch: i.control.HandleFetch,
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -11,7 +11,7 @@
 	StopTimedOut = Event{103, "stop_timed_out", zerolog.ErrorLevel, "requests were still open when the shutdown limit passed; raise shutdown_timeout_ms"}
 
 	Joined           = Event{200, "joined", zerolog.InfoLevel, "the instance is a member"}
-	MemberRemoved    = Event{201, "member_removed", zerolog.WarnLevel, "a silent member was removed"}
+	MemberRemoved    = Event{201, "member_removed", zerolog.WarnLevel, "a silent member was removed; check whether its process should run"}
 	FenceLost        = Event{202, "fence_lost", zerolog.WarnLevel, "the instance has no majority of witnesses and refuses requests; check the network"}
 	FenceRegained    = Event{203, "fence_regained", zerolog.InfoLevel, "the instance has a majority of witnesses again"}
 	GuestStarted     = Event{204, "guest_started", zerolog.WarnLevel, "the instance started without the platform and serves as a guest"}
@@ -23,13 +23,13 @@
 	ConfigDelivered = Event{301, "config_delivered", zerolog.InfoLevel, "a version was delivered to a majority of witnesses"}
 	ConfigRejected  = Event{302, "config_rejected", zerolog.ErrorLevel, "a fetched configuration failed validation; the instance keeps the previous one"}
 
-	LoanFailed = Event{400, "loan_failed", zerolog.WarnLevel, "no minter of a team answered a loan request"}
+	LoanFailed = Event{400, "loan_failed", zerolog.WarnLevel, "no token issuer of a team answered a loan request; check the network between instances"}
 
-	TargetEjected  = Event{500, "target_ejected", zerolog.WarnLevel, "a judge ejected a target"}
+	TargetEjected  = Event{500, "target_ejected", zerolog.WarnLevel, "a health evaluator ejected a target; look at the target"}
 	TargetReturned = Event{501, "target_returned", zerolog.InfoLevel, "an ejected target takes full load again"}
 	FloorHeld      = Event{502, "floor_held", zerolog.WarnLevel, "a failing target was kept because of the floor; add capacity or repair targets"}
 	TargetDraining = Event{503, "target_draining", zerolog.InfoLevel, "a target announced that it is leaving"}
-	JudgeChanged   = Event{504, "judge_changed", zerolog.InfoLevel, "the instance follows another judge for a service"}
+	JudgeChanged   = Event{504, "evaluator_changed", zerolog.InfoLevel, "the instance follows another health evaluator for a service"}
 
 	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
 	AnswerIncomplete = Event{601, "answer_incomplete", zerolog.WarnLevel, "a target's answer was cut short and not passed on"}
--- a/pkg/operator/api/api.go
+++ b/pkg/operator/api/api.go
@@ -118,26 +118,26 @@
 
 // Failure codes.
 const (
-	CodeUnauthorized     = "unauthorized"
-	CodeNotFound         = "not_found"
-	CodeMethod           = "method_not_allowed"
-	CodeVersionMissing   = "version_missing"
-	CodeStaleVersion     = "stale_version"
-	CodePatchInvalid     = "patch_invalid"
-	CodeMediaType        = "media_type_unsupported"
-	CodePreviousPending  = "previous_change_pending"
-	CodePlatformDown     = "platform_unavailable"
-	CodeRequestInvalid   = "request_invalid"
-	CodeReplaceRefused   = "replacement_refused"
-	CodeInternal         = "internal"
-	AppliedNo            = "no"
-	AppliedUnknown       = "unknown"
-	HeaderAllow          = "Allow"
-	HeaderAuthorization  = "Authorization"
-	AuthorizationPrefix  = "Bearer "
-	ParameterSince       = "since"
-	MaxHistoryEntries    = 100
-	MaxPatchBytes        = 8 << 20
-	ContentTypeJSON      = "application/json"
-	ContentTypePlainText = "text/plain; version=0.0.4"
+	CodeUnauthorized    = "unauthorized"
+	CodeNotFound        = "not_found"
+	CodeMethod          = "method_not_allowed"
+	CodeVersionMissing  = "version_missing"
+	CodeStaleVersion    = "stale_version"
+	CodePatchInvalid    = "patch_invalid"
+	CodeMediaType       = "media_type_unsupported"
+	CodePreviousPending = "previous_change_pending"
+	CodePlatformDown    = "platform_unavailable"
+	CodeRequestInvalid  = "request_invalid"
+	CodeReplaceRefused  = "replacement_refused"
+	CodeInternal        = "internal"
+	AppliedNo           = "no"
+	AppliedUnknown      = "unknown"
+	HeaderAllow         = "Allow"
+	HeaderAuthorization = "Authorization"
+	AuthorizationPrefix = "Bearer "
+	ParameterSince      = "since"
+	MaxHistoryEntries   = 100
+	// MaxBodyBytes admits a patch that replaces a large configuration.
+	MaxBodyBytes    = 16 << 20
+	ContentTypeJSON = "application/json"
 )
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -6,8 +6,7 @@
 	"net/netip"
 	"net/url"
 	"regexp"
-
-	"github.com/rs/zerolog"
+	"slices"
 
 	"github.com/arbutuslink/arbutuslink/pkg/document"
 )
@@ -19,6 +18,9 @@
 	addressAllowed = "an IP address and port, such as 10.0.0.1:8080"
 )
 
+// logLevels leaves out the levels of zerolog that would hide errors.
+var logLevels = []string{"debug", "info", "warn", "error"}
+
 type validator struct{ document.Checker }
 
 // Validate checks every value. The error is an *document.InvalidError.
@@ -45,8 +47,7 @@
 	v.timings(e.Timings)
 	v.limits(e.Limits)
 	v.Check(e.BalancePolicy == "shared" || e.BalancePolicy == "baseline", "$.balance_policy", e.BalancePolicy, "shared or baseline")
-	_, err := zerolog.ParseLevel(e.LogLevel)
-	v.Check(err == nil && e.LogLevel != "", "$.log_level", e.LogLevel, "debug, info, warn or error")
+	v.Check(slices.Contains(logLevels, e.LogLevel), "$.log_level", e.LogLevel, "debug, info, warn or error")
 	return v.Err()
 }
 
