Count requests, refusals, attempts, retries and ejections

Change: pkg/entry counts callers' requests and refusals behind the handler, and attempts and retries by wrapping the balancer that it gives to pkg/proxy. Ejections and targets by state come once per second from the follower's state. docs/metrics.md lists all metrics; a test scrapes a real instance and compares names, types and labels.

Ruled out: matching the route a second time to count refusals by route; the match is linear in the number of routes. pkg/proxy would have to name the route of a finished request.

--- a/pkg/entry/caller.go
+++ b/pkg/entry/caller.go
@@ -19,6 +19,7 @@
 
 // serveCaller is the handler of the callers' listener.
 func (i *Instance) serveCaller(ctx *fasthttp.RequestCtx) {
+	defer i.counters.request(&ctx.Response.Header)
 	path := string(ctx.Path())
 	switch {
 	case path == directoryPath:
@@ -69,3 +70,11 @@
 	ctx.SetContentType("application/json")
 	ctx.SetBody(data)
 }
+
+// countInputErrors counts the refusals of requests that cannot be parsed.
+func (i *Instance) countInputErrors(refuse func(*fasthttp.RequestCtx, error)) func(*fasthttp.RequestCtx, error) {
+	return func(ctx *fasthttp.RequestCtx, err error) {
+		refuse(ctx, err)
+		i.counters.request(&ctx.Response.Header)
+	}
+}
--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -5,9 +5,6 @@
 	"runtime"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/uber-go/tally/v4"
-
 	"github.com/arbutuslink/arbutuslink/pkg/balance"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
 	"github.com/arbutuslink/arbutuslink/pkg/fairqueue"
@@ -74,33 +71,3 @@
 	}
 	return ejected
 }
-
-const metricsInterval = time.Second
-
-// publishMetrics updates the gauges that are derived from state.
-func (i *Instance) publishMetrics(ctx context.Context, scope tally.Scope) error {
-	for {
-		view := i.control.View()
-		scope.Gauge("config_version").Update(float64(view.Config.Version))
-		scope.Gauge("membership_version").Update(float64(view.Membership.Version))
-		scope.Gauge("members").Update(float64(len(view.Membership.Members)))
-		scope.Gauge("fresh").Update(oneIf(i.control.Fresh()))
-		scope.Gauge("member").Update(oneIf(view.Member))
-		scope.Gauge("open_requests").Update(float64(i.proxy.Open()))
-		for service, state := range i.queue.Dump() {
-			tagged := scope.Tagged(map[string]string{"service": service})
-			tagged.Gauge("queue_waiting").Update(float64(state.Waiting))
-			tagged.Gauge("queue_limit").Update(state.Limit)
-		}
-		if err := i.clock.Sleep(ctx, metricsInterval); err != nil {
-			return errors.WithStack(err)
-		}
-	}
-}
-
-func oneIf(b bool) float64 {
-	if b {
-		return 1
-	}
-	return 0
-}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -64,13 +64,14 @@
 	shared    *balance.Balancer
 	baseline  *balance.Baseline
 	proxy     *proxy.Proxy
+	counters  *counters
 	lifecycle lifecycle
 	started   time.Time
 }
 
 // New builds an instance; it opens no connection and no listener.
 func New(s *settings.Entry, log zerolog.Logger) *Instance {
-	i := &Instance{settings: s, log: log, clock: clock.System{}, started: time.Now()}
+	i := &Instance{settings: s, log: log, clock: clock.System{}, counters: newCounters(), started: time.Now()}
 	i.platform = newServices(s.Platform)
 	i.store = head.NewStore(i.platform.table, i.platform.objects, i.clock)
 	i.transport = drpcpeer.NewClient()
@@ -121,8 +122,9 @@
 		balancer = i.shared
 	}
 	i.proxy = proxy.New(proxy.Ports{
-		Viewer: i.control, Freshness: i.control, Clock: i.clock, Limiter: i.limiter, Queue: i.queue, Balancer: balancer,
-		Claims: proxy.NewTableClaims(i.platform.table, i.clock, i.settings.Platform.Timeout()), Reporter: i.queue, Log: &i.log,
+		Viewer: i.control, Freshness: i.control, Clock: i.clock, Limiter: i.limiter, Queue: i.queue,
+		Balancer: &countingBalancer{Balancer: balancer, counters: i.counters},
+		Claims:   proxy.NewTableClaims(i.platform.table, i.clock, i.settings.Platform.Timeout()), Reporter: i.queue, Log: &i.log,
 	}, proxy.Options{
 		ClockError:     i.settings.Timings.BatchClockError(),
 		MaxHeaderBytes: i.settings.Limits.MaxHeaderBytes, MaxRequestBody: i.settings.Limits.MaxBodyBytes,
@@ -138,6 +140,7 @@
 	}
 	scope, scrape, closer := metrics.New(i.settings.Instance, i.settings.AvailabilityZone)
 	defer func() { _ = closer.Close() }()
+	i.counters.scope = scope
 
 	// The background parts outlive ctx until the shutdown is complete.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -148,6 +151,7 @@
 
 	callers := i.proxy.NewServer(i.serveCaller)
 	callers.Concurrency = i.settings.Limits.MaxConnections
+	callers.ErrorHandler = i.countInputErrors(callers.ErrorHandler)
 	operators := &fasthttp.Server{
 		Handler:            operator.New(&coordinator{instance: i}, &dumper{instance: i}, scrape, i.settings.OperatorTokens, &i.log).Handle,
 		MaxRequestBodySize: api.MaxBodyBytes, NoDefaultServerHeader: true, Logger: silentLogger{},
--- /dev/null
+++ b/pkg/entry/metrics_test.go
@@ -0,0 +1,97 @@
+package entry
+
+import (
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/health"
+	"github.com/arbutuslink/arbutuslink/pkg/lab/targetsim"
+	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
+)
+
+// Guards against counters that miss requests, and against metrics that the
+// docs leave out or describe with other labels.
+func TestMetrics(t *testing.T) {
+	f := start(t, nil)
+	key, stored := config.GenerateKey("k", "school")
+	f.patch("0", f.document(map[string]config.Key{"k": stored}))
+	caller := func(method, path, key string) int {
+		status, _ := f.send(method, f.settings.CallerAddress, path, "", map[string]string{"X-Arbutus-Key": key})
+		return status
+	}
+	f.until(func() bool { return caller(http.MethodPost, "/confirm", key) == http.StatusOK })
+	for range 3 {
+		f.is.Equal(caller(http.MethodGet, "/preview", key), http.StatusOK)
+	}
+	f.is.Equal(caller(http.MethodGet, "/preview", "al_k.wrong-secret"), http.StatusUnauthorized)
+	f.is.NoErr(f.target.SetFaults(targetsim.Faults{HalfResponse: 1}))
+	f.is.True(caller(http.MethodGet, "/preview", key) >= http.StatusInternalServerError)
+
+	var scraped string
+	for _, sample := range []string{
+		`attempts\{.*result="answered",route="preview"\} 3`, `attempts\{.*result="broken",route="preview"\} [12]`,
+		`refusals\{.*code="key_invalid".*\} 1`, `requests\{.*result="refused"\} [0-9]+`, `retries\{.*route="preview"\} 1`,
+		`targets\{.*service="portal",state="active"\} 1`,
+	} {
+		line := regexp.MustCompile(`(?m)^arbutus_` + sample + `$`)
+		f.until(func() bool {
+			_, scraped = f.operator(http.MethodGet, api.MetricsPath, "", nil)
+			return line.MatchString(scraped)
+		})
+	}
+	checkMetricsPage(t, scraped)
+}
+
+func checkMetricsPage(t *testing.T, scraped string) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/metrics.md")
+	is.NoErr(err)
+	described := map[string]string{}
+	for _, m := range regexp.MustCompile("(?m)^\\| `arbutus_([a-z_]+)` \\| (\\w+) \\| ([^|]*)\\|").FindAllStringSubmatch(string(page), -1) {
+		described[m[1]] = strings.TrimSpace(m[2] + " " + strings.TrimSpace(m[3]))
+	}
+	for _, m := range regexp.MustCompile(`(?m)^# TYPE arbutus_([a-z_]+) (\w+)$`).FindAllStringSubmatch(scraped, -1) {
+		if strings.HasPrefix(m[1], "tally_internal") {
+			continue
+		}
+		want := m[2] + " " + documentedLabels(scraped, m[1])
+		if got := described[m[1]]; got != strings.TrimSpace(want) {
+			t.Errorf("arbutus_%s is %q, the docs say %q", m[1], strings.TrimSpace(want), got)
+		}
+		delete(described, m[1])
+	}
+	delete(described, metricEjections) // the only target of the test stays above the floor
+	is.Equal(len(described), 0)        // docs/metrics.md has a metric that does not exist
+}
+
+// documentedLabels lists the own labels of a metric as the docs write them.
+func documentedLabels(scraped, name string) string {
+	line := regexp.MustCompile(`(?m)^arbutus_` + name + `\{([^}]*)\}`).FindStringSubmatch(scraped)
+	var labels []string
+	for _, order := range []string{tagService, tagState, tagCode, tagRoute, tagResult} {
+		if strings.Contains(line[1], order+"=") {
+			labels = append(labels, "`"+order+"`")
+		}
+	}
+	return strings.Join(labels, ", ")
+}
+
+// Guards against ejections counted twice, once for each failed trial, or not at
+// all for a service that appears.
+func TestEjectionsBetween(t *testing.T) {
+	is := is.New(t)
+	state := func(targets map[string]string) health.FollowerDump {
+		return health.FollowerDump{Services: map[string]health.FollowedDump{"portal": {Targets: targets}}}
+	}
+	before := state(map[string]string{"a": "active", "b": "ejected", "c": "trial", "d": "cold", "e": "ejected"})
+	after := state(map[string]string{"a": "ejected", "b": "ejected", "c": "ejected", "d": "ejected", "e": "active"})
+	is.Equal(ejectionsBetween(before, after), map[string]int64{"portal": 2})
+	is.Equal(ejectionsBetween(health.FollowerDump{}, after)["portal"], int64(4))
+	is.Equal(len(ejectionsBetween(after, after)), 0)
+}
