--- a/pkg/control/core.go
+++ b/pkg/control/core.go
@@ -63,7 +63,8 @@
 	deliveredAt time.Duration
 	marking     bool
 	markRetryAt time.Duration
-	// holders are the incarnations that hold the applied versions or newer ones.
+	// holders are the processes that hold the applied versions or newer ones.
+	// What a process holds, it holds for its earlier incarnations as well.
 	holders map[string]bool
 	// gone are witnesses that will never answer again.
 	gone map[string]bool
@@ -74,7 +75,9 @@
 	// heard is the boot time of the last message of a member, since that of its listing.
 	heard, since map[string]time.Duration
 	// listenFrom is the time from which silence of others is evidence.
-	listenFrom    time.Duration
+	listenFrom time.Duration
+	// silent is the result of unheard at the last tick.
+	silent        []string
 	reports       map[string]unheardReport
 	suspectedFrom time.Duration
 	inFlight      map[string]int
@@ -141,6 +144,7 @@
 		c.reports = map[string]unheardReport{}
 	}
 	c.lastTick = now
+	c.silent = c.unheard(now)
 	c.fence.Tick(now)
 	c.noteFreshness(now)
 	if now >= c.nextHeartbeat {
@@ -189,7 +193,7 @@
 	c.cur, c.mine, c.learnedAt, c.deliveredAt = d, mine, now, 0
 	c.takeoverAt = now + c.between(takeoverLow, takeoverHigh)
 	c.markRetryAt = 0
-	c.holders = map[string]bool{c.self.Incarnation: true}
+	c.holders = map[string]bool{c.process: true}
 	c.updateMembers(now)
 	c.updatePhase()
 	c.fence.SetMembership(now, c.self.Incarnation, d.membership.Witnesses, after)
@@ -276,8 +280,6 @@
 		event.RemovedSelf.Log(&c.o.Log).Str("incarnation", c.self.Incarnation).Send()
 		c.rejoins++
 		c.self.Incarnation = c.process + "." + strconv.Itoa(c.rejoins)
-		// This process holds the versions under both of its incarnations.
-		c.holders[c.self.Incarnation] = true
 		c.phase = joining
 	}
 }
--- a/pkg/control/exchange.go
+++ b/pkg/control/exchange.go
@@ -82,7 +82,7 @@
 func (c *core) noteVersions(from string, v *peerpb.Versions, address string) {
 	theirs := fence.Versions{Config: v.GetConfig(), Membership: v.GetMembership()}
 	if !c.versions().Newer(theirs) {
-		c.holders[from] = true
+		c.holders[processOf(from)] = true
 	}
 	switch {
 	case theirs.Newer(c.versions()):
@@ -103,7 +103,7 @@
 		Witness: c.isWitness(),
 	}
 	if reply.Witness {
-		reply.Unheard = c.unheard(now)
+		reply.Unheard = c.silent
 	}
 	return reply
 }
--- a/pkg/entry/caller.go
+++ b/pkg/entry/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"strings"
 
 	"github.com/valyala/fasthttp"
@@ -57,12 +56,10 @@
 		proxy.WriteRefusal(ctx, refusal.New(refusal.KeyInvalid, nil))
 		return
 	}
-	answer := directory.List(view, team, directory.Options{
-		Usable:   i.control.Fresh() && !i.lifecycle.leaving.Load(),
-		K:        i.settings.Limits.IssuersPerTeam,
-		Lifetime: i.settings.Timings.DirectoryLifetime(),
+	answer := i.directory.Answer(view, team, ctx.RemoteIP().String(), directory.State{
+		Fresh: i.control.Fresh(), Leaving: i.lifecycle.leaving.Load(),
 	})
-	data, err := json.Marshal(answer)
+	data, err := answer.JSON()
 	if err != nil {
 		proxy.WriteRefusal(ctx, refusal.New(refusal.RequestInvalid, err))
 		return
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/balance"
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/directory"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/fairqueue"
 	"github.com/arbutuslink/arbutuslink/pkg/head"
@@ -56,6 +57,7 @@
 	control   *control.Loop
 	transport *drpcpeer.Client
 	limiter   *limit.Limiter
+	directory directory.Options
 	collector *health.Collector
 	evaluator *health.Evaluator
 	follower  *health.Follower
@@ -99,6 +101,7 @@
 func (i *Instance) buildLimits() {
 	params := limit.DefaultParams(i.settings.Timings.Fence())
 	params.K = i.settings.Limits.IssuersPerTeam
+	i.directory = directory.Options{Params: params, Lifetime: i.settings.Timings.DirectoryLifetime()}
 	i.limiter = limit.New(limit.Options{
 		Clock: i.clock, Viewer: i.control, Freshness: i.control, Borrower: i.transport, Params: params,
 	})
--- a/pkg/limit/borrow.go
+++ b/pkg/limit/borrow.go
@@ -11,6 +11,8 @@
 	minPause = 2 * time.Millisecond
 	// maxPause bounds the wait for an issuer that expects to be empty for long.
 	maxPause = 50 * time.Millisecond
+	// patienceParts is the number of attempts in the rest of a request's wait.
+	patienceParts = 16
 	// giveBackAfter is how long a borrowed token may stay unused.
 	giveBackAfter = 20 * time.Millisecond
 	// prefetchParts bounds prefetching to one part in so many of the burst. A
@@ -132,13 +134,23 @@
 		if l := p.peers[id]; id == p.history.self || p.asks[id] != nil || l != nil && l.notBefore > now {
 			continue
 		}
-		p.asks[id] = &ask{amount: missing, asked: now}
-		out = append(out, Message{To: id, Millitokens: missing, Asked: now})
-		missing = 0
+		amount := min(missing, p.chunk(len(issuers)))
+		p.asks[id] = &ask{amount: amount, asked: now}
+		out = append(out, Message{To: id, Millitokens: amount, Asked: now})
+		missing -= amount
 	}
 	return out
 }
 
+// chunk is the most that one issuer can hold, in whole tokens if it can hold one.
+func (p *Pool) chunk(issuers int) int64 {
+	ceiling := shareOf(p.history.teams[p.team], int64(issuers)).Ceiling()
+	if ceiling > Millitoken {
+		ceiling -= ceiling % Millitoken
+	}
+	return max(1, ceiling)
+}
+
 // Reply brings the answer to m; ok is false when the call failed. Poll must follow.
 func (p *Pool) Reply(now time.Duration, m Message, r Reply, ok bool) {
 	if a := p.asks[m.To]; a != nil && a.asked == m.Asked && m.Millitokens > 0 {
@@ -154,7 +166,7 @@
 	if m.Millitokens > 0 {
 		p.peers[m.To] = &lender{}
 		if r.Millitokens < m.Millitokens {
-			p.peers[m.To].notBefore = now + max(minPause, min(r.Retry, maxPause))
+			p.peers[m.To].notBefore = now + max(minPause, min(r.Retry, maxPause, p.patience(now)))
 		}
 	}
 	if p.issuer.disabled.borrowerLife {
@@ -167,6 +179,15 @@
 	}
 }
 
+// patience shortens the pauses of a pool whose oldest request has waited long,
+// so that it competes harder than pools with new requests.
+func (p *Pool) patience(now time.Duration) time.Duration {
+	if len(p.waiters) == 0 {
+		return maxPause
+	}
+	return (p.waiters[0].deadline - now) / patienceParts
+}
+
 // giveBack returns borrowed tokens that nothing has needed for a while.
 func (p *Pool) giveBack(now time.Duration) {
 	surplus := p.available() - p.wanted(now)
@@ -202,7 +223,7 @@
 		r.Loan = p.issuer.lend(from, amount, now, p.params.LoanLife)
 		r.Millitokens, r.Life = amount, p.params.BorrowerLife
 	}
-	r.Retry = timeFor(p.issuer.share, min(first(m.Millitokens), max(1, p.issuer.share.Ceiling()/2))-spare)
+	r.Retry = timeFor(p.issuer.share, first(m.Millitokens)-spare)
 	return r
 }
 
@@ -210,14 +231,10 @@
 func first(asked int64) int64 { return (asked-1)%Millitoken + 1 }
 
 // lendable is the part of spare that completes whole tokens of the borrower.
-// Fractions would wait at many borrowers while none can admit a request; only
-// an issuer that can never hold a whole token lends them.
+// Fractions would wait at many borrowers while none can admit a request.
 func (p *Pool) lendable(asked, spare int64) int64 {
 	if part := first(asked); spare >= part {
 		return min(asked, part+(spare-part)/Millitoken*Millitoken)
 	}
-	if p.issuer.share.Ceiling() >= Millitoken {
-		return 0
-	}
-	return min(asked, spare)
+	return 0
 }
