--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -24,6 +24,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
 	"github.com/arbutuslink/arbutuslink/pkg/metrics"
 	"github.com/arbutuslink/arbutuslink/pkg/operator"
+	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
 	"github.com/arbutuslink/arbutuslink/pkg/peer"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
@@ -65,13 +66,14 @@
 	shared    *balance.Balancer
 	baseline  *balance.Baseline
 	proxy     *proxy.Proxy
+	counters  *counters
 	lifecycle lifecycle
 	started   time.Time
 }
 
 // New builds an instance; it opens no connection and no listener.
 func New(s *settings.Entry, log zerolog.Logger) *Instance {
-	i := &Instance{settings: s, log: log, clock: clock.System{}, started: time.Now()}
+	i := &Instance{settings: s, log: log, clock: clock.System{}, counters: newCounters(), started: time.Now()}
 	i.platform = newServices(s.Platform)
 	i.store = head.NewStore(i.platform.table, i.platform.objects, i.clock)
 	i.transport = drpcpeer.NewClient()
@@ -123,8 +125,9 @@
 		balancer = i.shared
 	}
 	i.proxy = proxy.New(proxy.Ports{
-		Viewer: i.control, Freshness: i.control, Clock: i.clock, Limiter: i.limiter, Queue: i.queue, Balancer: balancer,
-		Claims: proxy.NewTableClaims(i.platform.table, i.clock, i.settings.Platform.Timeout()), Reporter: i.queue, Log: &i.log,
+		Viewer: i.control, Freshness: i.control, Clock: i.clock, Limiter: i.limiter, Queue: i.queue,
+		Balancer: &countingBalancer{Balancer: balancer, counters: i.counters},
+		Claims:   proxy.NewTableClaims(i.platform.table, i.clock, i.settings.Platform.Timeout()), Reporter: i.queue, Log: &i.log,
 	}, proxy.Options{
 		ClockError:     i.settings.Timings.BatchClockError(),
 		MaxHeaderBytes: i.settings.Limits.MaxHeaderBytes, MaxRequestBody: i.settings.Limits.MaxBodyBytes,
@@ -140,6 +143,7 @@
 	}
 	scope, scrape, closer := metrics.New(i.settings.Instance, i.settings.AvailabilityZone)
 	defer func() { _ = closer.Close() }()
+	i.counters.scope = scope
 
 	// The background parts outlive ctx until the shutdown is complete.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -150,9 +154,10 @@
 
 	callers := i.proxy.NewServer(i.serveCaller)
 	callers.Concurrency = i.settings.Limits.MaxConnections
+	callers.ErrorHandler = i.countInputErrors(callers.ErrorHandler)
 	operators := &fasthttp.Server{
 		Handler:            operator.New(&coordinator{instance: i}, &dumper{instance: i}, scrape, i.settings.OperatorTokens, &i.log).Handle,
-		MaxRequestBodySize: maxOperatorBody, NoDefaultServerHeader: true, Logger: silentLogger{},
+		MaxRequestBodySize: api.MaxBodyBytes, NoDefaultServerHeader: true, Logger: silentLogger{},
 	}
 	group.Go(func() error { return errors.WithStack(callers.Serve(listeners.caller)) })
 	group.Go(func() error { return errors.WithStack(operators.Serve(listeners.operator)) })
@@ -168,9 +173,6 @@
 	return ignoreCanceled(group.Wait())
 }
 
-// maxOperatorBody admits a patch that replaces a large configuration.
-const maxOperatorBody = 16 << 20
-
 func (i *Instance) startBackground(ctx context.Context, group *errgroup.Group, listener net.Listener) {
 	handlers := peer.Handlers{
 		OnExchange: i.control.HandleExchange, OnFetch: i.control.HandleFetch,
