--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -72,7 +72,7 @@
 	i := &Instance{settings: s, log: log, clock: clock.System{}, started: time.Now()}
 	i.platform = newServices(s.Platform)
 	i.store = head.NewStore(i.platform.table, i.platform.objects, i.clock)
-	i.transport = drpcpeer.NewClient()
+	i.transport = drpcpeer.NewClientFrom(s.PeerSourceIP)
 	i.control = control.New(control.Options{
 		Self: membership.Member{
 			Instance: s.Instance, Zone: s.AvailabilityZone, PeerAddress: advertisedPeer(s),
--- a/pkg/lab/fleet/address.go
+++ b/pkg/lab/fleet/address.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Ports of the processes; each has its own loopback address.
@@ -12,6 +15,7 @@
 	peerPort     = 7003
 	relayPort    = 7004
 	adminPort    = 7005
+	claimPort    = 7006
 )
 
 // Third bytes of the loopback addresses.
@@ -21,10 +25,38 @@
 	targetNet   = 10
 )
 
-// network is the second byte of all loopback addresses of this run, so that
-// two runs at the same time do not collide.
-var network = 16 + os.Getpid()%200
+// Second bytes of the loopback addresses of fleets.
+const (
+	firstNetwork = 16
+	networks     = 200
+)
+
+// network is the part of the loopback range that one fleet uses. The claim is a
+// listener that keeps other fleets, also those of other processes, off it.
+type network struct {
+	number int
+	claim  net.Listener
+}
+
+// claimNetwork returns a network that no other fleet uses. Errors: *ProcessError.
+func claimNetwork() (*network, error) {
+	var last error
+	for try := range networks {
+		n := &network{number: firstNetwork + (os.Getpid()+try)%networks}
+		claim, err := net.Listen("tcp", at(n.loopback(platformNet, 1), claimPort))
+		if err == nil {
+			n.claim = claim
+			return n, nil
+		}
+		last = err
+	}
+	return nil, errors.WithStack(&ProcessError{Name: "loopback addresses", Cause: last})
+}
+
+func (n *network) release() { _ = n.claim.Close() }
 
-func loopback(net, host int) string { return fmt.Sprintf("127.%d.%d.%d", network, net, host) }
+func (n *network) loopback(third, host int) string {
+	return fmt.Sprintf("127.%d.%d.%d", n.number, third, host)
+}
 
 func at(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
--- a/pkg/lab/fleet/link.go
+++ b/pkg/lab/fleet/link.go
@@ -20,5 +20,11 @@
 // Set replaces the faults. Errors: *relay.FaultsError.
 func (l *Link) Set(f relay.Faults) error { return l.relay.SetFaults(f) }
 
+// SetFrom replaces the faults of connections from one source IP address.
+// Errors: *relay.FaultsError.
+func (l *Link) SetFrom(sourceIP string, f relay.Faults) error {
+	return l.relay.SetSourceFaults(sourceIP, f)
+}
+
 // Close ends the relay and its connections.
 func (l *Link) Close() { _ = l.relay.Close() }
--- a/pkg/lab/fleet/targets.go
+++ b/pkg/lab/fleet/targets.go
@@ -50,7 +50,7 @@
 	for index, s := range f.Options.Deployment.Services {
 		specs := make([]TargetSpec, s.Targets)
 		for n := range s.Targets {
-			ip := loopback(targetNet+index, n+1)
+			ip := f.network.loopback(targetNet+index, n+1)
 			t := &Target{
 				ID: deployment.TargetID(s.Name, n), Service: s.Name, Slots: s.Slots,
 				Address: at(ip, servicePort), Admin: at(ip, adminPort),
--- a/pkg/lab/relay/faults.go
+++ b/pkg/lab/relay/faults.go
@@ -50,6 +50,8 @@
 	changed chan struct{} // closed and replaced on each change
 }
 
+func newControl() *control { return &control{changed: make(chan struct{})} }
+
 func (c *control) set(f Faults) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/peer/drpcpeer/client.go
+++ b/pkg/peer/drpcpeer/client.go
@@ -59,7 +59,17 @@
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{pools: map[poolKey]*pool{}} }
+func NewClient() *Client { return NewClientFrom("") }
+
+// NewClientFrom returns a client that connects from a local IP address; empty
+// lets the operating system choose.
+func NewClientFrom(sourceIP string) *Client {
+	c := &Client{pools: map[poolKey]*pool{}}
+	if ip := net.ParseIP(sourceIP); ip != nil {
+		c.dialer.LocalAddr = &net.TCPAddr{IP: ip}
+	}
+	return c
+}
 
 // ClosedError says that the client has been closed.
 type ClosedError struct{}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -24,6 +24,9 @@
 	// AdvertisePeerAddress is given to other instances in place of PeerAddress,
 	// for example behind address translation; empty means PeerAddress.
 	AdvertisePeerAddress string `json:"advertise_peer_address"`
+	// PeerSourceIP is the local IP address of connections to other instances;
+	// empty lets the operating system choose.
+	PeerSourceIP string `json:"peer_source_ip"`
 	// SeedPeers are peer addresses to ask when the platform is away at the start.
 	SeedPeers []string `json:"seed_peers"`
 	// OperatorTokens maps operator names to SHA-256 digests of their tokens in hex.
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -32,6 +32,10 @@
 	if e.AdvertisePeerAddress != "" {
 		v.address("$.advertise_peer_address", e.AdvertisePeerAddress)
 	}
+	if e.PeerSourceIP != "" {
+		_, err := netip.ParseAddr(e.PeerSourceIP)
+		v.Check(err == nil, "$.peer_source_ip", e.PeerSourceIP, "an IP address, such as 10.0.0.1")
+	}
 	for i, seed := range e.SeedPeers {
 		v.address(fmt.Sprintf("$.seed_peers[%d]", i), seed)
 	}
