Count calls and bytes between instances by kind of call

Control traffic had to be told from loans and observations: /proc counts all writes of a process, log lines included. The statistics of drpc were ruled out because they leave out its framing, which is most of a heartbeat.

Each connection counts its bytes and assigns them to the kind of the call that it carries. The served side needs the connection in the context of a call, so the accept loop is now in this package. The dump shows both sides in peer_traffic. The loop retries after errors of Accept that pass by themselves, as that of drpc did.

--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -13,6 +13,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/fairqueue"
 	"github.com/arbutuslink/arbutuslink/pkg/health"
 	"github.com/arbutuslink/arbutuslink/pkg/limit"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
 	"github.com/arbutuslink/arbutuslink/pkg/version"
 )
 
@@ -37,6 +38,13 @@
 	Balancer      *balance.Dump              `json:"balancer,omitempty"`
 	Baseline      map[string][]string        `json:"baseline_ejected,omitempty"`
 	Queue         map[string]fairqueue.State `json:"queue"`
+	PeerTraffic   PeerTraffic                `json:"peer_traffic"`
+}
+
+// PeerTraffic counts the calls between instances by kind since the start.
+type PeerTraffic struct {
+	Made   map[string]drpcpeer.Calls `json:"made"`
+	Served map[string]drpcpeer.Calls `json:"served"`
 }
 
 // Dump collects the state of all components.
@@ -47,6 +55,7 @@
 		UptimeSeconds: time.Since(i.started).Seconds(), Goroutines: runtime.NumGoroutine(),
 		Leaving: i.lifecycle.leaving.Load(), OpenRequests: i.proxy.Open(), ConfigVersion: i.control.View().Config.Version,
 		Limits: i.limiter.Dump(), Evaluator: i.evaluator.Dump(), Follower: i.follower.Dump(), Queue: i.queue.Dump(),
+		PeerTraffic: PeerTraffic{Made: i.transport.Traffic(), Served: i.served.Snapshot()},
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -55,6 +55,7 @@
 	store     *head.Store
 	control   *control.Loop
 	transport *drpcpeer.Client
+	served    drpcpeer.Counters
 	limiter   *limit.Limiter
 	directory directory.Options
 	collector *health.Collector
@@ -176,7 +177,7 @@
 		OnExchange: i.control.HandleExchange, OnFetch: i.control.HandleFetch,
 		OnBorrow: i.limiter.HandleBorrow, OnReport: i.handleReport,
 	}
-	group.Go(func() error { return drpcpeer.Serve(ctx, listener, handlers) })
+	group.Go(func() error { return drpcpeer.ServeCounted(ctx, listener, handlers, &i.served) })
 	group.Go(func() error { return i.control.Run(ctx) })
 	group.Go(func() error { return i.limiter.Run(ctx) })
 	group.Go(func() error { return i.reporter.Run(ctx, i) })
--- a/pkg/peer/drpcpeer/client.go
+++ b/pkg/peer/drpcpeer/client.go
@@ -35,7 +35,8 @@
 
 // Client is a peer.Transport over TCP. Close it when it is no longer used.
 type Client struct {
-	dialer net.Dialer
+	dialer   net.Dialer
+	counters Counters
 
 	mu     sync.Mutex
 	closed bool
@@ -54,10 +55,16 @@
 }
 
 type idleConn struct {
-	conn  *drpcconn.Conn
+	conn  *clientConn
 	since time.Time
 }
 
+// clientConn is a drpc connection with the counts of its TCP connection.
+type clientConn struct {
+	*drpcconn.Conn
+	raw *countedConn
+}
+
 // NewClient returns a client without connections.
 func NewClient() *Client { return &Client{pools: map[poolKey]*pool{}} }
 
@@ -69,38 +76,48 @@
 
 // Exchange sends a heartbeat.
 func (c *Client) Exchange(ctx context.Context, address string, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
-	return call(ctx, c, address, heartbeats, peerpb.DRPCPeerClient.Exchange, req)
+	return call(ctx, c, address, exchange, peerpb.DRPCPeerClient.Exchange, req)
 }
 
 // Fetch asks for documents.
 func (c *Client) Fetch(ctx context.Context, address string, req *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
-	return call(ctx, c, address, fetches, peerpb.DRPCPeerClient.Fetch, req)
+	return call(ctx, c, address, fetch, peerpb.DRPCPeerClient.Fetch, req)
 }
 
 // Borrow asks for tokens.
 func (c *Client) Borrow(ctx context.Context, address string, req *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
-	return call(ctx, c, address, data, peerpb.DRPCPeerClient.Borrow, req)
+	return call(ctx, c, address, borrow, peerpb.DRPCPeerClient.Borrow, req)
 }
 
 // Report sends observations.
 func (c *Client) Report(ctx context.Context, address string, req *peerpb.ReportRequest) (*peerpb.ReportReply, error) {
-	return call(ctx, c, address, data, peerpb.DRPCPeerClient.Report, req)
+	return call(ctx, c, address, report, peerpb.DRPCPeerClient.Report, req)
 }
 
-func call[Q, R any](ctx context.Context, c *Client, address string, cl class, invoke func(peerpb.DRPCPeerClient, context.Context, Q) (R, error), req Q) (R, error) {
+// classOf separates the kinds of calls.
+var classOf = [kinds]class{exchange: heartbeats, fetch: fetches, borrow: data, report: data}
+
+// Traffic counts the calls that this client has made and their bytes by kind.
+func (c *Client) Traffic() map[string]Calls { return c.counters.Snapshot() }
+
+func call[Q, R any](ctx context.Context, c *Client, address string, k kind, invoke func(peerpb.DRPCPeerClient, context.Context, Q) (R, error), req Q) (R, error) {
 	var none R
 	if _, ok := ctx.Deadline(); !ok {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, defaultCallTimeout)
 		defer cancel()
 	}
-	key := poolKey{address, cl}
+	key := poolKey{address, classOf[k]}
 	conn, release, err := c.acquire(ctx, key)
 	if err != nil {
 		return none, errors.WithStack(&peer.UnreachableError{Address: address, Cause: err})
 	}
 	defer release()
 	reply, err := invoke(peerpb.NewDRPCPeerClient(conn), ctx, req)
+	count := &c.counters.byKind[k]
+	count.calls.Add(1)
+	conn.raw.assignSent(count)
+	conn.raw.assignReceived(count)
 	if err != nil {
 		// The state of the connection is not known, and the idle ones of a
 		// silent path are likely to be as silent.
@@ -112,7 +129,7 @@
 	return reply, nil
 }
 
-func (c *Client) acquire(ctx context.Context, key poolKey) (*drpcconn.Conn, func(), error) {
+func (c *Client) acquire(ctx context.Context, key poolKey) (*clientConn, func(), error) {
 	p, err := c.pool(key)
 	if err != nil {
 		return nil, nil, err
@@ -131,7 +148,9 @@
 		release()
 		return nil, nil, errors.WithStack(err)
 	}
-	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), release, nil
+	counted := &countedConn{Conn: raw}
+	conn := drpcconn.NewWithOptions(counted, drpcconn.Options{Manager: managerOptions()})
+	return &clientConn{Conn: conn, raw: counted}, release, nil
 }
 
 func (c *Client) pool(key poolKey) (*pool, error) {
@@ -164,7 +183,7 @@
 	}
 }
 
-func (c *Client) takeIdle(p *pool) *drpcconn.Conn {
+func (c *Client) takeIdle(p *pool) *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for len(p.idle) > 0 {
@@ -179,7 +198,7 @@
 	return nil
 }
 
-func (c *Client) park(key poolKey, conn *drpcconn.Conn) {
+func (c *Client) park(key poolKey, conn *clientConn) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p, ok := c.pools[key]
--- a/pkg/peer/drpcpeer/drpcpeer_test.go
+++ b/pkg/peer/drpcpeer/drpcpeer_test.go
@@ -76,6 +76,49 @@
 	is.Equal(reply.Loan, uint64(7))
 }
 
+// Guards against bytes that are lost or counted for another kind of call, with
+// which control traffic could not be told from loans.
+func TestTrafficByKind(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served, done := &Counters{}, make(chan error, 1)
+	handlers := peer.Handlers{
+		OnExchange: echo,
+		OnBorrow: func(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
+			return &peerpb.BorrowReply{Loan: 1}, nil
+		},
+		OnReport: func(context.Context, *peerpb.ReportRequest) (*peerpb.ReportReply, error) {
+			return &peerpb.ReportReply{Verdicts: []*peerpb.Verdict{{Service: string(make([]byte, 50_000))}}}, nil
+		},
+	}
+	go func() { done <- ServeCounted(ctx, listener, handlers, served) }()
+	client, address := NewClient(), listener.Addr().String()
+	for range 10 {
+		_, err = client.Exchange(t.Context(), address, &peerpb.ExchangeRequest{})
+		is.NoErr(err)
+		_, err = client.Borrow(t.Context(), address, &peerpb.BorrowRequest{Team: "school"})
+		is.NoErr(err)
+		_, err = client.Report(t.Context(), address, &peerpb.ReportRequest{From: string(make([]byte, 20_000))})
+		is.NoErr(err)
+	}
+	is.NoErr(client.Close())
+	cancel()
+	is.NoErr(<-done)
+	for kind, made := range client.Traffic() {
+		got := served.Snapshot()[kind]
+		is.Equal(got.Calls, made.Calls)
+		// The client's end of a call may arrive after the request was counted.
+		is.True(made.SentBytes-got.ReceivedBytes < 100 && got.ReceivedBytes-made.SentBytes < 100)
+		is.True(made.ReceivedBytes-got.SentBytes < 100 && got.SentBytes-made.ReceivedBytes < 100)
+	}
+	calls := client.Traffic()
+	is.True(calls["report"].SentBytes > 200_000 && calls["report"].ReceivedBytes > 500_000)
+	is.True(calls["borrow"].SentBytes < 2000 && calls["borrow"].ReceivedBytes < 2000)
+	is.Equal(calls["fetch"], Calls{})
+}
+
 // Guards against large configurations being cut off by the default message limit.
 func TestLargeFetch(t *testing.T) {
 	is := is.New(t)
--- a/pkg/peer/drpcpeer/server.go
+++ b/pkg/peer/drpcpeer/server.go
@@ -4,6 +4,9 @@
 import (
 	"context"
 	"net"
+	"sync"
+	"syscall"
+	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/peer"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
@@ -34,14 +37,46 @@
 // Serve answers calls on the listener until ctx ends, and closes the listener.
 // Errors: *ServeError.
 func Serve(ctx context.Context, listener net.Listener, handler peer.Handler) error {
+	return ServeCounted(ctx, listener, handler, &Counters{})
+}
+
+// ServeCounted is Serve and counts the calls and their bytes in counters.
+func ServeCounted(ctx context.Context, listener net.Listener, handler peer.Handler, counters *Counters) error {
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, handler); err != nil {
 		return errors.WithStack(&ServeError{Cause: err})
 	}
-	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
-	err := server.Serve(ctx, listener)
-	if ctx.Err() != nil || err == nil {
-		return nil
+	server := drpcserver.NewWithOptions(&countingHandler{mux, counters}, drpcserver.Options{Manager: managerOptions()})
+	ctx, cancel := context.WithCancel(ctx)
+	var connections sync.WaitGroup
+	defer connections.Wait()
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		raw, err := listener.Accept()
+		switch {
+		case err == nil:
+			connections.Go(func() {
+				conn := &countedConn{Conn: raw}
+				// The client sees the end of the connection.
+				_ = server.ServeOne(withConn(ctx, conn), conn)
+			})
+		case ctx.Err() != nil:
+			return nil
+		case !temporary(err):
+			return errors.WithStack(&ServeError{Cause: err})
+		default:
+			// Too few file descriptors, for example.
+			time.Sleep(acceptRetry)
+		}
 	}
-	return errors.WithStack(&ServeError{Cause: err})
+}
+
+// acceptRetry is the wait after an error of Accept that passes by itself.
+const acceptRetry = 100 * time.Millisecond
+
+func temporary(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ECONNABORTED)
 }
