Carry version numbers on reports and loans between instances

Change: the instance fills in the numbers of reports and loan requests and hands those of received messages to the control loop.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -104,7 +104,7 @@
 	params.K = i.settings.Limits.IssuersPerTeam
 	i.directory = directory.Options{Params: params, Lifetime: i.settings.Timings.DirectoryLifetime()}
 	i.limiter = limit.New(limit.Options{
-		Clock: i.clock, Viewer: i.control, Freshness: i.control, Borrower: i.transport, Params: params,
+		Clock: i.clock, Viewer: i.control, Freshness: i.control, Borrower: i, Params: params,
 	})
 }
 
@@ -177,7 +177,7 @@
 func (i *Instance) startBackground(ctx context.Context, group *errgroup.Group, listener net.Listener) {
 	handlers := peer.Handlers{
 		OnExchange: i.control.HandleExchange, OnFetch: i.control.HandleFetch,
-		OnBorrow: i.limiter.HandleBorrow, OnReport: i.handleReport,
+		OnBorrow: i.handleBorrow, OnReport: i.handleReport,
 	}
 	group.Go(func() error { return drpcpeer.ServeCounted(ctx, listener, handlers, &i.served) })
 	group.Go(func() error { return i.control.Run(ctx) })
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -7,36 +7,54 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/arbutuslink/arbutuslink/pkg/control"
 	"github.com/arbutuslink/arbutuslink/pkg/health"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
 
-// versions are the numbers that this instance has applied.
-func versions(v *control.View) *peerpb.Versions {
-	return &peerpb.Versions{
-		Revision: v.Head.Revision, Config: v.Head.ConfigVersion,
-		Membership: v.Head.MembershipVersion, Delivered: v.Head.Delivered,
-	}
-}
-
 // SendReport brings observations to one evaluator.
 func (i *Instance) SendReport(ctx context.Context, to membership.Member, request *peerpb.ReportRequest) (*peerpb.ReportReply, error) {
-	view := i.control.View()
-	if to.Incarnation == view.Self.Incarnation {
-		return i.handleReport(ctx, request)
+	if to.Incarnation == i.control.View().Self.Incarnation {
+		return i.evaluator.HandleReport(request), nil
 	}
-	request.Versions = versions(view)
-	return i.transport.Report(ctx, to.PeerAddress, request)
+	request.Versions = i.control.Versions()
+	reply, err := i.transport.Report(ctx, to.PeerAddress, request)
+	if err == nil {
+		i.control.Observe(to.Incarnation, to.PeerAddress, reply.GetVersions())
+	}
+	return reply, err
 }
 
 func (i *Instance) handleReport(_ context.Context, request *peerpb.ReportRequest) (*peerpb.ReportReply, error) {
+	i.observeSender(request.GetFrom(), request.GetVersions())
 	reply := i.evaluator.HandleReport(request)
-	reply.Versions = versions(i.control.View())
+	reply.Versions = i.control.Versions()
 	return reply, nil
 }
 
+// Borrow asks the instance at a peer address for tokens.
+func (i *Instance) Borrow(ctx context.Context, address string, request *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
+	request.Versions = i.control.Versions()
+	return i.transport.Borrow(ctx, address, request)
+}
+
+func (i *Instance) handleBorrow(ctx context.Context, request *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
+	i.observeSender(request.GetFrom(), request.GetVersions())
+	reply, err := i.limiter.HandleBorrow(ctx, request)
+	if err == nil {
+		reply.Versions = i.control.Versions()
+	}
+	return reply, err
+}
+
+// observeSender takes the version numbers of a message, so that this instance
+// fetches what it lacks from the sender.
+func (i *Instance) observeSender(from string, v *peerpb.Versions) {
+	if member, ok := i.control.View().Membership.Find(from); ok {
+		i.control.Observe(from, member.PeerAddress, v)
+	}
+}
+
 // retainInterval is how often observations of removed targets are dropped.
 const retainInterval = 10 * time.Second
 
