limit: ask for whole tokens only for a while after a refusal

Cause: at five times the rate, half tokens stood at many borrowers. Change: a pool that refused a request asks for whole tokens for five seconds. Conclusion: a team gets its rate under overload; teams of 10/s miss 0.1%.

--- a/pkg/lab/limitsim/limitsim_test.go
+++ b/pkg/lab/limitsim/limitsim_test.go
@@ -45,3 +45,46 @@
 		}
 	}
 }
+
+// Guards against a loan policy that refuses requests within the team's rate.
+// Teams of 10/s miss the objective; see docs/decisions/rate-limits.md.
+func TestFalseRefusals(t *testing.T) {
+	for _, limits := range teams {
+		for _, skew := range []float64{0, 0.8} {
+			if limits.rate < 50 {
+				continue
+			}
+			c := baseCase(limits.rate, limits.burst, 16)
+			c.Skew = skew
+			if r := Run(c); r.FalsePercent() > 0.1 || r.OverLimit > 0 {
+				t.Errorf("rate %v burst %d skew %v: %v", limits.rate, limits.burst, skew, r)
+			}
+		}
+	}
+}
+
+// Guards against a team that sends five times its rate getting less than its
+// rate, because its tokens stand at borrowers that cannot use them.
+func TestOverload(t *testing.T) {
+	for _, limits := range teams[2:6] {
+		for _, skew := range []float64{0, 0.8} {
+			t.Run(fmt.Sprintf("rate=%v/burst=%d/skew=%v", limits.rate, limits.burst, skew), func(t *testing.T) {
+				t.Parallel()
+				c := baseCase(limits.rate, limits.burst, 16)
+				c.Load, c.Skew, c.Requests = 5, skew, 20000
+				// A burst of 10 ms of the rate is short against the 3 ms for which
+				// a loan keeps tokens off the lender's ceiling; 0.914 was measured.
+				want := 0.95
+				if float64(limits.burst)/limits.rate < 0.02 {
+					want = 0.9
+				}
+				r := Run(c)
+				ratio := float64(r.Requests-r.FleetRefused) / float64(r.Requests-r.CentralRefused)
+				t.Logf("admitted %.3f of the central bucket", ratio)
+				if ratio < want || r.OverLimit > 0 {
+					t.Error(r)
+				}
+			})
+		}
+	}
+}
--- a/pkg/limit/borrow.go
+++ b/pkg/limit/borrow.go
@@ -13,6 +13,9 @@
 	maxPause = 50 * time.Millisecond
 	// maxOverdue bounds the waiting requests of a pool that asks for half tokens.
 	maxOverdue = 16
+	// overloadTime is how long a pool that refused a request asks for whole
+	// tokens only. At five times the rate, half tokens stood at many borrowers.
+	overloadTime = 5 * time.Second
 	// patienceParts is the number of attempts in the rest of a request's wait.
 	patienceParts = 16
 	// giveBackAfter is how long a borrowed token may stay unused.
@@ -152,7 +155,7 @@
 // ones. With a longer queue this would slow the pool down: at 500/s with a
 // burst of 5 it refused 3.9% falsely.
 func (p *Pool) overdue(now time.Duration) bool {
-	if len(p.waiters) == 0 || len(p.waiters) > maxOverdue {
+	if len(p.waiters) == 0 || len(p.waiters) > maxOverdue || now < p.overloadedUntil {
 		return false
 	}
 	t := p.waiters[0]
--- a/pkg/limit/pool.go
+++ b/pkg/limit/pool.go
@@ -119,6 +119,8 @@
 	rotation  int
 	lastReply time.Duration
 	used      time.Duration
+	// overloadedUntil is set by a refusal.
+	overloadedUntil time.Duration
 }
 
 // NewPool returns the pool of a team at the time now.
@@ -222,6 +224,7 @@
 		case p.lastReply < t.start && p.issuer.share.Parts == 0:
 			t.decide(Unreachable, 0)
 		default:
+			p.overloadedUntil = now + overloadTime
 			t.decide(Exceeded, p.retryAfter())
 		}
 	}
