--- a/pkg/limit/limiter.go
+++ b/pkg/limit/limiter.go
@@ -186,6 +186,9 @@
 
 func (l *Limiter) create(team string) *entry {
 	v := l.observe()
+	if v.Config == nil || v.Membership == nil {
+		return nil
+	}
 	if _, ok := v.Config.Config.Teams[team]; !ok {
 		return nil
 	}
@@ -262,6 +265,9 @@
 	known := l.entries[team] != nil
 	l.mu.RUnlock()
 	if !known {
+		if v.Config == nil || v.Membership == nil {
+			return nil
+		}
 		issuer := false
 		for _, m := range l.params.Issuers(v.Membership, team, v.Config.Config.Teams[team]) {
 			issuer = issuer || m.Incarnation == v.Self.Incarnation
