--- a/pkg/limit/run.go
+++ b/pkg/limit/run.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -143,20 +145,24 @@
 	return ctx.Err()
 }
 
-// sweep drops the pools that are not needed any more.
+// sweep drops the pools that are not needed any more. It holds the mutex of
+// the map only while it removes one entry, since requests wait for it.
 func (l *Limiter) sweep(now time.Duration) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for team, e := range l.entries {
+	l.mu.RLock()
+	entries := slices.Collect(maps.Values(l.entries))
+	l.mu.RUnlock()
+	for _, e := range entries {
 		if !e.mu.TryLock() {
 			continue
 		}
 		l.historyMu.RLock()
-		idle := e.pool.Idle(now)
+		idle := !e.dropped && e.pool.Idle(now)
 		l.historyMu.RUnlock()
 		if idle {
 			e.dropped = true
-			delete(l.entries, team)
+			l.mu.Lock()
+			delete(l.entries, e.team)
+			l.mu.Unlock()
 			l.schedule.remove(&e.timer)
 		}
 		e.mu.Unlock()
