Issue tokens again after an instance joined anew; use 16 issuers

Cause: the history of shares kept the first incarnation of the process, so an instance that was removed and joined anew issued no tokens until a restart. Ruled out: building a new limiter, because open loans would be forgotten. Change: History.Observe takes the new incarnation and adds a gap, so that issue starts after a version seen under it has settled. The default of issuers_per_team is 16, as docs/decisions/rate-limits.md found.

--- a/pkg/limit/history.go
+++ b/pkg/limit/history.go
@@ -60,6 +60,9 @@
 	} else if last := h.gens[len(h.gens)-1]; v.Config.Version > last.config || v.Membership.Version > last.membership.Version {
 		h.change(now, v, last)
 	}
+	if self := v.Self.Incarnation; self != "" && self != h.self {
+		h.rejoin(now, self, v)
+	}
 	last := &h.gens[len(h.gens)-1]
 	if v.DeliveredAt != 0 && last.settled == unsettled {
 		last.settled = v.DeliveredAt + h.p.Hold
@@ -88,6 +91,15 @@
 	h.push(now, v.Config, v.Membership, replaced)
 }
 
+// rejoin takes the new incarnation of a process that was removed. Its former
+// share may have gone to others by now, so it issues nothing until a version
+// that it saw under the new incarnation has settled.
+func (h *History) rejoin(now time.Duration, self string, v *control.View) {
+	h.self = self
+	h.gens = append(h.gens, generation{seen: now, settled: unsettled, config: v.Config.Version, membership: v.Membership, gap: true})
+	h.push(now, v.Config, v.Membership, nil)
+}
+
 // settleLast uses the serial rule: a newer version exists only if the one
 // before it has been delivered.
 func (h *History) settleLast(now time.Duration) {
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -76,7 +76,7 @@
 	RouteUnknown     = Kind{"route_unknown", fasthttp.StatusNotFound, NotRun, "no route matches the request"}
 	RouteClosed      = Kind{"route_closed", fasthttp.StatusForbidden, NotRun, "the route is not open to the team"}
 	RateExceeded     = Kind{"rate_exceeded", fasthttp.StatusTooManyRequests, NotRun, "the team has used up its rate and burst"}
-	RateUnavailable  = Kind{"rate_unavailable", fasthttp.StatusServiceUnavailable, NotRun, "no instance that mints the team's rate could be reached"}
+	RateUnavailable  = Kind{"rate_unavailable", fasthttp.StatusServiceUnavailable, NotRun, "no token issuer of the team could be reached"}
 	NotFresh         = Kind{"instance_not_fresh", fasthttp.StatusServiceUnavailable, NotRun, "the instance cannot tell whether its configuration is current; use another address"}
 	DuplicateRequest = Kind{"duplicate_request", fasthttp.StatusConflict, Unknown, "a request with this idempotency key was accepted before"}
 	ClaimUnavailable = Kind{"claim_unavailable", fasthttp.StatusServiceUnavailable, NotRun, "the idempotency key could not be recorded"}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -94,7 +94,7 @@
 		},
 		Limits: Limits{
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 16 << 10, MaxConnections: 10_000,
-			MaxWitnesses: 15, IssuersPerTeam: 8,
+			MaxWitnesses: 15, IssuersPerTeam: 16,
 		},
 		BalancePolicy: "shared",
 		LogLevel:      "info",
