Judge errors by the small margin; renew standings only on change

Each follower derived the standings of every service twice per interval.

A tick keeps standings whose verdict is still the newest one.

--- a/pkg/health/decide.go
+++ b/pkg/health/decide.go
@@ -218,6 +218,9 @@
 	if sum.bad() < p.MinBad {
 		return false
 	}
+	if sum.errors > sum.stalls {
+		margin = minMargin // errors do not come from queues
+	}
 	if t.state == cold {
 		margin = coldMargin
 	}
--- a/pkg/health/follower.go
+++ b/pkg/health/follower.go
@@ -57,6 +57,9 @@
 type followed struct {
 	heard     map[string]heardVerdict
 	evaluator string
+	// applied and config tell what the standings were derived from.
+	applied   *peerpb.Verdict
+	config    int64
 	standings atomic.Pointer[Standings]
 }
 
@@ -101,7 +104,7 @@
 			continue
 		}
 		s.heard[evaluator] = heardVerdict{at: asked, verdict: v}
-		s.standings.Store(f.decide(now, v.Service, s, svc, view.Membership))
+		s.standings.Store(f.decide(now, v.Service, s, svc, view.Membership, view.Config.Version))
 	}
 }
 
@@ -137,10 +140,12 @@
 	}
 	removed := false
 	for name, s := range *f.services.Load() {
-		if svc, ok := configured[name]; ok {
-			s.standings.Store(f.decide(now, name, s, svc, view.Membership))
-		} else {
+		svc, ok := configured[name]
+		switch {
+		case !ok:
 			removed = true
+		case !s.current(now, f.ranking.evaluators(view.Membership, name), view.Config.Version):
+			s.standings.Store(f.decide(now, name, s, svc, view.Membership, view.Config.Version))
 		}
 	}
 	if removed {
@@ -158,7 +163,7 @@
 // decide chooses the verdict to follow and checks the floor again with what
 // this instance itself knows.
 func (f *Follower) decide(
-	now time.Duration, name string, s *followed, svc config.Service, m *membership.Membership,
+	now time.Duration, name string, s *followed, svc config.Service, m *membership.Membership, version int64,
 ) *Standings {
 	heard, evaluator := s.choose(now, f.ranking.evaluators(m, name))
 	if evaluator != s.evaluator {
@@ -167,6 +172,7 @@
 	}
 	verdict := heard.verdict
 	at := heard.at
+	s.applied, s.config = verdict, version
 	if verdict == nil {
 		verdict, at = f.own(now, name, svc), now
 	}
@@ -214,6 +220,12 @@
 	return heardVerdict{}, ""
 }
 
+// current tells whether the standings still follow from the newest verdict.
+func (s *followed) current(now time.Duration, evaluators []membership.Member, config int64) bool {
+	heard, _ := s.choose(now, evaluators)
+	return heard.verdict != nil && heard.verdict == s.applied && config == s.config
+}
+
 // own evaluates the instance's own observations. They name no load.
 func (f *Follower) own(now time.Duration, name string, svc config.Service) *peerpb.Verdict {
 	s := f.alone.service(name)
