--- a/pkg/health/evaluator.go
+++ b/pkg/health/evaluator.go
@@ -129,13 +129,17 @@
 		}
 		s.mu.Unlock()
 		if !ok || idle {
-			e.mu.Lock()
-			delete(e.services, s.name)
-			e.mu.Unlock()
+			e.drop(s.name)
 		}
 	}
 }
 
+func (e *Evaluator) drop(service string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.services, service)
+}
+
 // ranks returns the services that this instance evaluates, with its rank.
 func (e *Evaluator) ranks(view *control.View) map[string]int {
 	key := roleKey{view.Config.Version, view.Membership.Version, view.Self.Incarnation}
--- a/pkg/health/follower.go
+++ b/pkg/health/follower.go
@@ -18,6 +18,9 @@
 // verdictLife is the time for which a verdict is followed after it was heard.
 const verdictLife = time.Second
 
+// followIdle drops a service that had no report of this instance for this time.
+const followIdle = 2 * activeFor
+
 // Standing is the state of one target as this instance follows it.
 type Standing struct {
 	State peerpb.TargetState
@@ -55,7 +58,10 @@
 }
 
 type followed struct {
-	heard     map[string]heardVerdict
+	heard map[string]heardVerdict
+	// reportedAt is the time of the newest report of this instance.
+	reportedAt time.Duration
+	// evaluator is the one that was followed last.
 	evaluator string
 	// applied and config tell what the standings were derived from.
 	applied   *peerpb.Verdict
@@ -114,7 +120,7 @@
 		return s
 	}
 	next := maps.Clone(services)
-	next[name] = &followed{heard: map[string]heardVerdict{}}
+	next[name] = &followed{heard: map[string]heardVerdict{}, reportedAt: f.clock.SinceBoot()}
 	f.services.Store(&next)
 	return next[name]
 }
@@ -132,32 +138,36 @@
 		if !ok {
 			continue
 		}
-		f.service(report.Service)
+		f.service(report.Service).reportedAt = now
 		s := f.alone.service(report.Service)
 		s.mu.Lock()
 		s.observe(now, view.Self.Incarnation, svc, report)
 		s.mu.Unlock()
 	}
-	removed := false
+	var removed []string
 	for name, s := range *f.services.Load() {
 		svc, ok := configured[name]
 		switch {
-		case !ok:
-			removed = true
+		case !ok, now-s.reportedAt > followIdle:
+			removed = append(removed, name)
 		case !s.current(now, f.ranking.evaluators(view.Membership, name), view.Config.Version):
 			s.standings.Store(f.decide(now, name, s, svc, view.Membership, view.Config.Version))
 		}
 	}
-	if removed {
-		next := maps.Clone(*f.services.Load())
-		maps.DeleteFunc(next, func(name string, _ *followed) bool { return !has(configured, name) })
-		f.services.Store(&next)
-	}
+	f.remove(removed)
 }
 
-func has(services map[string]config.Service, name string) bool {
-	_, ok := services[name]
-	return ok
+// remove drops services that are not configured or have no traffic here.
+func (f *Follower) remove(names []string) {
+	if len(names) == 0 {
+		return
+	}
+	next := maps.Clone(*f.services.Load())
+	for _, name := range names {
+		delete(next, name)
+		f.alone.drop(name)
+	}
+	f.services.Store(&next)
 }
 
 // decide chooses the verdict to follow and checks the floor again with what
@@ -166,8 +176,10 @@
 	now time.Duration, name string, s *followed, svc config.Service, m *membership.Membership, version int64,
 ) *Standings {
 	heard, evaluator := s.choose(now, f.ranking.evaluators(m, name))
-	if evaluator != s.evaluator {
-		event.JudgeChanged.Log(f.log).Str("service", name).Str("evaluator", evaluator).Str("previous", s.evaluator).Send()
+	if evaluator != "" && evaluator != s.evaluator {
+		if s.evaluator != "" {
+			event.JudgeChanged.Log(f.log).Str("service", name).Str("evaluator", evaluator).Str("previous", s.evaluator).Send()
+		}
 		s.evaluator = evaluator
 	}
 	verdict := heard.verdict
