--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -56,6 +56,7 @@
 	store     *head.Store
 	control   *control.Loop
 	transport *drpcpeer.Client
+	served    drpcpeer.Counters
 	limiter   *limit.Limiter
 	directory directory.Options
 	collector *health.Collector
@@ -76,7 +77,7 @@
 	i := &Instance{settings: s, log: log, clock: clock.System{}, counters: newCounters(), started: time.Now()}
 	i.platform = newServices(s.Platform)
 	i.store = head.NewStore(i.platform.table, i.platform.objects, i.clock)
-	i.transport = drpcpeer.NewClient()
+	i.transport = drpcpeer.NewClientFrom(s.PeerSourceIP)
 	i.control = control.New(control.Options{
 		Self: membership.Member{
 			Instance: s.Instance, Zone: s.AvailabilityZone, PeerAddress: advertisedPeer(s),
@@ -103,7 +104,7 @@
 	params.K = i.settings.Limits.IssuersPerTeam
 	i.directory = directory.Options{Params: params, Lifetime: i.settings.Timings.DirectoryLifetime()}
 	i.limiter = limit.New(limit.Options{
-		Clock: i.clock, Viewer: i.control, Freshness: i.control, Borrower: i.transport, Params: params,
+		Clock: i.clock, Viewer: i.control, Freshness: i.control, Borrower: i, Params: params,
 	})
 }
 
@@ -176,9 +177,9 @@
 func (i *Instance) startBackground(ctx context.Context, group *errgroup.Group, listener net.Listener) {
 	handlers := peer.Handlers{
 		OnExchange: i.control.HandleExchange, OnFetch: i.control.HandleFetch,
-		OnBorrow: i.limiter.HandleBorrow, OnReport: i.handleReport,
+		OnBorrow: i.handleBorrow, OnReport: i.handleReport,
 	}
-	group.Go(func() error { return drpcpeer.Serve(ctx, listener, handlers) })
+	group.Go(func() error { return drpcpeer.ServeCounted(ctx, listener, handlers, &i.served) })
 	group.Go(func() error { return i.control.Run(ctx) })
 	group.Go(func() error { return i.limiter.Run(ctx) })
 	group.Go(func() error { return i.reporter.Run(ctx, i) })
