--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -32,6 +32,10 @@
 		{`,"caller_tls":{"certificate_file":"c.pem"}}`, "$.caller_tls.key_file"},
 		{`,"seed_peers":["host:1"]}`, "$.seed_peers[0]"},
 		{`,"zone":"a"}`, "$.zone"},
+		{`,"log_level":"disabled"}`, "$.log_level"},
+		{`,"caller_address":"0.0.0.0:8001"}`, "$.caller_address"},
+		{`,"operator_address":"127.0.0.1:0"}`, "$.operator_address"},
+		{`,"peer_address":"[::]:8003"}`, "$.peer_address"},
 	}
 	for _, tc := range cases {
 		t.Run(tc.path, func(t *testing.T) {
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -16,6 +16,8 @@
 const (
 	nameAllowed    = "1 to 64 of a-z, 0-9, _ and -, not starting with _ or -"
 	addressAllowed = "an IP address and port, such as 10.0.0.1:8080"
+	// Others connect to an advertised address, so it cannot stand for any.
+	advertisedAllowed = "a specific IP address and port, such as 10.0.0.1:8080"
 )
 
 // logLevels leaves out the levels of zerolog that would hide errors.
@@ -28,11 +30,13 @@
 	v := &validator{}
 	v.Check(namePattern.MatchString(e.Instance), "$.instance", e.Instance, nameAllowed)
 	v.Check(namePattern.MatchString(e.AvailabilityZone), "$.availability_zone", e.AvailabilityZone, nameAllowed)
-	v.address("$.caller_address", e.CallerAddress)
-	v.address("$.operator_address", e.OperatorAddress)
-	v.address("$.peer_address", e.PeerAddress)
-	if e.AdvertisePeerAddress != "" {
-		v.address("$.advertise_peer_address", e.AdvertisePeerAddress)
+	v.advertised("$.caller_address", e.CallerAddress)
+	v.advertised("$.operator_address", e.OperatorAddress)
+	if e.AdvertisePeerAddress == "" {
+		v.advertised("$.peer_address", e.PeerAddress)
+	} else {
+		v.address("$.peer_address", e.PeerAddress)
+		v.advertised("$.advertise_peer_address", e.AdvertisePeerAddress)
 	}
 	if e.PeerSourceIP != "" {
 		_, err := netip.ParseAddr(e.PeerSourceIP)
@@ -60,6 +64,11 @@
 	v.Check(err == nil, path, value, addressAllowed)
 }
 
+func (v *validator) advertised(path, value string) {
+	a, err := netip.ParseAddrPort(value)
+	v.Check(err == nil && !a.Addr().IsUnspecified() && a.Port() != 0, path, value, advertisedAllowed)
+}
+
 func (v *validator) url(path, value string) {
 	u, err := url.Parse(value)
 	v.Check(err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != "", path, value, "an http or https URL")
