Strengthen the scripts after trials without the mechanisms

Cause: trials with a mechanism removed on a scratch copy still passed for the floor, the recognition of own writes, the start of token issuers without tokens, an instance that hears nothing, and the lifetime of directory answers.

Ruled out: lost answers of any write, since the first lost one is that of the document; an outage of most targets, since the comparison with peers then ejects none and the floor is not reached.

--- a/pkg/lab/platformsim/faults.go
+++ b/pkg/lab/platformsim/faults.go
@@ -18,6 +18,8 @@
 	// BeforeEffect drops the selected writes before they take effect; otherwise
 	// they take effect.
 	BeforeEffect bool `json:"before_effect"`
+	// TableOnly selects writes to the table and no others.
+	TableOnly bool `json:"table_only"`
 }
 
 // Faults are the faults that can be switched at run time.
@@ -118,6 +120,9 @@
 	}
 	lose := &i.faults.LoseAnswers
 	selected := i.source.Float64() < lose.Probability
+	if lose.TableOnly && k != tableWrite {
+		return v
+	}
 	if lose.NextWrites > 0 {
 		lose.NextWrites--
 		selected = true
--- a/pkg/lab/scenario/commands.go
+++ b/pkg/lab/scenario/commands.go
@@ -21,21 +21,21 @@
 
 // Commands returns the commands of the language. Instances and targets are
 // numbered from 1; a list is "1,3", "all", "zone-a" or "not-1,3". D is a
-// duration, M the name of a mark.
+// duration, M the name of a mark. "issuers-TEAM" lists the token issuers of a team.
 //
-//	fleet N [zones= targets= slots= floor= profile= issuers= rate= burst= timeout=D directory=D green-expires=D]
+//	fleet N [zones= targets= slots= floor= profile= issuers= rate= burst= timeout=D fence=D directory=D green-expires=D]
 //	crash LIST, start LIST, freeze LIST, resume LIST
 //	shutdown LIST, await-shutdown N within=D
 //	members N within=D             the membership has N members, all fresh
 //	fresh LIST within=D, not-fresh LIST within=D
 //	cut LIST LIST, cut-one-way LIST LIST, heal LIST LIST
-//	platform down|up|slow by=D|lose-answers next=N [before-effect=1]
+//	platform down|up|slow by=D|lose-answers next=N [before-effect=1 table-only=1]
 //	patch JSON [via=N] [version=N] [is=OUTCOMES] [within=D]
 //	race LIST                      one number, several patches
 //	in-force [within=D]            marks "in-force"; the default is the objective of 6 s
 //	withdraw-key TEAM [via=N]      marks "accepted"
 //	connect NAME via=N             opens a keep-alive connection
-//	send [team= route= id= claim= via= conn= n= parallel=1] [status= code= outcome=] [within=D since=M]
+//	send [team= route= id= claim= via= conn= n= parallel=1] [status= code= outcome=] [within=D|for=D] [since=M]
 //	load [team=LIST routes= rate= via=LIST], stop-load
 //	target LIST drain|undrain|kill|revive|silence|heal|JSON
 //	mark M, after M plus=D         records or awaits a time
@@ -43,7 +43,7 @@
 //	expect no-runs TEAM since=M [plus=D]
 //	expect runs ID count=N
 //	expect no-cut [min=N]
-//	expect count [team= status= code= outcome= since=M] [min=N max=N]
+//	expect count [team= route= status= code= outcome= since=M] [min=N max=N]
 //	expect quiet LIST since=M plus=D [for=D]
 //	expect ejected min=N within=D
 //	random-faults for=D            uses the seed of the options
--- a/pkg/lab/scenario/faults.go
+++ b/pkg/lab/scenario/faults.go
@@ -10,6 +10,8 @@
 	"github.com/arbutuslink/arbutuslink/pkg/lab/experiment"
 	"github.com/arbutuslink/arbutuslink/pkg/lab/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/lab/relay"
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
 )
 
 // stopLimit is the default shutdown timeout of an instance and some room.
@@ -115,9 +117,13 @@
 	return nil
 }
 
-// instances reads a list such as 1,3, "all", "zone-a" or "others" of a list.
+// instances reads a list such as 1,3, "all", "zone-a", "not-" before a list, or
+// "issuers-" before a team for the token issuers of the team.
 func (w *world) instances(a *arguments, word string) []int {
 	var found []int
+	if team, ok := strings.CutPrefix(word, "issuers-"); ok {
+		return w.issuers(a, team)
+	}
 	zone, byZone := strings.CutPrefix(word, "zone-")
 	except, others := strings.CutPrefix(word, "not-")
 	for n, i := range w.fleet.Instances {
@@ -136,6 +142,35 @@
 	return found
 }
 
+// issuers returns the token issuers of a team by the membership that the first
+// active instance has.
+func (w *world) issuers(a *arguments, team string) []int {
+	var members api.MemberList
+	for n := range w.fleet.Instances {
+		if w.active(n) && get(w.fleet.Instances[n].Settings.OperatorAddress, api.MembershipPath, &members) {
+			break
+		}
+	}
+	m := membership.Membership{Version: members.Version}
+	for _, member := range members.Members {
+		m.Members = append(m.Members, membership.Member{
+			Incarnation: member.Incarnation, Instance: member.Instance, Zone: member.Zone,
+		})
+	}
+	var found []int
+	for _, issuer := range m.RankSpread(team, w.fleet.Instances[0].Settings.Limits.IssuersPerTeam) {
+		for n, i := range w.fleet.Instances {
+			if i.Settings.Instance == issuer.Instance {
+				found = append(found, n)
+			}
+		}
+	}
+	if len(found) == 0 {
+		a.fail(usage("no instance tells the token issuers of team %q", team))
+	}
+	return found
+}
+
 func contains(list []int, n int) bool {
 	for _, x := range list {
 		if x == n {
@@ -154,13 +189,13 @@
 	case "up":
 		faults = map[string]any{
 			"down": false, "delay_ms": 0,
-			"lose_answers": map[string]any{"probability": 0, "next_writes": 0, "before_effect": false},
+			"lose_answers": map[string]any{"probability": 0, "next_writes": 0, "before_effect": false, "table_only": false},
 		}
 	case "slow":
 		faults = map[string]any{"delay_ms": a.duration("by", time.Second).Milliseconds()}
 	case "lose-answers":
 		faults = map[string]any{"lose_answers": map[string]any{
-			"next_writes": a.number("next", 1), "before_effect": a.has("before-effect"),
+			"next_writes": a.number("next", 1), "before_effect": a.has("before-effect"), "table_only": a.has("table-only"),
 		}}
 	default:
 		a.fail(usage("platform down, up, slow or lose-answers"))
--- a/pkg/lab/scenario/load.go
+++ b/pkg/lab/scenario/load.go
@@ -85,7 +85,7 @@
 
 func (l *load) send(from *caller.Caller, team, route string) {
 	w := l.world
-	rec := &record{id: w.newID(), team: team, idempotent: route == readRoute, sent: time.Now(), dialed: true}
+	rec := &record{id: w.newID(), team: team, route: route, idempotent: route == readRoute, sent: time.Now(), dialed: true}
 	w.add(rec)
 	method := http.MethodPost
 	if rec.idempotent {
--- a/pkg/lab/scenario/send.go
+++ b/pkg/lab/scenario/send.go
@@ -27,6 +27,7 @@
 type record struct {
 	id         string
 	team       string
+	route      string
 	idempotent bool
 	sent       time.Time
 	ended      time.Time
@@ -106,7 +107,7 @@
 
 // send sends one request on a connection, or on one of its own when c is nil.
 func (w *world) send(c *connection, address string, r request) *record {
-	rec := &record{id: r.id, team: r.team, idempotent: r.route == readRoute, sent: time.Now()}
+	rec := &record{id: r.id, team: r.team, route: r.route, idempotent: r.route == readRoute, sent: time.Now()}
 	w.add(rec)
 	if c == nil {
 		own, err := dial(address)
@@ -163,14 +164,15 @@
 
 // sendCommand sends requests that must each be answered as expected; with
 // within, it repeats until one is, which must happen in that time from now, or
-// from a mark that is given as since.
+// from a mark that is given as since. With for, it repeats for that time from
+// the mark.
 func (w *world) sendCommand(a *arguments) error {
 	r := request{
 		team: a.text("team", "red"), route: a.text("route", readRoute), claim: a.text("claim", ""), id: a.text("id", ""),
 	}
 	r.key = a.text("key", w.keys[r.team])
 	count, within, since, e := a.number("n", 1), a.duration("within", 0), a.text("since", ""), expected(a)
-	parallel := a.has("parallel")
+	parallel, lasting := a.has("parallel"), a.duration("for", 0)
 	via := a.index(a.text("via", "1"))
 	var c *connection
 	if name := a.text("conn", ""); name != "" {
@@ -183,6 +185,9 @@
 		return err
 	}
 	address := w.fleet.Instances[via].Settings.CallerAddress
+	if lasting > 0 {
+		return w.sendFor(c, address, r, e, lasting, since)
+	}
 	if within > 0 {
 		return w.sendUntil(c, address, r, e, within, since)
 	}
@@ -222,6 +227,21 @@
 	return nil
 }
 
+// sendFor sends requests for a time from a mark; each must be answered as expected.
+func (w *world) sendFor(c *connection, address string, r request, e expectation, lasting time.Duration, since string) error {
+	from, err := w.markOf(since)
+	if err != nil {
+		return err
+	}
+	for time.Since(from) < lasting {
+		if rec := w.send(c, address, w.numbered(r)); !e.met(rec) {
+			return unmet("expected %+v, got %s, %s after %s", e, rec.describe(), rec.sent.Sub(from), since)
+		}
+		time.Sleep(pollInterval)
+	}
+	return nil
+}
+
 func (w *world) sendParallel(address string, r request, e expectation, count int) error {
 	records := make([]*record, count)
 	var group sync.WaitGroup
