Add scripts for late answers, shed requests and a slow platform

Change: targets can answer late; g2-freeze-beyond-fence lets a queue build up before the freeze and g4-silent-connections fills the pools of connections before the silence; random faults run while patches are submitted; fleets claim networks that older programs do not use; the checks log the counts of answers.

--- a/pkg/lab/fleet/address.go
+++ b/pkg/lab/fleet/address.go
@@ -25,10 +25,11 @@
 	targetNet   = 10
 )
 
-// Second bytes of the loopback addresses of fleets.
+// Second bytes of the loopback addresses of fleets. Programs built before the
+// claims choose from 16 to 215 by process id, without a check.
 const (
-	firstNetwork = 16
-	networks     = 200
+	firstNetwork = 216
+	networks     = 39
 )
 
 // network is the part of the loopback range that one fleet uses. The claim is a
--- a/pkg/lab/scenario/check.go
+++ b/pkg/lab/scenario/check.go
@@ -1,6 +1,8 @@
 package scenario
 
 import (
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/lab/experiment"
@@ -70,6 +72,7 @@
 	if e.keysSeen > 0 {
 		return unmet("targets saw keys in %d requests", e.keysSeen)
 	}
+	w.logf("# answers: %v", w.summary())
 	windows := map[string][]experiment.Window{}
 	for _, r := range w.finished() {
 		if err := e.judge(r); err != nil {
@@ -91,6 +94,19 @@
 	return w.watch.result()
 }
 
+// summary counts the answers by route, status and code, for the log.
+func (w *world) summary() map[string]int {
+	counts := map[string]int{}
+	for _, r := range w.finished() {
+		answer := "none"
+		if r.err == nil {
+			answer = strconv.Itoa(r.status) + " " + string(r.code)
+		}
+		counts[strings.TrimSpace(r.route+" "+answer)]++
+	}
+	return counts
+}
+
 func (e *evidence) judge(r record) error {
 	switch {
 	case r.notRun() && e.received[r.id] > 0:
--- a/pkg/lab/scenario/commands.go
+++ b/pkg/lab/scenario/commands.go
@@ -37,7 +37,7 @@
 //	connect NAME via=N             opens a keep-alive connection
 //	send [team= route= id= claim= via= conn= n= parallel=1] [status= code= outcome=] [within=D|for=D] [since=M]
 //	load [team=LIST routes= rate= via=LIST], stop-load
-//	target LIST drain|undrain|kill|revive|silence|heal|JSON
+//	target LIST drain|undrain|kill|revive|silence|heal|JSON|late by=D
 //	mark M, after M plus=D         records or awaits a time
 //	expect safety
 //	expect no-runs TEAM since=M [plus=D]
--- a/pkg/lab/scenario/faults.go
+++ b/pkg/lab/scenario/faults.go
@@ -223,13 +223,21 @@
 	return found
 }
 
-// target changes targets: faults as JSON, drain, undrain, kill, revive, silence.
+// target changes targets: faults as JSON, drain, undrain, kill,
+// revive, silence, or late by a time in each direction.
 func (w *world) target(a *arguments) error {
-	targets, action := w.targets(a, a.word(0)), a.word(1)
+	targets, action, by := w.targets(a, a.word(0)), a.word(1), a.duration("by", 0)
 	if err := a.finish(); err != nil {
 		return err
 	}
 	for _, t := range targets {
+		if action == "late" {
+			// The delay is that of each direction.
+			if err := w.relays[t.ID].SetFaults(relay.Faults{DelayMS: int(by.Milliseconds())}); err != nil {
+				return err
+			}
+			continue
+		}
 		if err := w.changeTarget(t, action); err != nil {
 			return err
 		}
--- a/pkg/lab/scenario/operator.go
+++ b/pkg/lab/scenario/operator.go
@@ -117,11 +117,15 @@
 }
 
 func (w *world) patch(n int, version int64, patch []byte) patchResult {
+	return patchAt(w.fleet.Instances[n].Settings.OperatorAddress, patchTimeout, version, patch)
+}
+
+func patchAt(address string, timeout time.Duration, version int64, patch []byte) patchResult {
 	header := map[string]string{
 		"If-Match":     strconv.Quote(strconv.FormatInt(version, 10)),
 		"Content-Type": config.MergePatchType,
 	}
-	status, data, err := w.operate(n, patchTimeout, http.MethodPatch, api.ConfigPath, header, patch)
+	status, data, err := operateAt(address, timeout, http.MethodPatch, api.ConfigPath, header, patch)
 	result := patchResult{status: status, err: err}
 	if err != nil {
 		return result
--- a/pkg/lab/scenario/random.go
+++ b/pkg/lab/scenario/random.go
@@ -1,9 +1,13 @@
 package scenario
 
 import (
+	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
 )
 
 // Random faults: one begins in each step, and each lasts some steps.
@@ -17,8 +21,9 @@
 )
 
 // randomFaults begins and ends faults chosen from the seed: kills, freezes,
-// cuts, outages of the platform and faults of targets. All are ended at the
-// end, and the fleet must then become whole again.
+// cuts, outages of the platform and faults of targets, while patches are
+// submitted. All are ended at the end; the fleet must then become whole again
+// and have the newest accepted version in force.
 func (w *world) randomFaults(a *arguments) error {
 	during := a.duration("for", 5*time.Second)
 	if err := a.finish(); err != nil {
@@ -26,6 +31,8 @@
 	}
 	w.logf("# random faults with seed %d", w.options.Seed)
 	rng := rand.New(rand.NewPCG(w.options.Seed, 1))
+	p := startPatcher(w)
+	defer p.stop()
 	var open []*fault
 	for begun := time.Now(); time.Since(begun) < during; time.Sleep(faultStep) {
 		open = append(open, w.randomFault(rng))
@@ -49,7 +56,60 @@
 			return err
 		}
 	}
-	return w.waitMembers(len(w.fleet.Instances), healLimit)
+	p.stop()
+	if err := w.waitMembers(len(w.fleet.Instances), healLimit); err != nil {
+		return err
+	}
+	w.logf("# %d of %d patches were accepted", p.accepted, p.tried)
+	w.version = max(w.version, p.newest)
+	return w.waitInForce(w.version, inForceObjective)
+}
+
+// patcher submits patches through all instances in turn, one after the other.
+// They change nothing that the checks depend on.
+type patcher struct {
+	addresses       []string
+	cancel          context.CancelFunc
+	group           sync.WaitGroup
+	tried, accepted int
+	newest          int64
+}
+
+const patchPause = 200 * time.Millisecond
+
+func startPatcher(w *world) *patcher {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &patcher{cancel: cancel}
+	for _, i := range w.fleet.Instances {
+		p.addresses = append(p.addresses, i.Settings.OperatorAddress)
+	}
+	p.group.Go(func() { p.run(ctx) })
+	return p
+}
+
+// stop ends the patches; it may be called more than once.
+func (p *patcher) stop() {
+	p.cancel()
+	p.group.Wait()
+}
+
+func (p *patcher) run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		address := p.addresses[n%len(p.addresses)]
+		var s api.Status
+		if get(address, api.StatusPath, &s) {
+			p.tried++
+			patch := `{"batches":{"short":{"share":` + strconv.Itoa(1+n%9) + `}}}`
+			if r := patchAt(address, statusTimeout, s.ConfigVersion, []byte(patch)); r.version > 0 {
+				p.accepted++
+				p.newest = max(p.newest, r.version)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(patchPause):
+		}
+	}
 }
 
 // fault is one fault in progress.
--- a/pkg/lab/scenario/watch.go
+++ b/pkg/lab/scenario/watch.go
@@ -76,6 +76,9 @@
 	defer v.mu.Unlock()
 	v.polls++
 	v.versions(s, forced)
+	if s.ConfigState == api.InForce {
+		v.forced = max(v.forced, s.ConfigVersion)
+	}
 	if known {
 		v.floor(s.Instance, d)
 	}
