Count requests by route and result, compare the configuration page with types

Change: arbutus_requests has the label route. The lookup is left out for requests without a valid key.

The fields in docs/configuration.md are compared with the types.

--- a/pkg/ctl/docs_test.go
+++ b/pkg/ctl/docs_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"os"
+	"reflect"
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"github.com/matryer/is"
@@ -110,3 +112,30 @@
 		}
 	}
 }
+
+// Guards against fields of the configuration that the docs leave out, and
+// against documented ones that do not exist.
+func TestConfigurationFields(t *testing.T) {
+	is := is.New(t)
+	described := map[string]bool{}
+	for _, m := range regexp.MustCompile("(?m)^\\| `([a-z_.ID0-9]+)` \\|").FindAllStringSubmatch(readPage(t, "configuration.md"), -1) {
+		described[m[1]] = true
+	}
+	count := 0
+	var visit func(path string, v reflect.Type)
+	visit = func(path string, v reflect.Type) {
+		switch {
+		case v.Kind() == reflect.Map:
+			visit(path+".ID", v.Elem())
+		case v.Kind() == reflect.Struct && v != reflect.TypeFor[time.Time]():
+			for i := range v.NumField() {
+				visit(strings.TrimPrefix(path+"."+v.Field(i).Tag.Get("json"), "."), v.Field(i).Type)
+			}
+		default:
+			count++
+			is.True(described[path]) // docs/configuration.md lacks a field
+		}
+	}
+	visit("", reflect.TypeFor[config.Config]())
+	is.Equal(len(described), count)
+}
--- a/pkg/entry/caller.go
+++ b/pkg/entry/caller.go
@@ -18,15 +18,17 @@
 
 // serveCaller is the handler of the callers' listener.
 func (i *Instance) serveCaller(ctx *fasthttp.RequestCtx) {
-	defer i.counters.request(&ctx.Response.Header)
 	path := string(ctx.Path())
 	switch {
 	case path == directoryPath:
 		i.serveDirectory(ctx)
+		i.counters.request(noRoute, &ctx.Response.Header)
 	case strings.HasPrefix(path, reservedPrefix):
 		proxy.WriteRefusal(ctx, refusal.New(refusal.RouteUnknown, nil))
+		i.counters.request(noRoute, &ctx.Response.Header)
 	default:
 		i.proxy.Handle(ctx)
+		i.countForwarded(ctx, path)
 		hideKey(&ctx.Response.Header)
 	}
 }
@@ -72,6 +74,6 @@
 func (i *Instance) countInputErrors(refuse func(*fasthttp.RequestCtx, error)) func(*fasthttp.RequestCtx, error) {
 	return func(ctx *fasthttp.RequestCtx, err error) {
 		refuse(ctx, err)
-		i.counters.request(&ctx.Response.Header)
+		i.counters.request(noRoute, &ctx.Response.Header)
 	}
 }
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -69,15 +69,38 @@
 	return counter
 }
 
-// request counts one request of a caller by its response.
-func (c *counters) request(h *fasthttp.ResponseHeader) {
-	code := h.Peek(refusal.CodeHeader)
-	if len(code) == 0 {
-		c.add(1, series{name: metricRequests, first: resultAnswered}, tagResult, "")
+// request counts one request of a caller by its response. route is the route
+// of an authenticated request and noRoute of any other.
+func (c *counters) request(route string, h *fasthttp.ResponseHeader) {
+	result := resultAnswered
+	if code := h.Peek(refusal.CodeHeader); len(code) > 0 {
+		result = resultRefused
+		c.add(1, series{name: metricRefusals, first: string(code)}, tagCode, "")
+	}
+	c.add(1, series{name: metricRequests, first: route, second: result}, tagRoute, tagResult)
+}
+
+// noRoute is the route of requests to the directory, of those without a valid
+// key, and of those that match no route.
+const noRoute = "none"
+
+// countForwarded counts a request that the proxy has answered. The route is
+// looked up again, because the proxy does not tell it. Requests refused before
+// their key was found valid are left out of the lookup, whose time grows with
+// the path.
+func (i *Instance) countForwarded(ctx *fasthttp.RequestCtx, path string) {
+	h := &ctx.Response.Header
+	switch refusal.Code(h.Peek(refusal.CodeHeader)) {
+	case refusal.KeyMissing.Code, refusal.KeyInvalid.Code, refusal.KeyMisplaced.Code, refusal.RequestInvalid.Code,
+		refusal.RouteUnknown.Code, refusal.NotFresh.Code:
+		i.counters.request(noRoute, h)
 		return
 	}
-	c.add(1, series{name: metricRequests, first: resultRefused}, tagResult, "")
-	c.add(1, series{name: metricRefusals, first: string(code)}, tagCode, "")
+	route := noRoute
+	if match, ok := i.control.View().Config.Match(string(ctx.Method()), path); ok {
+		route = match.ID
+	}
+	i.counters.request(route, h)
 }
 
 // countingBalancer counts the attempts and retries of the data path.
--- a/pkg/entry/metrics_test.go
+++ b/pkg/entry/metrics_test.go
@@ -38,7 +38,8 @@
 	var scraped string
 	for _, sample := range []string{
 		`attempts\{.*result="answered",route="preview"\} 3`, `attempts\{.*result="broken",route="preview"\} [12]`,
-		`refusals\{.*code="key_invalid".*\} 1`, `requests\{.*result="refused"\} [0-9]+`, `retries\{.*route="preview"\} 1`,
+		`refusals\{.*code="key_invalid".*\} 1`, `requests\{.*result="answered",route="preview"\} 3`,
+		`requests\{.*result="refused",route="preview"\} 1`, `requests\{.*result="refused",route="none"\} 1`, `retries\{.*route="preview"\} 1`,
 		`targets\{.*service="portal",state="active"\} 1`,
 	} {
 		line := regexp.MustCompile(`(?m)^arbutus_` + sample + `$`)
@@ -109,7 +110,7 @@
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
 			c.add(1, series{name: metricAttempts, first: "preview", second: resultAnswered}, tagRoute, tagResult)
-			c.request(&h)
+			c.request("preview", &h)
 		}
 	})
 }
