Judge slowness on whole windows only; treat silence as a full stall

Change: slowness needs the whole window and at most 0.75 requests per slot (1 before) where throughput does not show it. The 1 s applies only if an answer came within the last 0.5 s.

--- a/pkg/health/decide.go
+++ b/pkg/health/decide.go
@@ -22,6 +22,9 @@
 	// coldGrace after the last cold signal keeps a target that warms up from
 	// being ejected as slow. It covers the balancers' slow start.
 	coldGrace = 20 * time.Second
+	// unqueuedLoad per slot is the average load up to which requests hardly wait
+	// for a slot. With 1.0 a target that had a queue by chance was ejected.
+	unqueuedLoad = 0.75
 	// queuedThroughput is the share of its peers' throughput from which a slow
 	// target with a queue counts as busy, not as slow.
 	queuedThroughput = 0.7
@@ -191,7 +194,8 @@
 		found = reasonErrors
 		if sum := recent[name]; sum.stalls >= sum.errors {
 			found = reasonStalls
-			if t.window.sum(now, partialWindow, t.since).badShare() < completeShare {
+			last := t.window.sum(now, partialWindow, t.since)
+			if last.answers > 0 && last.badShare() < completeShare {
 				confirm = max(confirm, partialConfirm)
 			}
 		}
@@ -243,7 +247,8 @@
 
 // slow tells whether the target answers much later than its peers, for a
 // reason other than warming up or a queue that has built up by chance. A queue
-// by chance leaves the throughput as it is, a slow target's is lower.
+// by chance leaves the throughput as it is, a slow target's is lower. The whole
+// window must be covered: the queues of the first second differ widely.
 func (s *serviceHealth) slow(
 	name string, t *targetHealth, now time.Duration, p Profile, sums map[string]tally,
 ) bool {
@@ -251,7 +256,7 @@
 	if sum.answers < minSlowSamples || sum.logMean() < minSlowLog {
 		return false
 	}
-	if t.probe.warming(now) {
+	if t.probe.warming(now) || now-t.since < p.SlowWindow {
 		return false
 	}
 	others := s.peersOf(name, sums)
@@ -263,7 +268,7 @@
 		return false
 	}
 	slots := float64(max(t.slots, 1))
-	return t.loadAverage <= slots || float64(sum.answers)/slots < queuedThroughput*others.answersPerSlot
+	return t.loadAverage <= unqueuedLoad*slots || float64(sum.answers)/slots < queuedThroughput*others.answersPerSlot
 }
 
 // probesWork tells whether the probes of at least half of the other targets
