Take the platform's list as a drain signal of targets

Cause: a target that the platform lists as leaving kept its work until its own health path or answers said so. Ruled out: polling the list at every instance; it grows with the fleet, and only evaluators decide about targets.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/fairqueue"
 	"github.com/arbutuslink/arbutuslink/pkg/head"
 	"github.com/arbutuslink/arbutuslink/pkg/health"
+	"github.com/arbutuslink/arbutuslink/pkg/health/httpprobe"
 	"github.com/arbutuslink/arbutuslink/pkg/limit"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
 	"github.com/arbutuslink/arbutuslink/pkg/metrics"
@@ -183,7 +184,7 @@
 	group.Go(func() error { return i.control.Run(ctx) })
 	group.Go(func() error { return i.limiter.Run(ctx) })
 	group.Go(func() error { return i.reporter.Run(ctx, i) })
-	group.Go(func() error { return i.evaluator.Run(ctx, newProber()) })
+	group.Go(func() error { return i.evaluator.Run(ctx, newProber(httpprobe.New(), i.platform.list, i.clock)) })
 	group.Go(func() error { return i.retainConfigured(ctx) })
 }
 
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -5,9 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 
-	"github.com/arbutuslink/arbutuslink/pkg/health"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
@@ -66,34 +64,3 @@
 		i.collector.Retain(i.control.View().Config.Config.Services)
 	}
 }
-
-// prober sends probes over HTTP.
-type prober struct{ client *fasthttp.Client }
-
-func newProber() *prober {
-	return &prober{client: &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxConnsPerHost:           2,
-		MaxResponseBodySize:       maxProbeBody,
-		NoDefaultUserAgentHeader:  true,
-	}}
-}
-
-const maxProbeBody = 64 << 10
-
-// Probe asks a target for its health.
-func (p *prober) Probe(ctx context.Context, address, path string) health.ProbeStatus {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + address + path)
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(health.ProbeTimeout)
-	}
-	if err := p.client.DoDeadline(req, resp, deadline); err != nil {
-		return health.ProbeFailed
-	}
-	return health.ParseProbe(resp.StatusCode(), resp.Body())
-}
