--- /dev/null
+++ b/pkg/membership/membership_test.go
@@ -0,0 +1,99 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func member(n int) Member {
+	return Member{Incarnation: fmt.Sprintf("m%03d", n), Zone: string(rune('a' + n%4))}
+}
+
+// Guards against witnesses that are not members, too few or too many of them,
+// lost sorting, and a witness that is replaced without need.
+func TestWithKeepsWitnesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		limit := rapid.IntRange(1, 15).Draw(t, "limit")
+		m := &Membership{}
+		for step := range rapid.IntRange(1, 12).Draw(t, "steps") {
+			var add []Member
+			for _, n := range rapid.SliceOfN(rapid.IntRange(0, 60), 0, 8).Draw(t, "add") {
+				add = append(add, member(n))
+			}
+			var remove []string
+			for _, old := range m.Members {
+				if rapid.IntRange(0, 5).Draw(t, "remove") == 0 {
+					remove = append(remove, old.Incarnation)
+				}
+			}
+			next := m.With(add, remove, limit)
+			is.Equal(next.Version, int64(step+1))
+			is.Equal(len(next.Witnesses), min(limit, len(next.Members)))
+			is.True(slices.IsSorted(next.Witnesses))
+			for _, w := range next.Witnesses {
+				_, ok := next.Find(w)
+				is.True(ok)
+			}
+			for _, w := range m.Witnesses {
+				if _, stays := next.Find(w); stays {
+					is.True(next.IsWitness(w)) // kept while a member
+				}
+			}
+			m = next
+		}
+	})
+}
+
+// Guards against a zone whose loss takes a majority of the witnesses away.
+func TestWitnessesSpreadOverZones(t *testing.T) {
+	for _, zones := range []int{3, 4} {
+		is := is.New(t)
+		m := &Membership{}
+		for n := range 48 {
+			m = m.With([]Member{{Incarnation: fmt.Sprintf("m%03d", n), Zone: string(rune('a' + n%zones))}}, nil, 15)
+		}
+		perZone := map[string]int{}
+		for _, w := range m.Witnesses {
+			found, _ := m.Find(w)
+			perZone[found.Zone]++
+		}
+		for _, count := range perZone {
+			is.True(len(m.Witnesses)-count >= m.Majority())
+		}
+	}
+}
+
+// Guards against a change of one member that moves roles of other members.
+func TestRankMovesOnlyTheChangedMember(t *testing.T) {
+	is := is.New(t)
+	m := &Membership{}
+	for n := range 20 {
+		m = m.With([]Member{member(n)}, nil, 15)
+	}
+	smaller := m.With(nil, []string{"m007"}, 15)
+	for k := range 50 {
+		key := fmt.Sprint("team-", k)
+		without := slices.DeleteFunc(m.Rank(key), func(x Member) bool { return x.Incarnation == "m007" })
+		is.Equal(smaller.Rank(key), without)
+	}
+}
+
+// Guards against all places of a role in one zone.
+func TestRankSpreadUsesAllZones(t *testing.T) {
+	is := is.New(t)
+	m := &Membership{}
+	for n := range 20 {
+		m = m.With([]Member{member(n)}, nil, 15)
+	}
+	zones := map[string]bool{}
+	for _, chosen := range m.RankSpread("health/portal", 4) {
+		zones[chosen.Zone] = true
+	}
+	is.Equal(len(zones), 4)
+	is.Equal(len(m.RankSpread("x", 100)), 20)
+}
