Tell lost members by their replaced addresses; distrust foreign lists

Cause: a list that lacked every process, for example after the platform's own restart, made the minority of a partition take the majority for gone and go on by itself. And a fleet whose processes were all restarted at their addresses waited for an operator when the list names addresses only. Ruled out: requiring incarnations on the list; the platform does not know them. Change: a list without the asking process tells nothing; a member whose address another process has held for F plus drift, while it was silent, counts as gone. The lab registers instances on the simulated list.

--- a/pkg/control/core.go
+++ b/pkg/control/core.go
@@ -68,6 +68,9 @@
 	holders map[string]bool
 	// gone are witnesses that will never answer again.
 	gone map[string]bool
+	// replaced holds the time since which another process answers at the
+	// address of a member.
+	replaced map[string]time.Duration
 	// configDelivered holds the boot time at which this instance learned of the
 	// delivery of a configuration version.
 	configDelivered map[int64]time.Duration
@@ -100,7 +103,7 @@
 		o: o, async: async, fence: fence.New(o.F), self: o.Self, phase: joining, cur: emptyDocuments(),
 		holders: map[string]bool{}, gone: map[string]bool{}, configDelivered: map[int64]time.Duration{},
 		heard: map[string]time.Duration{}, since: map[string]time.Duration{},
-		reports: map[string]unheardReport{}, inFlight: map[string]int{}, unlisted: map[string]time.Duration{},
+		reports: map[string]unheardReport{}, replaced: map[string]time.Duration{}, inFlight: map[string]int{}, unlisted: map[string]time.Duration{},
 	}
 	now := c.now()
 	c.process = o.NewID()
@@ -156,6 +159,7 @@
 		c.poll(now)
 	}
 	c.askSeeds(now)
+	c.checkReplaced(now)
 	c.checkLost(now)
 	c.pursue(now)
 }
@@ -254,6 +258,7 @@
 	prune(c.since, listed)
 	prune(c.heard, listed)
 	prune(c.gone, listed)
+	prune(c.replaced, listed)
 	prune(c.reports, listed)
 	prune(c.unlisted, listed)
 }
--- a/pkg/control/exchange.go
+++ b/pkg/control/exchange.go
@@ -62,6 +62,9 @@
 func (c *core) onReply(from membership.Member, began time.Duration, reply *peerpb.ExchangeReply) {
 	now := c.now()
 	c.hear(now, reply.Incarnation)
+	if processOf(reply.Incarnation) != processOf(from.Incarnation) {
+		c.noteReplaced(now, from.Incarnation)
+	}
 	if reply.Incarnation == from.Incarnation && reply.Witness {
 		versions := fence.Versions{Config: reply.Versions.GetConfig(), Membership: reply.Versions.GetMembership()}
 		c.fence.Acknowledge(now, reply.Incarnation, began, versions)
@@ -73,8 +76,9 @@
 func (c *core) hear(now time.Duration, incarnation string) {
 	if _, listed := c.since[incarnation]; listed {
 		c.heard[incarnation] = now
-		// The list or the operator was wrong.
+		// The list, the address or the operator was wrong.
 		delete(c.gone, incarnation)
+		delete(c.replaced, incarnation)
 	}
 }
 
--- /dev/null
+++ b/pkg/control/lost_test.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/platform"
+)
+
+// Guards against a list that is empty, for example after the platform's own
+// restart, making the minority of a partition take the majority for gone.
+func TestEmptyListTellsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 21)
+	nodes := s.fleet(5)
+	s.watchInForce()
+	s.run(6 * time.Second)
+	for i := range 2 {
+		for j := 2; j < 5; j++ {
+			s.cuts[[2]string{nodes[i].address, nodes[j].address}] = true
+			s.cuts[[2]string{nodes[j].address, nodes[i].address}] = true
+		}
+	}
+	s.run(30 * time.Second)
+	is.True(!nodes[0].fresh())
+	is.True(!nodes[1].fresh())
+	is.True(nodes[2].fresh())
+	is.Equal(len(nodes[0].gone), 0)
+}
+
+// Guards against a fleet that waits for an operator after all processes were
+// restarted at their addresses, when the list names addresses only.
+func TestAllRestartedInPlace(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 22)
+	nodes := s.fleet(5)
+	s.run(6 * time.Second)
+	before := nodes[0].cur.row.MembershipVersion
+	var successors []*node
+	for _, n := range nodes {
+		n.dead = true
+		s.platform.listed = append(s.platform.listed, platform.Listed{Address: n.address, State: platform.Live})
+	}
+	for _, n := range nodes {
+		successors = append(successors, s.start(n.address, "a"))
+	}
+	s.until(30*time.Second, "all joined", func() bool { return joined(successors) })
+	is.True(successors[0].cur.row.MembershipVersion > before)
+	is.True(successors[0].fresh())
+}
--- a/pkg/control/members.go
+++ b/pkg/control/members.go
@@ -139,6 +139,9 @@
 	var found []string
 	for _, m := range c.cur.membership.Members {
 		if m.PeerAddress == c.self.PeerAddress && m.Incarnation != c.self.Incarnation {
+			if processOf(m.Incarnation) != c.process {
+				c.noteReplaced(c.now(), m.Incarnation)
+			}
 			found = append(found, m.Incarnation)
 		}
 	}
@@ -223,9 +226,36 @@
 	})
 }
 
+// noteReplaced records that another process answers at the address of a member.
+func (c *core) noteReplaced(now time.Duration, incarnation string) {
+	if _, known := c.replaced[incarnation]; !known {
+		c.replaced[incarnation] = now
+	}
+}
+
+// checkReplaced takes members for gone whose address another process has held,
+// and which were silent, for F plus drift. The list cannot tell such members
+// from their successors when it names addresses only.
+func (c *core) checkReplaced(now time.Duration) {
+	for id, from := range c.replaced {
+		if heard, ok := c.heard[id]; ok && now-heard < c.o.RemoveAfter {
+			continue
+		}
+		if !c.gone[id] && now-from >= fence.Settle(c.o.F) {
+			c.gone[id] = true
+			c.checkDelivered()
+		}
+	}
+}
+
 // compareList takes members for gone that have been absent from the list, and
-// silent, for F plus drift. The list shows new processes late.
+// silent, for F plus drift. The list shows new processes late. A list without
+// this process is empty, of another fleet or too old, and tells nothing.
 func (c *core) compareList(now time.Duration, listed []platform.Listed) {
+	if !onList(c.self, listed) {
+		c.unlisted = map[string]time.Duration{}
+		return
+	}
 	for _, m := range c.members() {
 		id := m.Incarnation
 		heard, ok := c.heard[id]
--- a/pkg/lab/fleet/fleet.go
+++ b/pkg/lab/fleet/fleet.go
@@ -47,7 +47,10 @@
 	directory string
 	temporary bool
 	entryPath string
-	network   *network
+	listing   *listing
+	// stop ends the goroutines of the fleet.
+	stop    context.CancelFunc
+	network *network
 
 	mu        sync.Mutex
 	processes []*Process
@@ -80,8 +83,13 @@
 		f.entryPath = entryPath
 	}
 	var err error
-	f.network, err = claimNetwork()
-	return f, err
+	if f.network, err = claimNetwork(); err != nil {
+		return nil, err
+	}
+	background, stop := context.WithCancel(context.Background())
+	f.stop, f.listing = stop, newListing(f.PlatformURL()+"/instances")
+	go f.listing.run(background)
+	return f, nil
 }
 
 // Start starts the platform, the targets and all instances, and waits until
@@ -155,9 +163,17 @@
 		return err
 	}
 	instance.Process = p
+	f.listing.follow(advertised(s), s.AvailabilityZone, p)
 	return waitListening(ctx, s.CallerAddress, p)
 }
 
+func advertised(s *settings.Entry) string {
+	if s.AdvertisePeerAddress != "" {
+		return s.AdvertisePeerAddress
+	}
+	return s.PeerAddress
+}
+
 func (f *Fleet) instanceSettings(n int) *settings.Entry {
 	zones := f.Options.Deployment.Zones
 	ip := f.network.loopback(instanceNet, n+1)
@@ -213,6 +229,7 @@
 
 // Close kills every process that still runs and removes a temporary directory.
 func (f *Fleet) Close() {
+	f.stop()
 	f.mu.Lock()
 	processes := f.processes
 	f.mu.Unlock()
