--- /dev/null
+++ b/pkg/config/bench_test.go
@@ -0,0 +1,61 @@
+package config_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/lab/capacity"
+)
+
+// The benchmarks use the configuration of the expected scale, 53,000 teams and
+// 5,700 routes, which every instance parses for each change.
+
+func expected(b *testing.B) (*config.Config, []byte) {
+	c := capacity.TargetSize.Config(1, time.Unix(1_800_000_000, 0))
+	raw, err := c.Encode()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	return c, raw
+}
+
+// BenchmarkParse is the cost of a new version at every instance.
+func BenchmarkParse(b *testing.B) {
+	_, raw := expected(b)
+	for b.Loop() {
+		if _, err := config.Parse(raw); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkValidate is the part of Parse that checks values and references.
+func BenchmarkValidate(b *testing.B) {
+	c, _ := expected(b)
+	for b.Loop() {
+		if err := c.Validate(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkApply is the cost of a patch at the instance that proposes it.
+func BenchmarkApply(b *testing.B) {
+	c, _ := expected(b)
+	for b.Loop() {
+		if _, err := c.Apply(config.MergePatchType, []byte(`{"teams":{"team-0":{"burst":77}}}`)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkNewSnapshot is the compilation of the lookup form.
+func BenchmarkNewSnapshot(b *testing.B) {
+	c, _ := expected(b)
+	for b.Loop() {
+		config.NewSnapshot(1, c)
+	}
+}
--- /dev/null
+++ b/pkg/lab/capacity/size.go
@@ -0,0 +1,79 @@
+// Package capacity measures what control costs as the fleet and its
+// configuration grow, with processes small enough for one machine.
+package capacity
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+)
+
+// Size is the size of a configuration.
+type Size struct {
+	Teams, Routes, Services, Targets int
+}
+
+// TargetSize is the scale expected within two years.
+var TargetSize = Size{Teams: 53_000, Routes: 5_700, Services: 230, Targets: 5_400}
+
+// Fleet sizes of today and of the expected scale.
+const (
+	fleetToday    = 48
+	fleetExpected = 550
+	zonesExpected = 11
+	witnesses     = 15
+)
+
+const (
+	teamsPerBatch = 100
+	digestBytes   = 32
+	contractTime  = 24 * time.Hour
+)
+
+// scaled is a part of the expected scale.
+func scaled(part float64) Size {
+	of := func(n int) int { return max(1, int(float64(n)*part)) }
+	return Size{Teams: of(TargetSize.Teams), Routes: of(TargetSize.Routes), Services: of(TargetSize.Services), Targets: of(TargetSize.Targets)}
+}
+
+// Config builds a configuration of the size. Equal seeds give equal documents.
+func (s Size) Config(seed uint64, now time.Time) *config.Config {
+	random := rand.New(rand.NewPCG(seed, 0))
+	c := config.Empty()
+	for n := range (s.Teams + teamsPerBatch - 1) / teamsPerBatch {
+		c.Batches[batchID(n)] = config.Batch{Share: float64(1 + n%5), Expires: now.Add(contractTime).UTC().Truncate(time.Second)}
+	}
+	for n := range s.Teams {
+		c.Teams[teamID(n)] = config.Team{Batch: batchID(n / teamsPerBatch), RatePerSecond: float64(5 + n%50), Burst: 10 + n%50}
+		digest := make([]byte, 0, 2*digestBytes)
+		for range digestBytes / 8 {
+			digest = fmt.Appendf(digest, "%016x", random.Uint64())
+		}
+		c.Keys["key-"+strconv.Itoa(n)] = config.Key{Team: teamID(n), SHA256: string(digest)}
+	}
+	for n := range s.Services {
+		c.Services[serviceID(n)] = config.Service{
+			FloorPercent: 70, Profile: config.Careful, HealthPath: "/health", ProbeIntervalMS: 1000, Targets: map[string]config.Target{},
+		}
+	}
+	for n := range s.Targets {
+		c.Services[serviceID(n%s.Services)].Targets["target-"+strconv.Itoa(n)] = config.Target{
+			Address: fmt.Sprintf("127.%d.%d.%d:9000", 100+n>>16, n>>8&0xff, n&0xff), Zone: zoneID(n % zonesExpected), Slots: 4, MaxConnections: 400,
+		}
+	}
+	for n := range s.Routes {
+		c.Routes["route-"+strconv.Itoa(n)] = config.Route{
+			PathPrefix: "/area-" + strconv.Itoa(n/20) + "/item-" + strconv.Itoa(n), Methods: []string{"GET"}, Service: serviceID(n % s.Services),
+			OpenToAll: true, Teams: []string{}, Idempotent: true, TimeoutMS: 2000, MaxAttempts: 3,
+		}
+	}
+	return c
+}
+
+func batchID(n int) string   { return "batch-" + strconv.Itoa(n) }
+func teamID(n int) string    { return "team-" + strconv.Itoa(n) }
+func serviceID(n int) string { return "service-" + strconv.Itoa(n) }
+func zoneID(n int) string    { return "zone-" + strconv.Itoa(n) }
--- /dev/null
+++ b/pkg/lab/capacity/synthetic.go
@@ -0,0 +1,41 @@
+package capacity
+
+import (
+	"fmt"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+)
+
+// incarnationID has the length of a real one.
+func incarnationID(n int) string { return fmt.Sprintf("%024x.0", uint64(n)*0x9e3779b97f4a7c15) }
+
+func member(n int) membership.Member {
+	address := func(port int) string { return fmt.Sprintf("10.20.%d.%d:%d", n>>8, n&0xff, port) }
+	return membership.Member{
+		Incarnation: incarnationID(n), Instance: fmt.Sprintf("entry-%03d", n), Zone: zoneID(n % zonesExpected),
+		PeerAddress: address(7003), CallerAddress: address(7001), OperatorAddress: address(7002),
+	}
+}
+
+func members(count int) *membership.Membership {
+	var add []membership.Member
+	for n := range count {
+		add = append(add, member(n))
+	}
+	return (&membership.Membership{}).With(add, nil, witnesses)
+}
+
+// fixedView is a view that does not change.
+type fixedView struct{ view *control.View }
+
+// View returns the view.
+func (f *fixedView) View() *control.View { return f.view }
+
+// Fresh is always true.
+func (f *fixedView) Fresh() bool { return true }
+
+func viewOf(m *membership.Membership, self membership.Member, c *config.Config) *fixedView {
+	return &fixedView{&control.View{Config: config.NewSnapshot(1, c), Membership: m, Self: self, Member: true, DeliveredAt: 1}}
+}
--- /dev/null
+++ b/pkg/lab/capacity/traffic.go
@@ -0,0 +1,14 @@
+package capacity
+
+import "github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
+
+// callsOf returns the calls between two dumps and their bytes by kind.
+func callsOf(before, after map[string]drpcpeer.Calls) (calls float64, bytes map[string]float64) {
+	bytes = map[string]float64{}
+	for kind, a := range after {
+		b := before[kind]
+		calls += float64(a.Calls - b.Calls)
+		bytes[kind] = float64(a.SentBytes - b.SentBytes + a.ReceivedBytes - b.ReceivedBytes)
+	}
+	return calls, bytes
+}
--- a/pkg/lab/cli/cli.go
+++ b/pkg/lab/cli/cli.go
@@ -83,6 +83,7 @@
 		{"list", "list the experiments", &listCommand{app: a}},
 		{"compare", "compare two reports", &compareCommand{app: a}},
 		{"plot", "draw a report", &plotCommand{app: a}},
+		{"capacity", "measure what control costs as the fleet grows", &capacityCommand{app: a}},
 		{"platform", "run the platform simulator", &platformCommand{app: a}},
 		{"targets", "run simulated targets from a file", &targetsCommand{app: a}},
 	}
