Build the path of a configured value only for a fault

Validate built the JSON path of every member of every value, of which a document of the expected scale has some 300,000. The path is now joined when a check fails.

--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -94,6 +94,14 @@
 
 type validator struct{ document.Checker }
 
+// check records a fault of one member of the value at path unless ok. The path
+// of the member is only built for a fault: a large document has many members.
+func (v *validator) check(ok bool, path, member string, value any, allowed string) {
+	if !ok {
+		v.Check(false, path+member, value, allowed)
+	}
+}
+
 func (v *validator) id(section, id string) string {
 	path := "$." + section + "." + id
 	v.Check(idPattern.MatchString(id), path, id, idAllowed)
@@ -106,8 +114,8 @@
 	v := &validator{}
 	for id, b := range c.Batches {
 		path := v.id("batches", id)
-		v.Check(b.Share > 0 && b.Share <= 1e6, path+".share", b.Share, "more than 0, at most 1000000")
-		v.Check(!b.Expires.IsZero(), path+".expires", b.Expires, "a time in RFC 3339 form")
+		v.check(b.Share > 0 && b.Share <= 1e6, path, ".share", b.Share, "more than 0, at most 1000000")
+		v.check(!b.Expires.IsZero(), path, ".expires", b.Expires, "a time in RFC 3339 form")
 	}
 	for id, t := range c.Teams {
 		c.validateTeam(v, v.id("teams", id), t)
@@ -127,53 +135,53 @@
 
 func (c *Config) validateTeam(v *validator, path string, t Team) {
 	_, ok := c.Batches[t.Batch]
-	v.Check(ok, path+".batch", t.Batch, "the id of a batch")
-	v.Check(t.RatePerSecond >= 0 && t.RatePerSecond <= maxRatePerSecond, path+".rate_per_second", t.RatePerSecond, "0 to 1000000")
-	v.Check(t.Burst >= 1 && t.Burst <= maxBurst, path+".burst", t.Burst, "1 to 1000000")
+	v.check(ok, path, ".batch", t.Batch, "the id of a batch")
+	v.check(t.RatePerSecond >= 0 && t.RatePerSecond <= maxRatePerSecond, path, ".rate_per_second", t.RatePerSecond, "0 to 1000000")
+	v.check(t.Burst >= 1 && t.Burst <= maxBurst, path, ".burst", t.Burst, "1 to 1000000")
 }
 
 func (c *Config) validateKey(v *validator, path string, k Key) {
 	_, ok := c.Teams[k.Team]
-	v.Check(ok, path+".team", k.Team, "the id of a team")
+	v.check(ok, path, ".team", k.Team, "the id of a team")
 	raw, err := hex.DecodeString(k.SHA256)
 	ok = err == nil && len(raw) == 32 && strings.ToLower(k.SHA256) == k.SHA256
-	v.Check(ok, path+".sha256", "the given value", "64 lower-case hex digits")
+	v.check(ok, path, ".sha256", "the given value", "64 lower-case hex digits")
 }
 
 func validateService(v *validator, path string, s Service) {
-	v.Check(s.FloorPercent >= 0 && s.FloorPercent <= 100, path+".floor_percent", s.FloorPercent, "0 to 100")
-	v.Check(s.Profile == Careful || s.Profile == Fast, path+".profile", s.Profile, "careful or fast")
-	v.Check(strings.HasPrefix(s.HealthPath, "/"), path+".health_path", s.HealthPath, "a path that starts with /")
-	v.Check(s.ProbeIntervalMS >= minProbeIntervalMS && s.ProbeIntervalMS <= maxProbeIntervalMS,
-		path+".probe_interval_ms", s.ProbeIntervalMS, "100 to 60000")
+	v.check(s.FloorPercent >= 0 && s.FloorPercent <= 100, path, ".floor_percent", s.FloorPercent, "0 to 100")
+	v.check(s.Profile == Careful || s.Profile == Fast, path, ".profile", s.Profile, "careful or fast")
+	v.check(strings.HasPrefix(s.HealthPath, "/"), path, ".health_path", s.HealthPath, "a path that starts with /")
+	v.check(s.ProbeIntervalMS >= minProbeIntervalMS && s.ProbeIntervalMS <= maxProbeIntervalMS,
+		path, ".probe_interval_ms", s.ProbeIntervalMS, "100 to 60000")
 	for id, t := range s.Targets {
 		tp := path + ".targets." + id
 		v.Check(idPattern.MatchString(id), tp, id, idAllowed)
 		_, err := netip.ParseAddrPort(t.Address)
-		v.Check(err == nil, tp+".address", t.Address, "an IP address and port, such as 10.0.0.1:8080")
-		v.Check(idPattern.MatchString(t.Zone), tp+".zone", t.Zone, idAllowed)
-		v.Check(t.Slots >= 1 && t.Slots <= maxSlots, tp+".slots", t.Slots, "1 to 10000")
-		v.Check(t.MaxConnections >= 1 && t.MaxConnections <= maxConnections, tp+".max_connections", t.MaxConnections, "1 to 100000")
+		v.check(err == nil, tp, ".address", t.Address, "an IP address and port, such as 10.0.0.1:8080")
+		v.check(idPattern.MatchString(t.Zone), tp, ".zone", t.Zone, idAllowed)
+		v.check(t.Slots >= 1 && t.Slots <= maxSlots, tp, ".slots", t.Slots, "1 to 10000")
+		v.check(t.MaxConnections >= 1 && t.MaxConnections <= maxConnections, tp, ".max_connections", t.MaxConnections, "1 to 100000")
 	}
 }
 
 func (c *Config) validateRoute(v *validator, path string, r Route) {
-	v.Check(strings.HasPrefix(r.PathPrefix, "/") && !strings.HasPrefix(r.PathPrefix, "/.arbutus"),
-		path+".path_prefix", r.PathPrefix, "a path that starts with / and not with /.arbutus")
+	v.check(strings.HasPrefix(r.PathPrefix, "/") && !strings.HasPrefix(r.PathPrefix, "/.arbutus"),
+		path, ".path_prefix", r.PathPrefix, "a path that starts with / and not with /.arbutus")
 	for _, m := range r.Methods {
-		v.Check(m != "" && strings.ToUpper(m) == m, path+".methods", m, "upper-case HTTP methods")
+		v.check(m != "" && strings.ToUpper(m) == m, path, ".methods", m, "upper-case HTTP methods")
 	}
 	_, ok := c.Services[r.Service]
-	v.Check(ok, path+".service", r.Service, "the id of a service")
+	v.check(ok, path, ".service", r.Service, "the id of a service")
 	for _, t := range r.Teams {
 		_, ok := c.Teams[t]
-		v.Check(ok, path+".teams", t, "ids of teams")
+		v.check(ok, path, ".teams", t, "ids of teams")
 	}
-	v.Check(!r.OpenToAll || len(r.Teams) == 0, path+".teams", r.Teams, "no teams when open_to_all is true")
-	v.Check(r.TimeoutMS >= 1 && r.TimeoutMS <= maxTimeoutMS, path+".timeout_ms", r.TimeoutMS, "1 to 600000")
-	v.Check(r.MaxAttempts >= 1 && r.MaxAttempts <= maxAttemptsLimit, path+".max_attempts", r.MaxAttempts, "1 to 10")
-	v.Check(r.Idempotent || r.MaxAttempts == 1, path+".max_attempts", r.MaxAttempts, "1 on a route that is not idempotent")
-	v.Check(!r.Deduplicate || !r.Idempotent, path+".deduplicate", r.Deduplicate, "false on an idempotent route")
+	v.check(!r.OpenToAll || len(r.Teams) == 0, path, ".teams", r.Teams, "no teams when open_to_all is true")
+	v.check(r.TimeoutMS >= 1 && r.TimeoutMS <= maxTimeoutMS, path, ".timeout_ms", r.TimeoutMS, "1 to 600000")
+	v.check(r.MaxAttempts >= 1 && r.MaxAttempts <= maxAttemptsLimit, path, ".max_attempts", r.MaxAttempts, "1 to 10")
+	v.check(r.Idempotent || r.MaxAttempts == 1, path, ".max_attempts", r.MaxAttempts, "1 on a route that is not idempotent")
+	v.check(!r.Deduplicate || !r.Idempotent, path, ".deduplicate", r.Deduplicate, "false on an idempotent route")
 }
 
 // validateRouteOverlap rejects two routes that match the same request equally well.
