limitsim: steer callers by the directory, give the distribution of waits

In a run of 48 real instances Limiter.Take took p99 228 ms, mostly at teams of 20 to 50/s. The simulation had no callers that follow the directory and gave no distribution of the waits.

Each steered request comes from one of six callers that ask a random instance for addresses every 5 s and use the first half of them, as pkg/lab/caller does. The reference is one central bucket at which requests queue: no distribution of tokens waits less in total.

--- a/pkg/lab/limitsim/limitsim.go
+++ b/pkg/lab/limitsim/limitsim.go
@@ -28,6 +28,9 @@
 	// is spread evenly. The instance is no issuer of the team unless HotIssuer is set.
 	Skew      float64
 	HotIssuer bool
+	// Steered lets the requests outside of Skew come from callers that use the
+	// addresses of the directory.
+	Steered bool
 	// Crash stops one issuer after a quarter of the requests. It is not replaced.
 	Crash     bool
 	Instances int
@@ -48,8 +51,25 @@
 	// OverLimit counts admissions beyond rate*T + burst in some window.
 	OverLimit int
 	Messages  int
-	// WaitP99 and WaitP50 are over the admitted requests.
-	WaitP50, WaitP99 time.Duration
+	// Wait is over the admitted requests.
+	Wait Quantiles
+	// CentralWait is over all requests if they queued at one central bucket. No
+	// distribution of the tokens can wait less in total.
+	CentralWait Quantiles
+}
+
+// Quantiles describe a distribution of waits.
+type Quantiles struct{ P50, P90, P99 time.Duration }
+
+// String gives the quantiles in milliseconds.
+func (q Quantiles) String() string {
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	return fmt.Sprintf("%.1f/%.1f/%.1f", ms(q.P50), ms(q.P90), ms(q.P99))
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	at := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
+	return Quantiles{P50: at(50), P90: at(90), P99: at(99)}
 }
 
 // FalsePercent is the part of all requests that was refused falsely.
@@ -57,10 +77,10 @@
 
 // String gives the figures of a run on one line.
 func (r Result) String() string {
-	return fmt.Sprintf("false %.3f%% fleet %.2f%% central %.2f%% over %d wait p50 %v p99 %v messages/request %.2f",
+	return fmt.Sprintf("false %.3f%% fleet %.2f%% central %.2f%% over %d wait ms %v central %v messages/request %.2f",
 		r.FalsePercent(), 100*float64(r.FleetRefused)/float64(r.Requests),
-		100*float64(r.CentralRefused)/float64(r.Requests), r.OverLimit, r.WaitP50.Round(10*time.Microsecond),
-		r.WaitP99.Round(10*time.Microsecond), float64(r.Messages)/float64(r.Requests))
+		100*float64(r.CentralRefused)/float64(r.Requests), r.OverLimit, r.Wait, r.CentralWait,
+		float64(r.Messages)/float64(r.Requests))
 }
 
 const (
@@ -88,8 +108,23 @@
 	return true
 }
 
+// queue is a central bucket at which requests wait in order instead of being refused.
+type queue struct {
+	// full is when the bucket would be full again.
+	full  time.Duration
+	burst time.Duration
+	cost  time.Duration
+	waits *hdrhistogram.Histogram
+}
+
+func (q *queue) take(now time.Duration) {
+	q.full = max(q.full, now) + q.cost
+	_ = q.waits.RecordValue(max(0, q.full-q.burst-now).Microseconds())
+}
+
 type instance struct {
 	id     string
+	view   *control.View
 	pool   *limit.Pool
 	dead   bool
 	pollAt time.Duration
@@ -115,16 +150,24 @@
 	issuers   []membership.Member
 	central   reference
 	admitted  reference
+	queue     queue
+	callers   []*steered
 	waits     *hdrhistogram.Histogram
 	result    Result
 }
 
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+}
+
 // Run simulates one case. Equal cases give equal results.
 func Run(c Case) Result {
 	s := &simulation{
 		c: c, random: rand.New(rand.NewPCG(c.Seed, 0)), now: warmUp, byID: map[string]*instance{},
-		waits: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3),
+		waits: newHistogram(),
 	}
+	cost := time.Duration(float64(time.Second) / c.Rate)
+	s.queue = queue{cost: cost, burst: time.Duration(c.Burst) * cost, waits: newHistogram()}
 	full := reference{level: int64(c.Burst) * tokenUnits, capacity: int64(c.Burst) * tokenUnits, rateMicro: int64(c.Rate * 1e6), at: warmUp}
 	s.central, s.admitted = full, full
 	s.build()
@@ -135,8 +178,7 @@
 		e.run()
 	}
 	s.result.Requests = c.Requests
-	s.result.WaitP50 = time.Duration(s.waits.ValueAtQuantile(50)) * time.Microsecond
-	s.result.WaitP99 = time.Duration(s.waits.ValueAtQuantile(99)) * time.Microsecond
+	s.result.Wait, s.result.CentralWait = quantiles(s.waits), quantiles(s.queue.waits)
 	return s.result
 }
 
@@ -144,7 +186,7 @@
 	members := (&membership.Membership{})
 	var add []membership.Member
 	for i := range s.c.Instances {
-		add = append(add, membership.Member{Incarnation: fmt.Sprintf("i%02d", i), Zone: fmt.Sprint(i % zones)})
+		add = append(add, membership.Member{Incarnation: fmt.Sprintf("i%02d", i), CallerAddress: fmt.Sprintf("i%02d", i), Zone: fmt.Sprint(i % zones)})
 	}
 	members = members.With(add, nil, 15)
 	document := config.Empty()
@@ -153,8 +195,9 @@
 	s.issuers = s.c.Params.Issuers(members, team, document.Teams[team])
 	for _, m := range members.Members {
 		history := limit.NewHistory(m.Incarnation, s.c.Params)
-		history.Observe(1, &control.View{Config: snapshot, Membership: members, Self: m, Member: true, DeliveredAt: 1})
-		i := &instance{id: m.Incarnation, pool: limit.NewPool(team, history, s.c.Params, s.now)}
+		view := &control.View{Config: snapshot, Membership: members, Self: m, Member: true, DeliveredAt: 1}
+		history.Observe(1, view)
+		i := &instance{id: m.Incarnation, view: view, pool: limit.NewPool(team, history, s.c.Params, s.now)}
 		s.instances = append(s.instances, i)
 		s.byID[i.id] = i
 	}
@@ -163,6 +206,9 @@
 	if s.c.HotIssuer {
 		s.hot = s.byID[s.issuers[len(s.issuers)-1].Incarnation]
 	}
+	for range steeredCallers {
+		s.callers = append(s.callers, &steered{})
+	}
 }
 
 func (s *simulation) at(t time.Duration, run func()) {
@@ -189,6 +235,9 @@
 	if s.random.Float64() < s.c.Skew {
 		return s.hot
 	}
+	if s.c.Steered {
+		return s.steer()
+	}
 	for {
 		if i := s.instances[s.random.IntN(len(s.instances))]; i != s.hot && !i.dead {
 			return i
@@ -198,6 +247,7 @@
 
 func (s *simulation) request(i *instance) {
 	start := s.now
+	s.queue.take(s.now)
 	central := s.central.take(s.now)
 	if !central {
 		s.result.CentralRefused++
--- a/pkg/lab/limitsim/limitsim_test.go
+++ b/pkg/lab/limitsim/limitsim_test.go
@@ -88,3 +88,29 @@
 		}
 	}
 }
+
+// teamsOfDeployment have a burst of about half a second of the rate, as the
+// teams of the simulated deployments.
+var teamsOfDeployment = []struct {
+	rate  float64
+	burst int
+}{{20, 10}, {22, 11}, {37, 18}, {44, 22}, {60, 30}, {100, 50}, {221, 110}, {500, 250}, {1000, 500}}
+
+// Guards against admissions over the limit where callers follow the directory;
+// with -v it prints the distribution of the waits.
+func TestWaits(t *testing.T) {
+	for _, limits := range teamsOfDeployment {
+		for _, skew := range []float64{0, 0.8} {
+			t.Run(fmt.Sprintf("rate=%v/burst=%d/skew=%v", limits.rate, limits.burst, skew), func(t *testing.T) {
+				t.Parallel()
+				c := baseCase(limits.rate, limits.burst, 16)
+				c.Skew, c.Steered = skew, true
+				r := Run(c)
+				t.Logf("rate %v burst %d skew %v: %v", limits.rate, limits.burst, skew, r)
+				if r.OverLimit > 0 {
+					t.Errorf("%d admissions over the limit", r.OverLimit)
+				}
+			})
+		}
+	}
+}
