directory: tell how many addresses are preferred; steer to a team's first issuers

Callers spread over half of a list that differs by zone, so that the stock of a small team was needed at all of its issuers at once. The answer now has the field "preferred". The preferred issuers are the first ones in rank order, the same in all zones: one per 32 tokens of burst or per 100 requests/s. pkg/lab/caller follows the field. The test of the JSON form has the new field.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -12,7 +12,6 @@
 
 	"github.com/arbutuslink/arbutuslink/pkg/control"
 	"github.com/arbutuslink/arbutuslink/pkg/limit"
-	"github.com/arbutuslink/arbutuslink/pkg/membership"
 )
 
 // Defaults of Options.
@@ -40,9 +39,12 @@
 // Answer is the answer to a caller.
 type Answer struct {
 	// Version is the version of the membership that the answer follows from.
-	Version    int64    `json:"version"`
-	LifetimeMS int64    `json:"lifetime_ms"`
-	Addresses  []string `json:"addresses"`
+	Version    int64 `json:"version"`
+	LifetimeMS int64 `json:"lifetime_ms"`
+	// Preferred is the number of leading addresses over which a caller spreads
+	// its requests; the rest is for failures. It is 0 only without addresses.
+	Preferred int      `json:"preferred"`
+	Addresses []string `json:"addresses"`
 }
 
 // EncodeError says that an answer has no JSON form.
@@ -63,10 +65,11 @@
 	return data, nil
 }
 
-// Answer lists addresses for one caller of the team: the issuers of the team's
-// tokens first, then other instances, and within each group the zone of the
-// answering instance first. The caller is any text that differs between
-// callers, such as the remote address; equal callers get equal answers.
+// Answer lists addresses for one caller of the team: the preferred issuers of
+// the team's tokens first, then the other issuers, then other instances, and
+// within each group the zone of the answering instance first. The caller is any
+// text that differs between callers, such as the remote address; equal callers
+// get equal answers.
 func (o Options) Answer(v *control.View, team, caller string, s State) Answer {
 	limitOf, lifetime := o.Addresses, o.Lifetime
 	if limitOf <= 0 {
@@ -75,14 +78,17 @@
 	if lifetime <= 0 {
 		lifetime = DefaultLifetime
 	}
-	issuers := map[string]bool{}
-	for _, m := range o.Params.Issuers(v.Membership, team, v.Config.Config.Teams[team]) {
-		issuers[m.Incarnation] = true
-	}
-	ranked := candidates(v, team, caller, s, issuers)
+	ranked := o.candidates(v, team, caller, s)
+	ranked = ranked[:min(limitOf, len(ranked))]
 	answer := Answer{Version: v.Membership.Version, LifetimeMS: lifetime.Milliseconds(), Addresses: []string{}}
-	for _, c := range ranked[:min(limitOf, len(ranked))] {
+	for _, c := range ranked {
 		answer.Addresses = append(answer.Addresses, c.address)
+		if c.group <= preferredElsewhere {
+			answer.Preferred++
+		}
+	}
+	if answer.Preferred == 0 && len(ranked) > 0 {
+		answer.Preferred = 1
 	}
 	return answer
 }
@@ -94,15 +100,26 @@
 	score   uint64
 }
 
-// Groups in the order of preference.
+// Groups in the order of preference. Each group of another zone follows that of
+// the own zone.
 const (
-	issuerInZone = iota
+	preferredInZone = iota
+	preferredElsewhere
+	issuerInZone
 	issuerElsewhere
 	otherInZone
 	otherElsewhere
 )
 
-func candidates(v *control.View, team, caller string, s State, issuers map[string]bool) []candidate {
+func (o Options) candidates(v *control.View, team, caller string, s State) []candidate {
+	limits := v.Config.Config.Teams[team]
+	groups := map[string]int{}
+	for n, m := range o.Params.Issuers(v.Membership, team, limits) {
+		groups[m.Incarnation] = issuerInZone
+		if n < o.Params.PreferredCount(limits) {
+			groups[m.Incarnation] = preferredInZone
+		}
+	}
 	key := xxhash.Sum64String(team + "\x00" + caller)
 	result := make([]candidate, 0, len(v.Membership.Members))
 	for _, m := range v.Membership.Members {
@@ -110,9 +127,14 @@
 		if self && (!s.Fresh || s.Leaving) {
 			continue
 		}
-		result = append(result, candidate{
-			address: m.CallerAddress, group: groupOf(m, v.Self.Zone, issuers), score: score(key, m.Incarnation),
-		})
+		group, issuer := groups[m.Incarnation]
+		if !issuer {
+			group = otherInZone
+		}
+		if m.Zone != v.Self.Zone {
+			group++
+		}
+		result = append(result, candidate{address: m.CallerAddress, group: group, score: score(key, m.Incarnation)})
 	}
 	sort.Slice(result, func(i, j int) bool {
 		a, b := result[i], result[j]
@@ -127,19 +149,6 @@
 	return result
 }
 
-func groupOf(m membership.Member, zone string, issuers map[string]bool) int {
-	switch issuer, near := issuers[m.Incarnation], m.Zone == zone; {
-	case issuer && near:
-		return issuerInZone
-	case issuer:
-		return issuerElsewhere
-	case near:
-		return otherInZone
-	default:
-		return otherElsewhere
-	}
-}
-
 // score spreads callers over the members of a group by rendezvous hashing.
 func score(key uint64, incarnation string) uint64 {
 	buffer := binary.BigEndian.AppendUint64(make([]byte, 0, 64), key)
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -48,9 +48,11 @@
 			is.Equal(v.Membership.Members[i].Zone, v.Self.Zone) // 5 of the 6 members of the own zone
 		}
 	}
-	data, err := Answer{Version: 1, LifetimeMS: 5000, Addresses: []string{"10.0.0.1:80"}}.JSON()
+	is.Equal(a.Preferred, 1)
+	is.Equal(a.Addresses[0], issuers[0]) // the same at every instance, whatever its zone
+	data, err := Answer{Version: 1, LifetimeMS: 5000, Preferred: 1, Addresses: []string{"10.0.0.1:80"}}.JSON()
 	is.NoErr(err)
-	is.Equal(string(data), `{"version":1,"lifetime_ms":5000,"addresses":["10.0.0.1:80"]}`)
+	is.Equal(string(data), `{"version":1,"lifetime_ms":5000,"preferred":1,"addresses":["10.0.0.1:80"]}`)
 }
 
 // Guards against all callers using the same instance first, and against a
--- a/pkg/lab/caller/caller.go
+++ b/pkg/lab/caller/caller.go
@@ -72,6 +72,8 @@
 	mu        sync.Mutex
 	rng       *rand.Rand
 	addresses []string
+	// preferred is the number of leading addresses that share the load.
+	preferred int
 	expires   time.Time
 }
 
@@ -193,9 +195,7 @@
 	if len(c.addresses) == 0 {
 		return "", errors.WithStack(&NoAddressError{})
 	}
-	// The order of the list is a preference; the first half shares the load.
-	preferred := max(1, len(c.addresses)/2)
-	return c.addresses[(c.rng.IntN(preferred)+try-1)%len(c.addresses)], nil
+	return c.addresses[(c.rng.IntN(c.preferred)+try-1)%len(c.addresses)], nil
 }
 
 func (c *Caller) forget(address string) {
@@ -204,6 +204,9 @@
 	for i, a := range c.addresses {
 		if a == address {
 			c.addresses = append(c.addresses[:i:i], c.addresses[i+1:]...)
+			if i < c.preferred {
+				c.preferred = max(1, c.preferred-1)
+			}
 			return
 		}
 	}
@@ -212,6 +215,7 @@
 // directoryAnswer mirrors the answer of the directory.
 type directoryAnswer struct {
 	LifetimeMS int      `json:"lifetime_ms"`
+	Preferred  int      `json:"preferred"`
 	Addresses  []string `json:"addresses"`
 }
 
@@ -221,6 +225,7 @@
 		answer, ok := c.ask(c.opts.Seeds[(offset+i)%len(c.opts.Seeds)])
 		if ok && len(answer.Addresses) > 0 {
 			c.addresses = answer.Addresses
+			c.preferred = min(max(1, answer.Preferred), len(answer.Addresses))
 			c.expires = time.Now().Add(time.Duration(answer.LifetimeMS) * time.Millisecond)
 			return
 		}
--- a/pkg/lab/limitsim/steered.go
+++ b/pkg/lab/limitsim/steered.go
@@ -42,6 +42,6 @@
 	}
 	answer := directory.Options{Params: s.c.Params}.Answer(i.view, team, "caller", directory.State{Fresh: true})
 	c.addresses = answer.Addresses
-	c.preferred = max(1, len(c.addresses)/2)
+	c.preferred = answer.Preferred
 	c.expires = s.now + directory.DefaultLifetime
 }
--- a/pkg/limit/pool.go
+++ b/pkg/limit/pool.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -62,6 +63,25 @@
 	return m.RankSpread(team, p.issuerCount(t))
 }
 
+// The preferred issuers of a team are those to which the directory steers its
+// callers.
+const (
+	// preferredBurst is the burst in tokens for which a team has one preferred
+	// issuer. A request waits for a loan when the stock of its instance is empty,
+	// and one large stock is empty less often than several small ones.
+	preferredBurst = 32
+	// preferredRate is the largest rate in requests per second that one preferred
+	// issuer is given, unless the team has too few issuers.
+	preferredRate = 100
+)
+
+// PreferredCount is the number of leading members of Issuers to which the
+// team's callers are steered.
+func (p Params) PreferredCount(t config.Team) int {
+	byRate := int(math.Ceil(min(t.RatePerSecond/preferredRate, float64(p.K))))
+	return max(1, min(p.issuerCount(t), max(byRate, t.Burst/preferredBurst)))
+}
+
 // maxWaiting bounds the requests of one team that wait at one instance, since
 // every decision visits all of them.
 const maxWaiting = 256
