--- a/pkg/lab/capacity/loans.go
+++ b/pkg/lab/capacity/loans.go
@@ -66,7 +66,7 @@
 		OneWay: 500 * time.Microsecond, Seed: 1, Params: params,
 	})
 	return []float64{
-		rate, load * 100, float64(instances), skew * 100, float64(r.Messages) / float64(r.Requests), r.FalsePercent(), milliseconds(r.WaitP99),
+		rate, load * 100, float64(instances), skew * 100, float64(r.Messages) / float64(r.Requests), r.FalsePercent(), milliseconds(r.Wait.P99),
 	}
 }
 
