--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -29,7 +29,7 @@
 	TargetReturned = Event{501, "target_returned", zerolog.InfoLevel, "an ejected target takes full load again"}
 	FloorHeld      = Event{502, "floor_held", zerolog.WarnLevel, "a failing target was kept because of the floor; add capacity or repair targets"}
 	TargetDraining = Event{503, "target_draining", zerolog.InfoLevel, "a target announced that it is leaving"}
-	JudgeChanged   = Event{504, "evaluator_changed", zerolog.InfoLevel, "the instance follows another health evaluator for a service"}
+	EvaluatorChanged   = Event{504, "evaluator_changed", zerolog.InfoLevel, "the instance follows another health evaluator for a service"}
 
 	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
 	AnswerIncomplete = Event{601, "answer_incomplete", zerolog.WarnLevel, "a target's answer was cut short and not passed on"}
@@ -51,7 +51,7 @@
 		Joined, MemberRemoved, FenceLost, FenceRegained, GuestStarted, MajorityReplaced, LeftMembership, RemovedSelf,
 		ConfigApplied, ConfigDelivered, ConfigRejected,
 		LoanFailed,
-		TargetEjected, TargetReturned, FloorHeld, TargetDraining, JudgeChanged,
+		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged,
 		OutcomeUnknown, AnswerIncomplete,
 		PlatformUnavailable, PlatformAvailable,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
--- a/pkg/health/follower.go
+++ b/pkg/health/follower.go
@@ -178,7 +178,7 @@
 	heard, evaluator := s.choose(now, f.ranking.evaluators(m, name))
 	if evaluator != "" && evaluator != s.evaluator {
 		if s.evaluator != "" {
-			event.JudgeChanged.Log(f.log).Str("service", name).Str("evaluator", evaluator).Str("previous", s.evaluator).Send()
+			event.EvaluatorChanged.Log(f.log).Str("service", name).Str("evaluator", evaluator).Str("previous", s.evaluator).Send()
 		}
 		s.evaluator = evaluator
 	}
