Reserve slots at targets through a dispatcher per service

An instance has less than one request of its own in flight and hears shared load 250 to 500 ms late, while a request takes 54 ms. Targets therefore shed requests while a third of all slots is free, and a shed non-idempotent request cannot be retried.

The first health evaluator of a service counts reservations per target and gives the next request to the target with the lowest share of slots in use. An instance waits for the answer for the usual round trip plus 2 ms and then uses the balancer that it wraps; a dispatcher that gave no answer is not asked for 25 ms to 2 s. Requests beyond the slots plus a small queue wait and ask again; they are served by batch share and team. Reservations that are not released expire with their request.

Ruled out: holding the call until a slot is free (a peer connection carries one call at a time), and giving a freed slot to a waiting request before it asks (the slot stands idle until then).

The call Reserve has its own connections, so that it does not wait behind loans.

--- a/pkg/control/sim_test.go
+++ b/pkg/control/sim_test.go
@@ -247,6 +247,10 @@
 	return nil, &peer.UnsupportedError{Call: "report"}
 }
 
+func (*simTransport) Reserve(context.Context, string, *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	return nil, &peer.UnsupportedError{Call: "reserve"}
+}
+
 func listedOf(n *node) platform.Listed {
 	return platform.Listed{Address: n.address, Incarnation: n.self.Incarnation, State: platform.Live}
 }
--- /dev/null
+++ b/pkg/dispatch/balancer.go
@@ -0,0 +1,254 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+	"github.com/arbutuslink/arbutuslink/pkg/refusal"
+	"github.com/cockroachdb/errors"
+)
+
+// Caller brings a request to the dispatcher. Implementations fill in the
+// versions of the request and handle those of the reply.
+type Caller interface {
+	SendReserve(ctx context.Context, to membership.Member, request *peerpb.ReserveRequest) (*peerpb.ReserveReply, error)
+}
+
+// callLimit bounds one call. An answer that comes after the request's wait
+// still gives its slot back and tells the round trip.
+const callLimit = 250 * time.Millisecond
+
+// Balancer asks the dispatcher of each service for a target. Without an answer
+// in time it uses the choice of the balancer that it wraps. It implements
+// proxy.Balancer and is safe for concurrent use.
+type Balancer struct {
+	inner     proxy.Balancer
+	clock     clock.Clock
+	viewer    control.Viewer
+	standings Standings
+	own       *Dispatcher
+	caller    Caller
+	options   Options
+	counters  counters
+
+	mu         sync.Mutex
+	membership int64
+	lines      map[string]*line
+}
+
+var _ proxy.Balancer = (*Balancer)(nil)
+
+type counters struct{ granted, late, paused, unusable, full, refused atomic.Uint64 }
+
+// NewBalancer wraps inner. own is this instance's dispatcher, which answers
+// without a message.
+func NewBalancer(
+	c clock.Clock, viewer control.Viewer, standings Standings, inner proxy.Balancer, own *Dispatcher, caller Caller,
+	options Options,
+) *Balancer {
+	return &Balancer{
+		inner: inner, clock: c, viewer: viewer, standings: standings, own: own, caller: caller,
+		options: options.withDefaults(), lines: map[string]*line{},
+	}
+}
+
+// MayRetry spends the route's retry budget.
+func (b *Balancer) MayRetry(route string) bool { return b.inner.MayRetry(route) }
+
+// Acquire chooses a target that is not in tried. It waits for the dispatcher's
+// answer for the usual round trip plus Slack, and longer only while the
+// dispatcher says that all targets are full. Errors are *refusal.Refusal:
+// those of the wrapped balancer, and overloaded after MaxWait.
+func (b *Balancer) Acquire(r proxy.Request, tried []string) (proxy.Attempt, error) {
+	fallback, err := b.inner.Acquire(r, tried)
+	if err != nil || r.Idempotent && !b.options.All || b.onTrial(r.Service, fallback.Target()) {
+		return fallback, err
+	}
+	request := &peerpb.ReserveRequest{
+		Service: r.Service, Team: r.Team, Batch: r.Batch, Idempotent: r.Idempotent, Tried: tried,
+	}
+	start := b.clock.SinceBoot()
+	end := min(start+b.options.MaxWait, r.Deadline)
+	for {
+		reply, line := b.ask(request, r.Deadline)
+		switch {
+		case reply.GetTarget() != "":
+			return b.use(r, tried, fallback, &place{line: line, service: r.Service, target: reply.Target, id: reply.Reservation})
+		case !reply.GetFull():
+			return b.fallBack(r, tried, fallback)
+		}
+		// A request that waits must not count as a request at a target.
+		discard(fallback)
+		fallback = nil
+		request.Ticket = reply.Ticket
+		retry := time.Duration(reply.RetryUs) * time.Microsecond
+		if request.Ticket == 0 || b.clock.SinceBoot()+retry >= end {
+			b.counters.refused.Add(1)
+			return nil, errors.WithStack(refusal.After(refusal.Overloaded, retry))
+		}
+		b.counters.full.Add(1)
+		_ = b.clock.Sleep(context.Background(), retry)
+	}
+}
+
+// onTrial tells whether the target is on trial. The wrapped balancer alone
+// decides about trials.
+func (b *Balancer) onTrial(service, target string) bool {
+	s := b.standings.Standings(service)
+	return s != nil && s.Targets[target].State == peerpb.TargetState_TARGET_STATE_TRIAL
+}
+
+// use takes the granted target. The wrapped balancer has the last word: it
+// knows newer drain signals and its own connections.
+func (b *Balancer) use(r proxy.Request, tried []string, fallback proxy.Attempt, p *place) (proxy.Attempt, error) {
+	if fallback != nil && fallback.Target() == p.target {
+		b.counters.granted.Add(1)
+		return &attempt{Attempt: fallback, balancer: b, place: p}, nil
+	}
+	chosen, err := b.inner.Acquire(r, b.others(r.Service, p.target))
+	if err != nil {
+		b.counters.unusable.Add(1)
+		b.release(p)
+		return b.fallBack(r, tried, fallback)
+	}
+	discard(fallback)
+	b.counters.granted.Add(1)
+	return &attempt{Attempt: chosen, balancer: b, place: p}, nil
+}
+
+// fallBack returns the choice of the wrapped balancer, which a request that
+// waited for a slot has given up before.
+func (b *Balancer) fallBack(r proxy.Request, tried []string, fallback proxy.Attempt) (proxy.Attempt, error) {
+	if fallback != nil {
+		return fallback, nil
+	}
+	return b.inner.Acquire(r, tried)
+}
+
+// discard gives up an attempt to which nothing was written.
+func discard(a proxy.Attempt) {
+	if a != nil {
+		a.Done(proxy.Canceled, 0, proxy.Load{})
+	}
+}
+
+// others lists all targets of the service but one, to exclude them. The list
+// is never empty, because a wrapped balancer may take an empty one for a first
+// attempt, which earns retries and may go to a target on trial.
+func (b *Balancer) others(service, target string) []string {
+	targets := b.viewer.View().Config.Config.Services[service].Targets
+	others := make([]string, 0, len(targets)+1)
+	for name := range targets {
+		if name != target {
+			others = append(others, name)
+		}
+	}
+	return append(others, "")
+}
+
+// ask returns the dispatcher's answer, or nil without one in time.
+func (b *Balancer) ask(request *peerpb.ReserveRequest, deadline time.Duration) (*peerpb.ReserveReply, *line) {
+	view := b.viewer.View()
+	to := b.own.roles.dispatcher(view.Membership, request.Service)
+	if to.Incarnation == "" {
+		return nil, nil
+	}
+	now := b.clock.SinceBoot()
+	request.From, request.LifeMs = view.Self.Incarnation, max((deadline-now).Milliseconds(), 1)
+	if to.Incarnation == view.Self.Incarnation {
+		return b.own.HandleReserve(request), nil
+	}
+	l := b.line(to, view.Membership)
+	wait, ok := l.ask(now, request)
+	if !ok {
+		b.counters.paused.Add(1)
+		return nil, l
+	}
+	reply := b.call(l, request, now, wait)
+	if reply == nil {
+		b.counters.late.Add(1)
+	}
+	return reply, l
+}
+
+// call waits for the answer no longer than wait. A slot in a later answer is
+// released at once.
+func (b *Balancer) call(l *line, request *peerpb.ReserveRequest, asked, wait time.Duration) *peerpb.ReserveReply {
+	var mu sync.Mutex
+	var reply *peerpb.ReserveReply
+	var abandoned bool
+	sent := &peerpb.ReserveRequest{
+		From: request.From, Service: request.Service, Released: request.Released, Team: request.Team,
+		Batch: request.Batch, Idempotent: request.Idempotent, Tried: request.Tried, LifeMs: request.LifeMs,
+		Ticket: request.Ticket,
+	}
+	waiting, answered := context.WithCancel(context.Background())
+	go func() {
+		defer answered()
+		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+		defer cancel()
+		got, err := b.caller.SendReserve(ctx, l.to, sent)
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		l.answered(b.clock.SinceBoot()-asked, !abandoned)
+		if !abandoned {
+			reply = got
+		} else if got.GetTarget() != "" {
+			b.release(&place{line: l, service: sent.Service, id: got.Reservation})
+		}
+	}()
+	_ = b.clock.Sleep(waiting, wait)
+	mu.Lock()
+	defer mu.Unlock()
+	if reply == nil {
+		abandoned = true
+		l.failed(b.clock.SinceBoot())
+	}
+	return reply
+}
+
+// place is a reservation. Its line is nil when this instance is the dispatcher.
+type place struct {
+	line    *line
+	service string
+	target  string
+	id      uint64
+}
+
+func (b *Balancer) release(p *place) {
+	if p.line != nil {
+		p.line.release(b, p)
+		return
+	}
+	b.own.HandleReserve(&peerpb.ReserveRequest{
+		From: b.viewer.View().Self.Incarnation, Service: p.service, Released: []uint64{p.id}, ReleaseOnly: true,
+	})
+}
+
+// attempt is an attempt at a reserved target.
+type attempt struct {
+	proxy.Attempt
+	balancer *Balancer
+	place    *place
+	done     atomic.Bool
+}
+
+// Done reports the result and gives the slot back. Calls after the first have
+// no effect.
+func (a *attempt) Done(result proxy.Result, latency time.Duration, load proxy.Load) {
+	if a.done.Swap(true) {
+		return
+	}
+	a.Attempt.Done(result, latency, load)
+	a.balancer.release(a.place)
+}
--- /dev/null
+++ b/pkg/dispatch/balancer_test.go
@@ -0,0 +1,220 @@
+package dispatch
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+	"github.com/arbutuslink/arbutuslink/pkg/refusal"
+)
+
+// bubbleClock follows the time of a synctest bubble.
+type bubbleClock struct{ start time.Time }
+
+func (bubbleClock) Now() time.Time             { return time.Now() }
+func (c bubbleClock) SinceBoot() time.Duration { return time.Since(c.start) }
+func (bubbleClock) Sleep(ctx context.Context, d time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	<-ctx.Done()
+	return nil
+}
+
+// innerBalancer gives the first target that is not tried and records its attempts.
+type innerBalancer struct {
+	mu      sync.Mutex
+	open    int
+	results []proxy.Result
+}
+
+type innerAttempt struct {
+	b      *innerBalancer
+	target string
+}
+
+func (a *innerAttempt) Target() string  { return a.target }
+func (a *innerAttempt) Address() string { return a.target }
+func (a *innerAttempt) Done(result proxy.Result, _ time.Duration, _ proxy.Load) {
+	a.b.mu.Lock()
+	defer a.b.mu.Unlock()
+	a.b.open--
+	a.b.results = append(a.b.results, result)
+}
+
+func (b *innerBalancer) Acquire(_ proxy.Request, tried []string) (proxy.Attempt, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, name := range []string{"t0", "t1", "t2"} {
+		if !slices.Contains(tried, name) {
+			b.open++
+			return &innerAttempt{b, name}, nil
+		}
+	}
+	return nil, refusal.New(refusal.NoTarget, nil)
+}
+
+func (*innerBalancer) MayRetry(string) bool { return true }
+
+// usualDelay is the round trip unless a test sets another one.
+const usualDelay = 1500 * time.Microsecond
+
+// network carries calls to a dispatcher with a delay; a negative one loses them.
+type network struct {
+	delay atomic.Int64
+	to    *Dispatcher
+	calls atomic.Int64
+}
+
+func (n *network) SendReserve(ctx context.Context, _ membership.Member, request *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	n.calls.Add(1)
+	delay := time.Duration(n.delay.Load())
+	if delay < 0 {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(delay)
+	return n.to.HandleReserve(request), nil
+}
+
+type balancerRig struct {
+	inner      *innerBalancer
+	network    *network
+	standings  *standings
+	dispatcher *Dispatcher
+	balancer   *Balancer
+}
+
+// newBalancerRig makes an instance that is not the dispatcher, which it calls
+// over the network. It must be called in a bubble.
+func newBalancerRig(options Options) *balancerRig {
+	c := bubbleClock{time.Now()}
+	remote, ranked := fleetView(3)
+	local, _ := fleetView(3)
+	local.view.Self = ranked[1]
+	r := &balancerRig{inner: &innerBalancer{}, standings: &standings{}, network: &network{}}
+	r.network.delay.Store(int64(usualDelay))
+	r.standings.set(active, active, active)
+	r.dispatcher = NewDispatcher(c, remote, r.standings, options)
+	r.network.to = r.dispatcher
+	r.balancer = NewBalancer(c, local, r.standings, r.inner, NewDispatcher(c, local, r.standings, options), r.network, options)
+	return r
+}
+
+func (r *balancerRig) acquire() (proxy.Attempt, time.Duration, error) {
+	start := time.Now()
+	a, err := r.balancer.Acquire(proxy.Request{Service: "s", Route: "r", Deadline: time.Hour}, nil)
+	return a, time.Since(start), err
+}
+
+func (r *balancerRig) reserved() int {
+	n := 0
+	for _, t := range r.dispatcher.Dump()["s"].Targets {
+		n += t.Reserved
+	}
+	return n
+}
+
+// Guards against more than one target held for a request, against results that
+// do not reach the wrapped balancer, and against slots that are not given back.
+func TestGrantIsUsedAndReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newBalancerRig(Options{QueuePerSlot: -1})
+		targets := map[string]int{}
+		var open []proxy.Attempt
+		for i := range 6 {
+			a, took, err := r.acquire()
+			is.NoErr(err)
+			is.Equal(took, usualDelay)
+			targets[a.Target()]++
+			open = append(open, a)
+			is.Equal(r.inner.open, i+1)
+			is.Equal(r.reserved(), i+1)
+		}
+		is.Equal(targets, map[string]int{"t0": 2, "t1": 2, "t2": 2})
+		for _, a := range open {
+			a.Done(proxy.Answered, time.Millisecond, proxy.Load{})
+			a.Done(proxy.Answered, time.Millisecond, proxy.Load{})
+		}
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(r.inner.open, 0)
+		is.Equal(r.reserved(), 0)
+		answered := 0
+		for _, result := range r.inner.results {
+			is.True(result == proxy.Answered || result == proxy.Canceled)
+			if result == proxy.Answered {
+				answered++
+			}
+		}
+		is.Equal(answered, 6)
+	})
+}
+
+// Guards against requests that wait long, or each of them, for a dispatcher
+// that is lost, and against one that is never asked again.
+func TestLostDispatcherCostsOneBoundedWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newBalancerRig(Options{})
+		r.network.delay.Store(-1)
+		var total time.Duration
+		for range 400 {
+			a, took, err := r.acquire()
+			is.NoErr(err)
+			is.True(took <= maxUsual+Slack)
+			total += took
+			a.Done(proxy.Answered, time.Millisecond, proxy.Load{})
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.True(r.network.calls.Load() <= 10)
+		is.True(total <= 10*(maxUsual+Slack))
+		r.network.delay.Store(int64(time.Millisecond))
+		time.Sleep(maxPause)
+		_, took, _ := r.acquire()
+		is.Equal(took, time.Millisecond)
+		is.Equal(r.reserved(), 1)
+	})
+}
+
+// Guards against a late answer whose slot nobody uses or gives back.
+func TestLateGrantIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newBalancerRig(Options{})
+		r.network.delay.Store(int64(20 * time.Millisecond))
+		_, took, err := r.acquire()
+		is.NoErr(err)
+		is.Equal(took, initialUsual+Slack)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(r.dispatcher.Dump()["s"].Granted, uint64(1))
+		is.Equal(r.reserved(), 0)
+	})
+}
+
+// Guards against a full service that waits without a bound or that holds a
+// target for a request that waits.
+func TestFullServiceRefusesAfterMaxWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newBalancerRig(Options{QueuePerSlot: -1, MaxWait: 100 * time.Millisecond})
+		for range 6 {
+			_, _, err := r.acquire()
+			is.NoErr(err)
+		}
+		_, took, err := r.acquire()
+		var refused *refusal.Refusal
+		is.True(errors.As(err, &refused) && refused.Code == refusal.Overloaded.Code && refused.RetryAfter > 0)
+		is.True(took <= 110*time.Millisecond)
+		is.Equal(r.inner.open, 6)
+	})
+}
--- /dev/null
+++ b/pkg/dispatch/dispatch_test.go
@@ -0,0 +1,235 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/health"
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+)
+
+type viewer struct{ view control.View }
+
+func (v *viewer) View() *control.View { return &v.view }
+
+type standings struct{ current *health.Standings }
+
+func (s *standings) Standings(string) *health.Standings { return s.current }
+
+const (
+	active  = peerpb.TargetState_TARGET_STATE_ACTIVE
+	ejected = peerpb.TargetState_TARGET_STATE_EJECTED
+)
+
+func (s *standings) set(states ...peerpb.TargetState) {
+	next := &health.Standings{Targets: map[string]health.Standing{}}
+	for i, state := range states {
+		next.Targets[targetName(i)] = health.Standing{State: state}
+	}
+	s.current = next
+}
+
+func targetName(i int) string { return fmt.Sprintf("t%d", i) }
+
+// fleetView is the view of member self of two; the first in rank order dispatches.
+func fleetView(targets int) (*viewer, []membership.Member) {
+	c := config.Empty()
+	c.Batches["big"], c.Batches["small"] = config.Batch{Share: 3}, config.Batch{Share: 1}
+	svc := config.Service{Targets: map[string]config.Target{}}
+	for i := range targets {
+		svc.Targets[targetName(i)] = config.Target{Slots: 2, MaxConnections: 100, Zone: "a"}
+	}
+	c.Services["s"] = svc
+	c.Routes["r"] = config.Route{Service: "s"}
+	m := (&membership.Membership{}).With([]membership.Member{
+		{Incarnation: "i1", Zone: "a"}, {Incarnation: "i2", Zone: "b"},
+	}, nil, 2)
+	ranked := health.EvaluatorsOf(m, "s")
+	return &viewer{control.View{Config: config.NewSnapshot(1, c), Membership: m, Self: ranked[0], Member: true}}, ranked
+}
+
+type rig struct {
+	clock      *clock.Manual
+	standings  *standings
+	dispatcher *Dispatcher
+}
+
+func newRig(targets int, options Options) *rig {
+	v, _ := fleetView(targets)
+	r := &rig{clock: clock.NewManual(time.Unix(0, 0)), standings: &standings{}}
+	states := make([]peerpb.TargetState, targets)
+	for i := range states {
+		states[i] = active
+	}
+	r.standings.set(states...)
+	r.dispatcher = NewDispatcher(r.clock, v, r.standings, options)
+	return r
+}
+
+func (r *rig) reserve(request *peerpb.ReserveRequest) *peerpb.ReserveReply {
+	request.Service, request.From = "s", "i2"
+	return r.dispatcher.HandleReserve(request)
+}
+
+func (r *rig) ask(batch, team string) *peerpb.ReserveReply {
+	return r.reserve(&peerpb.ReserveRequest{Batch: batch, Team: team})
+}
+
+// Guards against counts that differ from the reservations in force, against
+// work beyond the limit of a target, and against ejected, draining, trial or
+// tried targets, for any sequence of reservations, releases (also unknown and
+// repeated ones), expiries and verdicts.
+func TestCountsMatchReservations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const n = 4
+		r := newRig(n, Options{All: true, Seed: rapid.Uint64().Draw(t, "seed")})
+		type held struct {
+			id      uint64
+			target  string
+			expires time.Duration
+		}
+		var model []held
+		states := []peerpb.TargetState{active, active, active, active}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			r.clock.Advance(time.Duration(rapid.IntRange(0, 40).Draw(t, "ms")) * time.Millisecond)
+			now := r.clock.SinceBoot()
+			kept := model[:0]
+			for _, h := range model {
+				if h.expires > now {
+					kept = append(kept, h)
+				}
+			}
+			model = kept
+			request := &peerpb.ReserveRequest{Batch: "big", Team: "x", LifeMs: int64(rapid.IntRange(1, 200).Draw(t, "life"))}
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				for i := range states {
+					states[i] = peerpb.TargetState(rapid.IntRange(1, 5).Draw(t, "state"))
+				}
+				r.standings.set(states...)
+				request.ReleaseOnly = true
+			case 1:
+				request.ReleaseOnly = rapid.Bool().Draw(t, "release only")
+				if len(model) > 0 {
+					request.Released = []uint64{model[0].id, model[0].id, 1 << 60}
+					model = model[1:]
+				}
+			case 2:
+				request.Tried = []string{"t0"}
+			}
+			reply := r.reserve(request)
+			if reply.Target != "" {
+				var i int
+				_, _ = fmt.Sscanf(reply.Target, "t%d", &i)
+				if s := states[i]; s != active && s != peerpb.TargetState_TARGET_STATE_COLD || i == 0 && request.Tried != nil {
+					t.Fatalf("gave %s in state %v, tried %v", reply.Target, s, request.Tried)
+				}
+				model = append(model, held{reply.Reservation, reply.Target, now + time.Duration(request.LifeMs)*time.Millisecond})
+			}
+			counts := map[string]int{}
+			for _, h := range model {
+				counts[h.target]++
+			}
+			for _, d := range r.dispatcher.Dump()["s"].Targets {
+				if d.Reserved != counts[d.Target] || d.Reserved > 3 {
+					t.Fatalf("%s: %d reserved, %d in force", d.Target, d.Reserved, counts[d.Target])
+				}
+			}
+		}
+	})
+}
+
+// Guards against slots that are given unevenly, against a full service that
+// gives more, and against slots that stay lost with their instance.
+func TestSlotsFillEvenlyAndExpire(t *testing.T) {
+	is := is.New(t)
+	r := newRig(3, Options{All: true, QueuePerSlot: -1})
+	counts := map[string]int{}
+	for i := range 6 {
+		counts[r.ask("big", "x").Target]++
+		for _, n := range counts {
+			is.True(n <= i/3+1)
+		}
+	}
+	full := r.ask("big", "x")
+	is.True(full.Full && full.Ticket != 0 && full.RetryUs > 0)
+	is.Equal(full.Target, "")
+	r.clock.Advance(defaultLife)
+	is.True(r.ask("big", "x").Target != "")
+	is.Equal(r.dispatcher.Dump()["s"].Expired, uint64(6))
+}
+
+// Guards against targets given without verdicts and by an instance that is not
+// the dispatcher, and against a new dispatcher that ignores requests that were
+// there before it.
+func TestStart(t *testing.T) {
+	is := is.New(t)
+	r := newRig(2, Options{All: true})
+	known := r.standings.current
+	r.standings.current = nil
+	reply := r.ask("big", "x")
+	is.True(reply.Dispatcher && reply.Target == "" && !reply.Full)
+	known.Targets["t0"] = health.Standing{State: active, Load: 3}
+	r.standings.current = known
+	for range 3 {
+		is.Equal(r.ask("big", "x").Target, "t1")
+	}
+	r.clock.Advance(10 * initialHold)
+	is.Equal(r.ask("big", "x").Target, "t0")
+
+	v, ranked := fleetView(2)
+	v.view.Self = ranked[1]
+	other := NewDispatcher(r.clock, v, r.standings, Options{})
+	is.True(!other.HandleReserve(&peerpb.ReserveRequest{Service: "s", From: "i1"}).Dispatcher)
+}
+
+// Guards against a batch or a team that takes the slots of others while all of
+// them wait: 3 shares to 1 and equal parts within a batch, however many
+// requests one team sends and however rarely the light teams ask.
+func TestWaitingRequestsFollowShares(t *testing.T) {
+	is := is.New(t)
+	r := newRig(1, Options{All: true, QueuePerSlot: -1})
+	open := []uint64{r.ask("big", "heavy").Reservation, r.ask("big", "heavy").Reservation}
+	flows := []struct {
+		batch, team    string
+		waiting, every int
+	}{{"big", "heavy", 30, 1}, {"big", "light", 4, 4}, {"small", "only", 4, 4}}
+	tickets, served, total := map[string][]uint64{}, map[string]float64{}, 0.0
+	for round := range 1200 {
+		r.clock.Advance(5 * time.Millisecond)
+		if len(open) > 0 {
+			r.reserve(&peerpb.ReserveRequest{Released: open[:1], ReleaseOnly: true})
+			open = open[1:]
+		}
+		for _, f := range flows {
+			if round%f.every != 0 {
+				continue
+			}
+			asking := append(tickets[f.team], make([]uint64, f.waiting-len(tickets[f.team]))...)
+			tickets[f.team] = nil
+			for _, ticket := range asking {
+				reply := r.reserve(&peerpb.ReserveRequest{Batch: f.batch, Team: f.team, Ticket: ticket})
+				if reply.Target == "" {
+					tickets[f.team] = append(tickets[f.team], reply.Ticket)
+					continue
+				}
+				served[f.team]++
+				total++
+				open = append(open, reply.Reservation)
+			}
+		}
+	}
+	t.Logf("served %v", served)
+	// A light team asks only in every fourth turn, and others may lead by few grants.
+	is.True(total > 900)
+	is.True(served["only"] > 0.22*total)
+	is.True(served["light"] > 0.33*total)
+}
--- /dev/null
+++ b/pkg/dispatch/ledger.go
@@ -0,0 +1,241 @@
+package dispatch
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/health"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+)
+
+const (
+	// defaultLife and maxLife bound the time for which a reservation counts
+	// that is never released, for example because its instance was lost.
+	defaultLife = 2 * time.Second
+	maxLife     = 30 * time.Second
+	// waitLife is the time in which a waiting request must ask again. It covers
+	// two retries and a slow round trip.
+	waitLife = 2*maxRetry + 20*time.Millisecond
+	// Bounds of the time after which a waiting request asks again.
+	minRetry = 4 * time.Millisecond
+	maxRetry = 100 * time.Millisecond
+	// asksPerSlot is the number of times that waiting requests ask while one
+	// request is served. A freed slot is found within half a request's turn,
+	// and the calls of an overloaded service stay bounded.
+	asksPerSlot = 2
+	// holdWeight is the weight of one release in the usual time of a request.
+	holdWeight  = 0.02
+	initialHold = 50 * time.Millisecond
+)
+
+// ledger holds the reservations of one service. Its mutex guards everything.
+type ledger struct {
+	options Options
+	random  *rand.Rand
+	ids     *atomic.Uint64
+
+	mu        sync.Mutex
+	now       time.Duration
+	started   time.Duration
+	config    int64
+	applied   *health.Standings
+	targets   []*slots
+	byName    map[string]*slots
+	reserved  map[uint64]*reservation
+	deadlines deadlines
+	// hold is the usual time between a grant and its release.
+	hold time.Duration
+
+	waiting map[uint64]*waiter
+	order   order
+
+	granted, released, expired, refused uint64
+}
+
+// reservation is one request at one target.
+type reservation struct {
+	id      uint64
+	from    string
+	target  *slots
+	since   time.Duration
+	expires time.Duration
+}
+
+func newLedger(options Options, random *rand.Rand, ids *atomic.Uint64, now time.Duration) *ledger {
+	return &ledger{
+		options: options, random: random, ids: ids, now: now, started: now, byName: map[string]*slots{},
+		reserved: map[uint64]*reservation{}, hold: initialHold, waiting: map[uint64]*waiter{}, order: newOrder(),
+	}
+}
+
+// advance brings the targets up to date and drops what has expired.
+func (l *ledger) advance(now time.Duration, c *config.Snapshot, svc config.Service, standings *health.Standings) {
+	l.now = now
+	if c.Version != l.config || len(l.targets) == 0 {
+		l.config, l.applied = c.Version, nil
+		l.configure(svc)
+	}
+	if standings != nil && standings != l.applied {
+		l.applied = standings
+		for _, t := range l.targets {
+			t.apply(standings.Targets[t.name], now)
+		}
+	}
+	for len(l.deadlines) > 0 && l.deadlines[0].expires <= now {
+		r := heap.Pop(&l.deadlines).(*reservation)
+		if l.reserved[r.id] == r {
+			l.expired++
+			l.remove(r)
+		}
+	}
+	for _, w := range l.waiting {
+		if w.expires <= now {
+			l.endWait(w)
+		}
+	}
+}
+
+// configure keeps the targets that stay, with their reservations.
+func (l *ledger) configure(svc config.Service) {
+	l.targets = l.targets[:0]
+	next := make(map[string]*slots, len(svc.Targets))
+	for name, c := range svc.Targets {
+		t := l.byName[name]
+		if t == nil {
+			t = &slots{name: name}
+		}
+		t.zone, t.slots, t.leaving = c.Zone, max(c.Slots, 1), c.Leaving
+		next[name] = t
+		l.targets = append(l.targets, t)
+	}
+	l.byName = next
+	sort.Slice(l.targets, func(i, j int) bool { return l.targets[i].name < l.targets[j].name })
+}
+
+// reserve fills the reply with a slot or with a place among the waiting.
+func (l *ledger) reserve(request *peerpb.ReserveRequest, zone string, share float64, reply *peerpb.ReserveReply) {
+	if l.applied == nil {
+		// Without verdicts an ejected target could be given.
+		return
+	}
+	life := min(time.Duration(request.GetLifeMs())*time.Millisecond, maxLife)
+	if life <= 0 {
+		life = defaultLife
+	}
+	team := l.order.flow(request.GetBatch(), request.GetTeam(), share)
+	w := l.waiting[request.GetTicket()]
+	if w != nil && w.from != request.GetFrom() {
+		w = nil
+	}
+	t, possible := l.choose(request.GetTried(), zone)
+	switch {
+	case !possible:
+		l.endWait(w)
+	case t != nil && l.order.eligible(team):
+		l.endWait(w)
+		l.order.charge(team)
+		l.answer(l.grant(t, request.GetFrom(), life), life, reply)
+	case w != nil:
+		w.expires = l.now + waitLife
+		l.answerFull(w, reply)
+	case len(l.waiting) >= l.options.MaxWaiting && !l.evict(team):
+		l.refused++
+		reply.Full, reply.RetryUs = true, l.retry().Microseconds()
+	default:
+		l.answerFull(l.enqueue(team, request.GetFrom()), reply)
+	}
+}
+
+func (l *ledger) answer(r *reservation, life time.Duration, reply *peerpb.ReserveReply) {
+	reply.Target, reply.Reservation, reply.LifeMs = r.target.name, r.id, life.Milliseconds()
+}
+
+// grant counts one more request at the target.
+func (l *ledger) grant(t *slots, from string, life time.Duration) *reservation {
+	r := &reservation{id: l.ids.Add(1), from: from, target: t, since: l.now, expires: l.now + life}
+	t.reserved++
+	l.granted++
+	l.reserved[r.id] = r
+	heap.Push(&l.deadlines, r)
+	return r
+}
+
+// release ends a reservation; one that has expired or that another instance
+// holds is ignored.
+func (l *ledger) release(id uint64, from string) {
+	r := l.reserved[id]
+	if r == nil || r.from != from {
+		return
+	}
+	l.released++
+	l.hold += time.Duration(holdWeight * float64(l.now-r.since-l.hold))
+	l.remove(r)
+}
+
+func (l *ledger) remove(r *reservation) {
+	if l.reserved[r.id] == r {
+		delete(l.reserved, r.id)
+		r.target.reserved--
+	}
+}
+
+// choose returns the target with the lowest share of its slots in use. It
+// returns nil when all targets are full; possible is false when no target may
+// take the request at any load.
+func (l *ledger) choose(tried []string, zone string) (best *slots, possible bool) {
+	lowest, ties := 0.0, 0
+	for _, t := range l.targets {
+		if !t.takes(tried) {
+			continue
+		}
+		possible = true
+		used := float64(t.reserved) + l.foreign(t)
+		if used >= t.limit(l.now, l.options.QueuePerSlot) {
+			continue
+		}
+		score := (used + 1) / (float64(t.slots) * t.weight(l.now))
+		own, bestOwn := t.zone == zone, best != nil && best.zone == zone
+		switch {
+		case best == nil || score < lowest || score == lowest && own && !bestOwn:
+			best, lowest, ties = t, score, 1
+		case score == lowest && own == bestOwn:
+			ties++
+			if l.random.IntN(ties) == 0 {
+				best = t
+			}
+		}
+	}
+	return best, possible
+}
+
+// foreign is the expected number of requests at the target that have no
+// reservation here.
+func (l *ledger) foreign(t *slots) float64 {
+	if !l.options.All {
+		return t.unreserved
+	}
+	return t.atStart(l.now-l.started, l.hold)
+}
+
+type deadlines []*reservation
+
+func (d deadlines) Len() int           { return len(d) }
+func (d deadlines) Less(i, j int) bool { return d[i].expires < d[j].expires }
+func (d deadlines) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+
+// Push implements heap.Interface.
+func (d *deadlines) Push(x any) { *d = append(*d, x.(*reservation)) }
+
+// Pop implements heap.Interface.
+func (d *deadlines) Pop() any {
+	last := len(*d) - 1
+	r := (*d)[last]
+	(*d)[last] = nil
+	*d = (*d)[:last]
+	return r
+}
--- /dev/null
+++ b/pkg/dispatch/line.go
@@ -0,0 +1,114 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+)
+
+const (
+	// releaseDelay is how long a release waits for a request that carries it.
+	releaseDelay = 5 * time.Millisecond
+	// maxPending bounds the releases of one service that wait for a call. A
+	// release that is dropped ends by its life.
+	maxPending = 1024
+)
+
+// line is the way to one dispatcher with the releases that it has yet to hear.
+type line struct {
+	to membership.Member
+
+	mu      sync.Mutex
+	path    Path
+	pending map[string][]uint64
+	// flushing is set for services whose releases will be sent by themselves.
+	flushing map[string]bool
+}
+
+// line returns the line to a dispatcher and forgets those to former members.
+func (b *Balancer) line(to membership.Member, m *membership.Membership) *line {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.membership != m.Version {
+		b.membership = m.Version
+		for incarnation := range b.lines {
+			if _, ok := m.Find(incarnation); !ok {
+				delete(b.lines, incarnation)
+			}
+		}
+	}
+	l := b.lines[to.Incarnation]
+	if l == nil {
+		l = &line{to: to, pending: map[string][]uint64{}, flushing: map[string]bool{}}
+		b.lines[to.Incarnation] = l
+	}
+	return l
+}
+
+// ask adds the pending releases of the service to the request.
+func (l *line) ask(now time.Duration, request *peerpb.ReserveRequest) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	wait, ok := l.path.Ask(now)
+	if ok {
+		request.Released = l.pending[request.Service]
+		delete(l.pending, request.Service)
+	}
+	return wait, ok
+}
+
+func (l *line) answered(roundTrip time.Duration, inTime bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.path.Answered(roundTrip, inTime)
+}
+
+func (l *line) failed(now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.path.Failed(now)
+}
+
+// release notes the end of a reservation. It is told with the next request to
+// the dispatcher, or after releaseDelay.
+func (l *line) release(b *Balancer, p *place) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.pending[p.service]) >= maxPending {
+		return
+	}
+	l.pending[p.service] = append(l.pending[p.service], p.id)
+	if !l.flushing[p.service] {
+		l.flushing[p.service] = true
+		go l.flush(b, p.service)
+	}
+}
+
+// flush sends the releases that no request has carried. During a pause it
+// waits, so that one late answer loses no release.
+func (l *line) flush(b *Balancer, service string) {
+	pause := releaseDelay
+	for pause > 0 {
+		_ = b.clock.Sleep(context.Background(), pause)
+		l.mu.Lock()
+		pause = l.path.pauseUntil - b.clock.SinceBoot()
+		l.mu.Unlock()
+	}
+	l.mu.Lock()
+	released := l.pending[service]
+	delete(l.pending, service)
+	delete(l.flushing, service)
+	l.mu.Unlock()
+	if len(released) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	// Releases that are lost end by their life.
+	_, _ = b.caller.SendReserve(ctx, l.to, &peerpb.ReserveRequest{
+		From: b.viewer.View().Self.Incarnation, Service: service, Released: released, ReleaseOnly: true,
+	})
+}
--- a/pkg/peer/drpcpeer/client.go
+++ b/pkg/peer/drpcpeer/client.go
@@ -19,12 +19,13 @@
 	heartbeats class = iota
 	fetches
 	data
+	reservations
 	classes
 )
 
 // Connections per address and class. A connection carries one call at a time.
 // Two heartbeat connections let a fresh one work while the other is silent.
-var connectionsPerClass = [classes]int{heartbeats: 2, fetches: 1, data: 4}
+var connectionsPerClass = [classes]int{heartbeats: 2, fetches: 1, data: 4, reservations: 4}
 
 const (
 	// defaultCallTimeout bounds a call whose context has no deadline.
@@ -104,8 +105,13 @@
 	return call(ctx, c, address, report, peerpb.DRPCPeerClient.Report, req)
 }
 
+// Reserve asks a dispatcher for a slot.
+func (c *Client) Reserve(ctx context.Context, address string, req *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	return call(ctx, c, address, reserve, peerpb.DRPCPeerClient.Reserve, req)
+}
+
 // classOf separates the kinds of calls.
-var classOf = [kinds]class{exchange: heartbeats, fetch: fetches, borrow: data, report: data}
+var classOf = [kinds]class{exchange: heartbeats, fetch: fetches, borrow: data, report: data, reserve: reservations}
 
 // Traffic counts the calls that this client has made and their bytes by kind.
 func (c *Client) Traffic() map[string]Calls { return c.counters.Snapshot() }
--- a/pkg/peer/drpcpeer/traffic.go
+++ b/pkg/peer/drpcpeer/traffic.go
@@ -16,10 +16,11 @@
 	fetch
 	borrow
 	report
+	reserve
 	kinds
 )
 
-var kindNames = [kinds]string{"exchange", "fetch", "borrow", "report"}
+var kindNames = [kinds]string{"exchange", "fetch", "borrow", "report", "reserve"}
 
 // Calls are the calls of one kind and their bytes on the connections, with the
 // framing of drpc and without the headers of TCP and IP.
@@ -83,6 +84,7 @@
 	"/arbutuslink.peer.Peer/Fetch":    fetch,
 	"/arbutuslink.peer.Peer/Borrow":   borrow,
 	"/arbutuslink.peer.Peer/Report":   report,
+	"/arbutuslink.peer.Peer/Reserve":  reserve,
 }
 
 // HandleRPC serves one call.
--- a/pkg/peer/memory/memory.go
+++ b/pkg/peer/memory/memory.go
@@ -164,3 +164,10 @@
 		return h.Report
 	}, req)
 }
+
+// Reserve calls the handler at the address.
+func (t *transport) Reserve(ctx context.Context, address string, req *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	return call(ctx, t, address, func(h peer.Handler) func(context.Context, *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+		return h.Reserve
+	}, req)
+}
--- a/pkg/peer/peer.go
+++ b/pkg/peer/peer.go
@@ -16,6 +16,7 @@
 	Fetch(ctx context.Context, address string, req *peerpb.FetchRequest) (*peerpb.FetchReply, error)
 	Borrow(ctx context.Context, address string, req *peerpb.BorrowRequest) (*peerpb.BorrowReply, error)
 	Report(ctx context.Context, address string, req *peerpb.ReportRequest) (*peerpb.ReportReply, error)
+	Reserve(ctx context.Context, address string, req *peerpb.ReserveRequest) (*peerpb.ReserveReply, error)
 }
 
 // Handler answers the calls of other instances. It has the methods of
@@ -25,6 +26,7 @@
 	Fetch(ctx context.Context, req *peerpb.FetchRequest) (*peerpb.FetchReply, error)
 	Borrow(ctx context.Context, req *peerpb.BorrowRequest) (*peerpb.BorrowReply, error)
 	Report(ctx context.Context, req *peerpb.ReportRequest) (*peerpb.ReportReply, error)
+	Reserve(ctx context.Context, req *peerpb.ReserveRequest) (*peerpb.ReserveReply, error)
 }
 
 // Handlers is a Handler made of functions. A call whose function is nil fails
@@ -34,6 +36,7 @@
 	OnFetch    func(context.Context, *peerpb.FetchRequest) (*peerpb.FetchReply, error)
 	OnBorrow   func(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowReply, error)
 	OnReport   func(context.Context, *peerpb.ReportRequest) (*peerpb.ReportReply, error)
+	OnReserve  func(context.Context, *peerpb.ReserveRequest) (*peerpb.ReserveReply, error)
 }
 
 // Exchange calls OnExchange.
@@ -56,6 +59,11 @@
 	return handle(ctx, "report", h.OnReport, req)
 }
 
+// Reserve calls OnReserve.
+func (h Handlers) Reserve(ctx context.Context, req *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	return handle(ctx, "reserve", h.OnReserve, req)
+}
+
 func handle[Q, R any](ctx context.Context, call string, on func(context.Context, Q) (R, error), req Q) (R, error) {
 	if on == nil {
 		var none R
