Wire slot reservations as balance policies

Cause: reservations exist as a package; whether they help must be measured on real processes. Change: balance_policy takes reserve and reserve_all; the default stays shared.

--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -7,6 +7,7 @@
 
 	"github.com/arbutuslink/arbutuslink/pkg/balance"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/dispatch"
 	"github.com/arbutuslink/arbutuslink/pkg/fairqueue"
 	"github.com/arbutuslink/arbutuslink/pkg/health"
 	"github.com/arbutuslink/arbutuslink/pkg/limit"
@@ -19,23 +20,25 @@
 // Dump is the state of a process. It holds no secrets: the configuration is
 // given by its version only.
 type Dump struct {
-	Program       string                     `json:"program"`
-	Version       string                     `json:"version"`
-	Instance      string                     `json:"instance"`
-	Zone          string                     `json:"availability_zone"`
-	UptimeSeconds float64                    `json:"uptime_seconds"`
-	Goroutines    int                        `json:"goroutines"`
-	Leaving       bool                       `json:"leaving"`
-	OpenRequests  int64                      `json:"open_requests"`
-	ConfigVersion int64                      `json:"config_version"`
-	Control       *control.Dump              `json:"control,omitempty"`
-	Limits        limit.Dump                 `json:"limits"`
-	Evaluator     health.EvaluatorDump       `json:"evaluator"`
-	Follower      health.FollowerDump        `json:"follower"`
-	Balancer      *balance.Dump              `json:"balancer,omitempty"`
-	Baseline      map[string][]string        `json:"baseline_ejected,omitempty"`
-	Queue         map[string]fairqueue.State `json:"queue"`
-	PeerTraffic   PeerTraffic                `json:"peer_traffic"`
+	Program       string                          `json:"program"`
+	Version       string                          `json:"version"`
+	Instance      string                          `json:"instance"`
+	Zone          string                          `json:"availability_zone"`
+	UptimeSeconds float64                         `json:"uptime_seconds"`
+	Goroutines    int                             `json:"goroutines"`
+	Leaving       bool                            `json:"leaving"`
+	OpenRequests  int64                           `json:"open_requests"`
+	ConfigVersion int64                           `json:"config_version"`
+	Control       *control.Dump                   `json:"control,omitempty"`
+	Limits        limit.Dump                      `json:"limits"`
+	Evaluator     health.EvaluatorDump            `json:"evaluator"`
+	Follower      health.FollowerDump             `json:"follower"`
+	Balancer      *balance.Dump                   `json:"balancer,omitempty"`
+	Dispatcher    map[string]dispatch.ServiceDump `json:"dispatcher,omitempty"`
+	Reservations  *dispatch.BalancerDump          `json:"reservations,omitempty"`
+	Baseline      map[string][]string             `json:"baseline_ejected,omitempty"`
+	Queue         map[string]fairqueue.State      `json:"queue"`
+	PeerTraffic   PeerTraffic                     `json:"peer_traffic"`
 }
 
 // PeerTraffic counts the calls between instances by kind since the start.
@@ -63,6 +66,10 @@
 		b := i.shared.Dump()
 		dump.Balancer = &b
 	}
+	if i.reserving != nil {
+		r := i.reserving.Dump()
+		dump.Reservations, dump.Dispatcher = &r, i.dispatcher.Dump()
+	}
 	if i.baseline != nil {
 		dump.Baseline = i.baselineEjected()
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
 	"github.com/arbutuslink/arbutuslink/pkg/directory"
+	"github.com/arbutuslink/arbutuslink/pkg/dispatch"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/fairqueue"
 	"github.com/arbutuslink/arbutuslink/pkg/head"
@@ -32,9 +33,6 @@
 	"github.com/arbutuslink/arbutuslink/pkg/settings"
 )
 
-// BalancePolicyBaseline selects the policy that others are compared with.
-const BalancePolicyBaseline = "baseline"
-
 // ListenError says that a listener could not be opened.
 type ListenError struct {
 	Address string
@@ -53,24 +51,26 @@
 	log      zerolog.Logger
 	clock    clock.Clock
 
-	platform  *services
-	store     *head.Store
-	control   *control.Loop
-	transport *drpcpeer.Client
-	served    drpcpeer.Counters
-	limiter   *limit.Limiter
-	directory directory.Options
-	collector *health.Collector
-	evaluator *health.Evaluator
-	follower  *health.Follower
-	reporter  *health.Reporter
-	queue     *fairqueue.Queue
-	shared    *balance.Balancer
-	baseline  *balance.Baseline
-	proxy     *proxy.Proxy
-	counters  *counters
-	lifecycle lifecycle
-	started   time.Time
+	platform   *services
+	store      *head.Store
+	control    *control.Loop
+	transport  *drpcpeer.Client
+	served     drpcpeer.Counters
+	limiter    *limit.Limiter
+	directory  directory.Options
+	collector  *health.Collector
+	evaluator  *health.Evaluator
+	follower   *health.Follower
+	reporter   *health.Reporter
+	queue      *fairqueue.Queue
+	shared     *balance.Balancer
+	baseline   *balance.Baseline
+	dispatcher *dispatch.Dispatcher
+	reserving  *dispatch.Balancer
+	proxy      *proxy.Proxy
+	counters   *counters
+	lifecycle  lifecycle
+	started    time.Time
 }
 
 // New builds an instance; it opens no connection and no listener.
@@ -118,14 +118,7 @@
 
 func (i *Instance) buildProxy() {
 	i.queue = fairqueue.New(i.control, i.clock, fairqueue.Options{})
-	var balancer proxy.Balancer
-	if i.settings.BalancePolicy == BalancePolicyBaseline {
-		i.baseline = balance.NewBaseline(i.clock, i.control)
-		balancer = i.baseline
-	} else {
-		i.shared = balance.New(i.clock, i.control, i.collector, i.follower, uint64(i.started.UnixNano()))
-		balancer = i.shared
-	}
+	balancer := i.buildBalancer()
 	i.proxy = proxy.New(proxy.Ports{
 		Viewer: i.control, Freshness: i.control, Clock: i.clock, Limiter: i.limiter, Queue: i.queue,
 		Balancer: &countingBalancer{Balancer: balancer, counters: i.counters},
@@ -136,6 +129,24 @@
 	})
 }
 
+func (i *Instance) buildBalancer() proxy.Balancer {
+	seed := uint64(i.started.UnixNano())
+	options := dispatch.Options{Seed: seed, All: i.settings.BalancePolicy == settings.PolicyReserveAll}
+	i.dispatcher = dispatch.NewDispatcher(i.clock, i.control, i.follower, options)
+	switch i.settings.BalancePolicy {
+	case settings.PolicyBaseline:
+		i.baseline = balance.NewBaseline(i.clock, i.control)
+		return i.baseline
+	case settings.PolicyShared:
+		i.shared = balance.New(i.clock, i.control, i.collector, i.follower, seed)
+		return i.shared
+	default:
+		i.shared = balance.New(i.clock, i.control, i.collector, i.follower, seed)
+		i.reserving = dispatch.NewBalancer(i.clock, i.control, i.follower, i.shared, i.dispatcher, i, options)
+		return i.reserving
+	}
+}
+
 // Run serves until ctx ends, then shuts down gracefully. Errors: *ListenError,
 // *certificate.LoadError, *drpcpeer.ServeError.
 func (i *Instance) Run(ctx context.Context) error {
@@ -178,7 +189,7 @@
 func (i *Instance) startBackground(ctx context.Context, group *errgroup.Group, listener net.Listener) {
 	handlers := peer.Handlers{
 		OnExchange: i.control.HandleExchange, OnFetch: i.control.HandleFetch,
-		OnBorrow: i.handleBorrow, OnReport: i.handleReport,
+		OnBorrow: i.handleBorrow, OnReport: i.handleReport, OnReserve: i.handleReserve,
 	}
 	group.Go(func() error { return drpcpeer.ServeCounted(ctx, listener, handlers, &i.served) })
 	group.Go(func() error { return i.control.Run(ctx) })
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -45,6 +45,23 @@
 	return reply, err
 }
 
+// SendReserve asks a dispatcher for a slot.
+func (i *Instance) SendReserve(ctx context.Context, to membership.Member, request *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	request.Versions = i.control.Versions()
+	reply, err := i.transport.Reserve(ctx, to.PeerAddress, request)
+	if err == nil {
+		i.control.Observe(to.Incarnation, to.PeerAddress, reply.GetVersions())
+	}
+	return reply, err
+}
+
+func (i *Instance) handleReserve(_ context.Context, request *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	i.observeSender(request.GetFrom(), request.GetVersions())
+	reply := i.dispatcher.HandleReserve(request)
+	reply.Versions = i.control.Versions()
+	return reply, nil
+}
+
 // observeSender takes the version numbers of a message, so that this instance
 // fetches what it lacks from the sender.
 func (i *Instance) observeSender(from string, v *peerpb.Versions) {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -36,11 +36,23 @@
 	Platform       Platform          `json:"platform"`
 	Timings        Timings           `json:"timings"`
 	Limits         Limits            `json:"limits"`
-	// BalancePolicy is "shared" or "baseline".
+	// BalancePolicy is one of the Policy constants.
 	BalancePolicy string `json:"balance_policy"`
 	LogLevel      string `json:"log_level"`
 }
 
+// Policies that choose targets.
+const (
+	// PolicyBaseline is round robin with ejection by each instance for itself.
+	PolicyBaseline = "baseline"
+	// PolicyShared takes the less loaded of two targets by shared observations.
+	PolicyShared = "shared"
+	// PolicyReserve reserves slots at a dispatcher for non-idempotent requests.
+	PolicyReserve = "reserve"
+	// PolicyReserveAll reserves slots for all requests.
+	PolicyReserveAll = "reserve_all"
+)
+
 // TLS names the files of a listener's certificate. They are read again when they change.
 type TLS struct {
 	CertificateFile string `json:"certificate_file"`
@@ -96,7 +108,7 @@
 			MaxBodyBytes: 4 << 20, MaxHeaderBytes: 16 << 10, MaxConnections: 10_000,
 			MaxWitnesses: 15, IssuersPerTeam: 16,
 		},
-		BalancePolicy: "shared",
+		BalancePolicy: PolicyShared,
 		LogLevel:      "info",
 	}
 }
--- a/pkg/settings/validate.go
+++ b/pkg/settings/validate.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"regexp"
 	"slices"
+	"strings"
 
 	"github.com/arbutuslink/arbutuslink/pkg/document"
 )
@@ -54,7 +55,8 @@
 	v.platform(e.Platform)
 	v.timings(e.Timings)
 	v.limits(e.Limits)
-	v.Check(e.BalancePolicy == "shared" || e.BalancePolicy == "baseline", "$.balance_policy", e.BalancePolicy, "shared or baseline")
+	policies := []string{PolicyBaseline, PolicyShared, PolicyReserve, PolicyReserveAll}
+	v.Check(slices.Contains(policies, e.BalancePolicy), "$.balance_policy", e.BalancePolicy, strings.Join(policies, ", "))
 	v.Check(slices.Contains(logLevels, e.LogLevel), "$.log_level", e.LogLevel, "debug, info, warn or error")
 	return v.Err()
 }
