--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -5,9 +5,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 
-	"github.com/arbutuslink/arbutuslink/pkg/health"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
@@ -47,6 +45,23 @@
 	return reply, err
 }
 
+// SendReserve asks a dispatcher for a slot.
+func (i *Instance) SendReserve(ctx context.Context, to membership.Member, request *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	request.Versions = i.control.Versions()
+	reply, err := i.transport.Reserve(ctx, to.PeerAddress, request)
+	if err == nil {
+		i.control.Observe(to.Incarnation, to.PeerAddress, reply.GetVersions())
+	}
+	return reply, err
+}
+
+func (i *Instance) handleReserve(_ context.Context, request *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	i.observeSender(request.GetFrom(), request.GetVersions())
+	reply := i.dispatcher.HandleReserve(request)
+	reply.Versions = i.control.Versions()
+	return reply, nil
+}
+
 // observeSender takes the version numbers of a message, so that this instance
 // fetches what it lacks from the sender.
 func (i *Instance) observeSender(from string, v *peerpb.Versions) {
@@ -66,34 +81,3 @@
 		i.collector.Retain(i.control.View().Config.Config.Services)
 	}
 }
-
-// prober sends probes over HTTP.
-type prober struct{ client *fasthttp.Client }
-
-func newProber() *prober {
-	return &prober{client: &fasthttp.Client{
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		MaxConnsPerHost:           2,
-		MaxResponseBodySize:       maxProbeBody,
-		NoDefaultUserAgentHeader:  true,
-	}}
-}
-
-const maxProbeBody = 64 << 10
-
-// Probe asks a target for its health.
-func (p *prober) Probe(ctx context.Context, address, path string) health.ProbeStatus {
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + address + path)
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		deadline = time.Now().Add(health.ProbeTimeout)
-	}
-	if err := p.client.DoDeadline(req, resp, deadline); err != nil {
-		return health.ProbeFailed
-	}
-	return health.ParseProbe(resp.StatusCode(), resp.Body())
-}
