--- a/pkg/lab/fleet/listing.go
+++ b/pkg/lab/fleet/listing.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/lab/platformsim"
@@ -16,6 +17,10 @@
 type listing struct {
 	url     string
 	changes chan platformsim.ListChange
+
+	mu sync.Mutex
+	// newest is the last process that was started at each address.
+	newest map[string]*Process
 }
 
 const (
@@ -24,7 +29,7 @@
 )
 
 func newListing(url string) *listing {
-	return &listing{url: url, changes: make(chan platformsim.ListChange, maxListChanges)}
+	return &listing{url: url, newest: map[string]*Process{}, changes: make(chan platformsim.ListChange, maxListChanges)}
 }
 
 // run applies the changes in their order until ctx ends. A change is repeated
@@ -56,14 +61,21 @@
 		return false
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	return resp.StatusCode < http.StatusBadRequest
 }
 
 // follow lists the instance until its process has ended.
 func (l *listing) follow(address, zone string, p *Process) {
+	l.mu.Lock()
+	l.newest[address] = p
 	l.changes <- platformsim.ListChange{Register: []platform.Listed{{Address: address, Zone: zone, State: platform.Live}}}
+	l.mu.Unlock()
 	go func() {
 		<-p.done
-		l.changes <- platformsim.ListChange{Deregister: []string{address}}
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.newest[address] == p {
+			l.changes <- platformsim.ListChange{Deregister: []string{address}}
+		}
 	}()
 }
