Serve at most four fetches at once

A change makes every instance fetch the configuration at the same time, and each reply is encoded in memory: 549 replies of 11 MB at the expected scale. A cache of the encoded reply was ruled out for now because drpc copies each message.

Served fetches wait for one of four places. A client that reads nothing would keep a place for good, so that each write of a reply must be taken within 2 s. A bound on the whole reply was ruled out: under the race detector on a busy machine it ended replies that made progress.

--- a/pkg/peer/drpcpeer/drpcpeer_test.go
+++ b/pkg/peer/drpcpeer/drpcpeer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"storj.io/drpc/drpcconn"
 )
 
 // start serves the handler on loopback and returns its address and a client.
@@ -173,3 +175,55 @@
 	go func() { _, _ = backend.(*net.TCPConn).ReadFrom(conn) }()
 	_, _ = conn.(*net.TCPConn).ReadFrom(backend)
 }
+
+// silentReader is a connection that never delivers what the other end sends.
+type silentReader struct{ net.Conn }
+
+// Read blocks until the connection is closed.
+func (s silentReader) Read([]byte) (int, error) {
+	time.Sleep(time.Minute)
+	return 0, net.ErrClosed
+}
+
+// Guards against a reply in memory for every instance of the fleet at once
+// after a change, and against places that clients which read nothing keep.
+func TestServedFetchesAreBounded(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	var active, most atomic.Int64
+	handlers := peer.Handlers{OnFetch: func(context.Context, *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+		most.Store(max(most.Load(), active.Add(1)))
+		time.Sleep(10 * time.Millisecond)
+		active.Add(-1)
+		return &peerpb.FetchReply{Config: make([]byte, 8<<20)}, nil
+	}}
+	done := make(chan error, 1)
+	go func() { done <- serve(ctx, listener, handlers, &Counters{}, time.Second) }()
+	address := listener.Addr().String()
+	for range maxServedFetches {
+		raw, err := net.Dial("tcp", address)
+		is.NoErr(err)
+		defer func() { _ = raw.Close() }()
+		conn := drpcconn.NewWithOptions(silentReader{raw}, drpcconn.Options{Manager: managerOptions()})
+		go func() { _, _ = peerpb.NewDRPCPeerClient(conn).Fetch(ctx, &peerpb.FetchRequest{}) }()
+	}
+	time.Sleep(100 * time.Millisecond)
+	var clients sync.WaitGroup
+	for range 3 * maxServedFetches {
+		clients.Go(func() {
+			client := NewClient()
+			ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+			defer cancel()
+			reply, err := client.Fetch(ctx, address, &peerpb.FetchRequest{})
+			is.NoErr(err)
+			is.Equal(len(reply.Config), 8<<20)
+			_ = client.Close()
+		})
+	}
+	clients.Wait()
+	is.True(most.Load() > 1 && most.Load() <= maxServedFetches)
+	cancel()
+	is.NoErr(<-done)
+}
--- a/pkg/peer/drpcpeer/server.go
+++ b/pkg/peer/drpcpeer/server.go
@@ -42,11 +42,16 @@
 
 // ServeCounted is Serve and counts the calls and their bytes in counters.
 func ServeCounted(ctx context.Context, listener net.Listener, handler peer.Handler, counters *Counters) error {
+	return serve(ctx, listener, handler, counters, fetchWriteTime)
+}
+
+func serve(ctx context.Context, listener net.Listener, handler peer.Handler, counters *Counters, writeTime time.Duration) error {
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, handler); err != nil {
 		return errors.WithStack(&ServeError{Cause: err})
 	}
-	server := drpcserver.NewWithOptions(&countingHandler{mux, counters}, drpcserver.Options{Manager: managerOptions()})
+	counting := &countingHandler{Handler: mux, counters: counters, fetches: make(chan struct{}, maxServedFetches), writeTime: writeTime}
+	server := drpcserver.NewWithOptions(counting, drpcserver.Options{Manager: managerOptions()})
 	ctx, cancel := context.WithCancel(ctx)
 	var connections sync.WaitGroup
 	defer connections.Wait()
--- a/pkg/peer/drpcpeer/traffic.go
+++ b/pkg/peer/drpcpeer/traffic.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"time"
 
 	"storj.io/drpc"
 )
@@ -50,6 +51,8 @@
 type countedConn struct {
 	net.Conn
 	sent, received atomic.Int64
+	// writeTime bounds each write in nanoseconds; 0 means no bound.
+	writeTime atomic.Int64
 }
 
 // Read counts the bytes received.
@@ -61,6 +64,10 @@
 
 // Write counts the bytes sent.
 func (c *countedConn) Write(p []byte) (int, error) {
+	if bound := time.Duration(c.writeTime.Load()); bound > 0 {
+		// A connection that cannot take a deadline has failed already.
+		_ = c.SetWriteDeadline(time.Now().Add(bound))
+	}
 	n, err := c.Conn.Write(p)
 	c.sent.Add(int64(n))
 	return n, err
@@ -76,6 +83,35 @@
 type countingHandler struct {
 	drpc.Handler
 	counters *Counters
+	// fetches holds one element per served call of that kind.
+	fetches chan struct{}
+	// writeTime bounds one write of a reply to one of them.
+	writeTime time.Duration
+}
+
+const (
+	// maxServedFetches bounds the replies that are in memory at once: a
+	// configuration of the expected scale has 11 MB, and a change makes every
+	// instance fetch it at the same time.
+	maxServedFetches = 4
+	// fetchWriteTime bounds one write of a reply. A client that reads nothing
+	// would keep others waiting for good.
+	fetchWriteTime = 2 * time.Second
+)
+
+// enterFetch waits for a place. The returned function gives it back.
+func (h *countingHandler) enterFetch(ctx context.Context, conn *countedConn) (func(), error) {
+	select {
+	case h.fetches <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	conn.writeTime.Store(int64(h.writeTime))
+	return func() {
+		conn.writeTime.Store(0)
+		_ = conn.SetWriteDeadline(time.Time{})
+		<-h.fetches
+	}, nil
 }
 
 var kindOfRPC = map[string]kind{
@@ -94,6 +130,13 @@
 	}
 	to := &h.counters.byKind[k]
 	to.calls.Add(1)
+	if k == fetch {
+		leave, err := h.enterFetch(stream.Context(), conn)
+		if err != nil {
+			return err
+		}
+		defer leave()
+	}
 	err := h.Handler.HandleRPC(&countingStream{stream, conn, to}, rpc)
 	conn.assignSent(to)
 	return err
