Simulate dispatchers; let others lead while a waiting request is not there

Cause of the change to the order: with a fixed lead of 4 grants, slots stood idle between two asks of a team with few waiting requests.

--- a/pkg/dispatch/ledger.go
+++ b/pkg/dispatch/ledger.go
@@ -28,6 +28,8 @@
 	// request is served. A freed slot is found within half a request's turn,
 	// and the calls of an overloaded service stay bounded.
 	asksPerSlot = 2
+	// leadTurns covers a retry and a slow round trip.
+	leadTurns = 2.0
 	// holdWeight is the weight of one release in the usual time of a request.
 	holdWeight  = 0.02
 	initialHold = 50 * time.Millisecond
@@ -136,7 +138,7 @@
 	switch {
 	case !possible:
 		l.endWait(w)
-	case t != nil && l.order.eligible(team):
+	case t != nil && l.order.eligible(team, l.lead()):
 		l.endWait(w)
 		l.order.charge(team)
 		l.answer(l.grant(t, request.GetFrom(), life), life, reply)
--- a/pkg/dispatch/line.go
+++ b/pkg/dispatch/line.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// releaseDelay is how long a release waits for a request that carries it.
-	releaseDelay = 5 * time.Millisecond
+	// ReleaseDelay is how long a release waits for a request that carries it.
+	ReleaseDelay = 5 * time.Millisecond
 	// maxPending bounds the releases of one service that wait for a call. A
 	// release that is dropped ends by its life.
 	maxPending = 1024
@@ -73,7 +73,7 @@
 }
 
 // release notes the end of a reservation. It is told with the next request to
-// the dispatcher, or after releaseDelay.
+// the dispatcher, or after ReleaseDelay.
 func (l *line) release(b *Balancer, p *place) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -90,7 +90,7 @@
 // flush sends the releases that no request has carried. During a pause it
 // waits, so that one late answer loses no release.
 func (l *line) flush(b *Balancer, service string) {
-	pause := releaseDelay
+	pause := ReleaseDelay
 	for pause > 0 {
 		_ = b.clock.Sleep(context.Background(), pause)
 		l.mu.Lock()
--- a/pkg/dispatch/order.go
+++ b/pkg/dispatch/order.go
@@ -50,11 +50,6 @@
 	expires time.Duration
 }
 
-// lead is the number of grants by which a flow may be ahead of its share while
-// another one waits. It lets others use the slots between two asks of a team
-// with few waiting requests.
-const lead = 4
-
 func newOrder() order { return order{level{flows: map[string]*flow{}}} }
 
 func (v *level) child(name string, weight float64, batch *flow) *flow {
@@ -99,7 +94,7 @@
 	return lowest, found
 }
 
-func (v *level) eligible(f *flow) bool {
+func (v *level) eligible(f *flow, lead float64) bool {
 	lowest, waiting := v.lowest()
 	return !waiting || v.tag(f) <= lowest+lead/f.weight
 }
@@ -129,9 +124,10 @@
 	v.waiting--
 }
 
-// eligible tells whether the team may have the next free slot.
-func (o *order) eligible(team *flow) bool {
-	return o.level.eligible(team.batch) && team.batch.teams.eligible(team)
+// eligible tells whether the team may have the next free slot. It may be ahead
+// of its share by lead grants while others wait.
+func (o *order) eligible(team *flow, lead float64) bool {
+	return o.level.eligible(team.batch, lead) && team.batch.teams.eligible(team, lead)
 }
 
 func (o *order) charge(team *flow) {
@@ -206,15 +202,26 @@
 	reply.Full, reply.Ticket, reply.RetryUs = true, w.ticket, l.retry().Microseconds()
 }
 
-// retry spreads the asks of the waiting requests over the time in which slots
-// become free.
-func (l *ledger) retry() time.Duration {
+// turn is the usual time between two slots that become free.
+func (l *ledger) turn() time.Duration {
 	total := 0
 	for _, t := range l.targets {
 		if t.takes(nil) {
 			total += t.slots
 		}
 	}
-	wait := l.hold * time.Duration(len(l.waiting)+1) / time.Duration(max(total, 1)*asksPerSlot)
-	return min(max(wait, minRetry), maxRetry)
+	return max(l.hold/time.Duration(max(total, 1)), time.Microsecond)
+}
+
+// retry spreads the asks of the waiting requests over the time in which slots
+// become free.
+func (l *ledger) retry() time.Duration {
+	return min(max(l.turn()*time.Duration(len(l.waiting)+1)/asksPerSlot, minRetry), maxRetry)
+}
+
+// lead is the number of grants in the time between two asks of one request.
+// Others may use these slots meanwhile. With a fixed lead of 4, slots stood idle
+// and 30% of the requests were refused at 95% load.
+func (l *ledger) lead() float64 {
+	return leadTurns * float64(l.retry()) / float64(l.turn())
 }
--- /dev/null
+++ b/pkg/lab/dispatchsim/reserve.go
@@ -0,0 +1,156 @@
+package dispatchsim
+
+import (
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/dispatch"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+)
+
+// ask asks the dispatcher as dispatch.Balancer does. fallback is nil for a
+// request that has waited for a slot.
+func (r *request) ask(fallback proxy.Attempt) {
+	w := r.world
+	to := w.dispatchers[r.spec.Service]
+	message := r.reserveRequest()
+	if to == r.instance {
+		r.answered(fallback, to, to.dispatcher.HandleReserve(message))
+		return
+	}
+	path := r.instance.path(to)
+	asked := w.engine.now
+	wait, ok := path.Ask(asked)
+	if !ok {
+		r.fallBack(fallback)
+		return
+	}
+	key := releaseKey{to, r.spec.Service}
+	message.Released = r.instance.releases[key]
+	delete(r.instance.releases, key)
+	w.count(func(m *Result) { m.Calls++ })
+	var inTime, abandoned bool
+	w.engine.after(w.peerDelay(), func() {
+		if to.down {
+			return
+		}
+		reply := to.dispatcher.HandleReserve(message)
+		w.engine.after(w.peerDelay(), func() {
+			path.Answered(w.engine.now-asked, !abandoned)
+			if abandoned {
+				r.instance.release(w, key, reply)
+				return
+			}
+			inTime = true
+			r.answered(fallback, to, reply)
+		})
+	})
+	w.engine.after(wait, func() {
+		if !inTime {
+			abandoned = true
+			path.Failed(w.engine.now)
+			w.count(func(m *Result) { m.Late++ })
+			r.fallBack(fallback)
+		}
+	})
+}
+
+func (r *request) answered(fallback proxy.Attempt, to *instance, reply *peerpb.ReserveReply) {
+	w := r.world
+	switch {
+	case reply.GetTarget() != "":
+		r.use(fallback, releaseKey{to, r.spec.Service}, reply)
+	case !reply.GetFull():
+		r.fallBack(fallback)
+	default:
+		if fallback != nil {
+			fallback.Done(proxy.Canceled, 0, proxy.Load{})
+		}
+		retry := time.Duration(reply.RetryUs) * time.Microsecond
+		if reply.Ticket == 0 || w.engine.now+retry >= min(r.asked+maxWait, r.spec.Deadline) {
+			r.refused(false)
+			return
+		}
+		r.ticket = reply.Ticket
+		w.engine.after(retry, func() { r.ask(nil) })
+	}
+}
+
+func (r *request) use(fallback proxy.Attempt, key releaseKey, reply *peerpb.ReserveReply) {
+	done := func() { r.instance.release(r.world, key, reply) }
+	if fallback != nil && fallback.Target() == reply.Target {
+		r.send(fallback, done)
+		return
+	}
+	others := []string{""}
+	for name := range r.world.config.Config.Services[r.spec.Service].Targets {
+		if name != reply.Target {
+			others = append(others, name)
+		}
+	}
+	a, err := r.instance.balancer.Acquire(r.spec, others)
+	if err != nil {
+		done()
+		r.fallBack(fallback)
+		return
+	}
+	if fallback != nil {
+		fallback.Done(proxy.Canceled, 0, proxy.Load{})
+	}
+	r.send(a, done)
+}
+
+func (r *request) fallBack(fallback proxy.Attempt) {
+	if fallback == nil {
+		var err error
+		if fallback, err = r.instance.balancer.Acquire(r.spec, r.tried); err != nil {
+			r.refused(false)
+			return
+		}
+	}
+	r.send(fallback, nil)
+}
+
+func (i *instance) path(to *instance) *dispatch.Path {
+	p := i.paths[to]
+	if p == nil {
+		p = &dispatch.Path{}
+		i.paths[to] = p
+	}
+	return p
+}
+
+// release gives a slot back with the next message or by itself.
+func (i *instance) release(w *world, key releaseKey, reply *peerpb.ReserveReply) {
+	if reply.GetTarget() == "" {
+		return
+	}
+	send := func(ids []uint64) {
+		key.to.dispatcher.HandleReserve(&peerpb.ReserveRequest{
+			From: i.incarnation(), Service: key.service, Released: ids, ReleaseOnly: true,
+		})
+	}
+	if key.to == i {
+		send([]uint64{reply.Reservation})
+		return
+	}
+	i.releases[key] = append(i.releases[key], reply.Reservation)
+	if i.flushing[key] {
+		return
+	}
+	i.flushing[key] = true
+	w.engine.after(dispatch.ReleaseDelay, func() {
+		ids := i.releases[key]
+		delete(i.releases, key)
+		delete(i.flushing, key)
+		if len(ids) == 0 {
+			return
+		}
+		w.count(func(m *Result) { m.Calls++ })
+		w.engine.after(w.peerDelay(), func() {
+			if !key.to.down {
+				send(ids)
+			}
+		})
+	})
+}
