Tell the dispatcher where idempotent requests go, reserve for them when busy

Now the wrapped balancer still places idempotent requests without a wait, but the dispatcher is told where. While at least 95% of the slots are reserved it asks the instances to reserve for all requests, for 250 ms after each such answer.

The estimate of unreserved requests from the reported load is gone: it is an average over 1 s and was no help.

--- a/pkg/dispatch/balancer.go
+++ b/pkg/dispatch/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 )
 
 // Caller brings a request to the dispatcher. Implementations fill in the
@@ -45,7 +46,7 @@
 
 var _ proxy.Balancer = (*Balancer)(nil)
 
-type counters struct{ granted, late, paused, unusable, full, refused atomic.Uint64 }
+type counters struct{ granted, told, late, paused, unusable, full, refused atomic.Uint64 }
 
 // NewBalancer wraps inner. own is this instance's dispatcher, which answers
 // without a message.
@@ -68,13 +69,16 @@
 // those of the wrapped balancer, and overloaded after MaxWait.
 func (b *Balancer) Acquire(r proxy.Request, tried []string) (proxy.Attempt, error) {
 	fallback, err := b.inner.Acquire(r, tried)
-	if err != nil || r.Idempotent && !b.options.All || b.onTrial(r.Service, fallback.Target()) {
+	if err != nil || b.onTrial(r.Service, fallback.Target()) {
 		return fallback, err
 	}
 	request := &peerpb.ReserveRequest{
 		Service: r.Service, Team: r.Team, Batch: r.Batch, Idempotent: r.Idempotent, Tried: tried,
 	}
 	start := b.clock.SinceBoot()
+	if r.Idempotent && !b.options.All && b.calm(r.Service, start) {
+		return b.tell(request, r.Deadline, fallback), nil
+	}
 	end := min(start+b.options.MaxWait, r.Deadline)
 	for {
 		reply, line := b.ask(request, r.Deadline)
@@ -153,19 +157,39 @@
 	return append(others, "")
 }
 
-// ask returns the dispatcher's answer, or nil without one in time.
-func (b *Balancer) ask(request *peerpb.ReserveRequest, deadline time.Duration) (*peerpb.ReserveReply, *line) {
+// lineOf returns the line to the dispatcher of the service, or nil. self tells
+// that this instance is the dispatcher.
+func (b *Balancer) lineOf(service string) (l *line, self bool) {
 	view := b.viewer.View()
-	to := b.own.roles.dispatcher(view.Membership, request.Service)
-	if to.Incarnation == "" {
-		return nil, nil
+	to := b.own.roles.dispatcher(view.Membership, service)
+	switch to.Incarnation {
+	case "":
+		return nil, false
+	case view.Self.Incarnation:
+		return nil, true
+	default:
+		return b.line(to, view.Membership), false
 	}
+}
+
+// calm tells whether the wrapped balancer may place idempotent requests. The
+// dispatcher itself reserves for all, because that costs no time.
+func (b *Balancer) calm(service string, now time.Duration) bool {
+	l, self := b.lineOf(service)
+	return !self && (l == nil || !l.busy(now, service))
+}
+
+// ask returns the dispatcher's answer, or nil without one in time.
+func (b *Balancer) ask(request *peerpb.ReserveRequest, deadline time.Duration) (*peerpb.ReserveReply, *line) {
 	now := b.clock.SinceBoot()
-	request.From, request.LifeMs = view.Self.Incarnation, max((deadline-now).Milliseconds(), 1)
-	if to.Incarnation == view.Self.Incarnation {
+	l, self := b.lineOf(request.Service)
+	request.From, request.LifeMs = b.viewer.View().Self.Incarnation, max((deadline-now).Milliseconds(), 1)
+	switch {
+	case self:
 		return b.own.HandleReserve(request), nil
+	case l == nil:
+		return nil, nil
 	}
-	l := b.line(to, view.Membership)
 	wait, ok := l.ask(now, request)
 	if !ok {
 		b.counters.paused.Add(1)
@@ -184,11 +208,8 @@
 	var mu sync.Mutex
 	var reply *peerpb.ReserveReply
 	var abandoned bool
-	sent := &peerpb.ReserveRequest{
-		From: request.From, Service: request.Service, Released: request.Released, Team: request.Team,
-		Batch: request.Batch, Idempotent: request.Idempotent, Tried: request.Tried, LifeMs: request.LifeMs,
-		Ticket: request.Ticket,
-	}
+	// The request is changed for the next ask, maybe while this call is made.
+	sent := proto.CloneOf(request)
 	waiting, answered := context.WithCancel(context.Background())
 	go func() {
 		defer answered()
@@ -200,7 +221,8 @@
 		}
 		mu.Lock()
 		defer mu.Unlock()
-		l.answered(b.clock.SinceBoot()-asked, !abandoned)
+		now := b.clock.SinceBoot()
+		l.answered(now, now-asked, !abandoned, sent.Service, got)
 		if !abandoned {
 			reply = got
 		} else if got.GetTarget() != "" {
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -38,7 +38,9 @@
 	MaxWaiting int
 	// MaxWait bounds the wait of one request at a full service; default 1 s.
 	MaxWait time.Duration
-	// All reserves also for idempotent requests.
+	// All always reserves for idempotent requests. Otherwise the wrapped
+	// balancer places them while the service is not busy, and the dispatcher is
+	// told where.
 	All bool
 }
 
@@ -95,14 +97,19 @@
 		l.release(id, request.GetFrom())
 	}
 	reply := &peerpb.ReserveReply{Dispatcher: true}
-	if !request.GetReleaseOnly() {
+	share := view.Config.Config.Batches[request.GetBatch()].Share
+	switch {
+	case request.GetReleaseOnly():
+	case request.GetChosen() != "":
+		l.note(request, share, reply)
+	default:
 		zone := ""
 		if member, ok := view.Membership.Find(request.GetFrom()); ok {
 			zone = member.Zone
 		}
-		share := view.Config.Config.Batches[request.GetBatch()].Share
 		l.reserve(request, zone, share, reply)
 	}
+	reply.Busy = l.busy()
 	return reply
 }
 
--- a/pkg/dispatch/dump.go
+++ b/pkg/dispatch/dump.go
@@ -51,11 +51,13 @@
 
 // BalancerDump is the state of an instance's use of the dispatchers.
 type BalancerDump struct {
-	// Granted counts the requests that went where a dispatcher said; Late,
+	// Granted counts the requests that went where a dispatcher said; Told those
+	// that the wrapped balancer placed and a dispatcher counts; Late,
 	// Paused and Unusable those that the wrapped balancer placed because no
 	// answer came in time, because the dispatcher was not asked, and because
 	// this instance could not use the target.
 	Granted  uint64 `json:"granted"`
+	Told     uint64 `json:"told"`
 	Late     uint64 `json:"late"`
 	Paused   uint64 `json:"paused"`
 	Unusable uint64 `json:"unusable"`
@@ -79,7 +81,7 @@
 	now := b.clock.SinceBoot()
 	c := &b.counters
 	dump := BalancerDump{
-		Granted: c.granted.Load(), Late: c.late.Load(), Paused: c.paused.Load(), Unusable: c.unusable.Load(),
+		Granted: c.granted.Load(), Told: c.told.Load(), Late: c.late.Load(), Paused: c.paused.Load(), Unusable: c.unusable.Load(),
 		Full: c.full.Load(), Refused: c.refused.Load(), Paths: map[string]PathDump{},
 	}
 	b.mu.Lock()
--- a/pkg/dispatch/ledger.go
+++ b/pkg/dispatch/ledger.go
@@ -31,7 +31,11 @@
 	// leadTurns covers a retry and a slow round trip.
 	leadTurns = 2.0
 	// holdWeight is the weight of one release in the usual time of a request.
-	holdWeight  = 0.02
+	holdWeight = 0.02
+	// busyShare of the slots reserved makes a service busy. Two choices then
+	// often meet targets without a free slot. With 0.8, half of the requests
+	// waited for an answer at 60% load; with 1.1, sheds at 60% load doubled.
+	busyShare   = 0.95
 	initialHold = 50 * time.Millisecond
 )
 
@@ -85,7 +89,7 @@
 	if standings != nil && standings != l.applied {
 		l.applied = standings
 		for _, t := range l.targets {
-			t.apply(standings.Targets[t.name], now)
+			t.apply(standings.Targets[t.name])
 		}
 	}
 	for len(l.deadlines) > 0 && l.deadlines[0].expires <= now {
@@ -119,16 +123,21 @@
 	sort.Slice(l.targets, func(i, j int) bool { return l.targets[i].name < l.targets[j].name })
 }
 
+// lifeOf is the time after which a reservation ends by itself.
+func lifeOf(request *peerpb.ReserveRequest) time.Duration {
+	if request.GetLifeMs() <= 0 {
+		return defaultLife
+	}
+	return min(time.Duration(request.GetLifeMs())*time.Millisecond, maxLife)
+}
+
 // reserve fills the reply with a slot or with a place among the waiting.
 func (l *ledger) reserve(request *peerpb.ReserveRequest, zone string, share float64, reply *peerpb.ReserveReply) {
 	if l.applied == nil {
 		// Without verdicts an ejected target could be given.
 		return
 	}
-	life := min(time.Duration(request.GetLifeMs())*time.Millisecond, maxLife)
-	if life <= 0 {
-		life = defaultLife
-	}
+	life := lifeOf(request)
 	team := l.order.flow(request.GetBatch(), request.GetTeam(), share)
 	w := l.waiting[request.GetTicket()]
 	if w != nil && w.from != request.GetFrom() {
@@ -153,6 +162,15 @@
 	}
 }
 
+// note counts a request that its instance has placed by itself.
+func (l *ledger) note(request *peerpb.ReserveRequest, share float64, reply *peerpb.ReserveReply) {
+	if t := l.byName[request.GetChosen()]; t != nil {
+		life := lifeOf(request)
+		l.order.charge(l.order.flow(request.GetBatch(), request.GetTeam(), share))
+		l.answer(l.grant(t, request.GetFrom(), life), life, reply)
+	}
+}
+
 func (l *ledger) answer(r *reservation, life time.Duration, reply *peerpb.ReserveReply) {
 	reply.Target, reply.Reservation, reply.LifeMs = r.target.name, r.id, life.Milliseconds()
 }
@@ -215,12 +233,21 @@
 	return best, possible
 }
 
+// busy tells whether idempotent requests should be reserved for too.
+func (l *ledger) busy() bool {
+	total, used := 0, 0
+	for _, t := range l.targets {
+		if t.takes(nil) {
+			total += t.slots
+			used += t.reserved
+		}
+	}
+	return len(l.waiting) > 0 || float64(used) >= busyShare*float64(total)
+}
+
 // foreign is the expected number of requests at the target that have no
-// reservation here.
+// reservation here: those from before the dispatcher's start.
 func (l *ledger) foreign(t *slots) float64 {
-	if !l.options.All {
-		return t.unreserved
-	}
 	return t.atStart(l.now-l.started, l.hold)
 }
 
--- a/pkg/dispatch/line.go
+++ b/pkg/dispatch/line.go
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	path    Path
 	pending map[string][]uint64
+	// busyUntil is the time until which services count as busy.
+	busyUntil map[string]time.Duration
 	// flushing is set for services whose releases will be sent by themselves.
 	flushing map[string]bool
 }
@@ -42,7 +44,9 @@
 	}
 	l := b.lines[to.Incarnation]
 	if l == nil {
-		l = &line{to: to, pending: map[string][]uint64{}, flushing: map[string]bool{}}
+		l = &line{
+			to: to, pending: map[string][]uint64{}, flushing: map[string]bool{}, busyUntil: map[string]time.Duration{},
+		}
 		b.lines[to.Incarnation] = l
 	}
 	return l
@@ -60,10 +64,19 @@
 	return wait, ok
 }
 
-func (l *line) answered(roundTrip time.Duration, inTime bool) {
+func (l *line) answered(now, roundTrip time.Duration, inTime bool, service string, reply *peerpb.ReserveReply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.path.Answered(roundTrip, inTime)
+	if reply.GetBusy() {
+		l.busyUntil[service] = now + BusyFor
+	}
+}
+
+func (l *line) busy(now time.Duration, service string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now < l.busyUntil[service]
 }
 
 func (l *line) failed(now time.Duration) {
--- a/pkg/dispatch/path.go
+++ b/pkg/dispatch/path.go
@@ -3,6 +3,9 @@
 import "time"
 
 const (
+	// BusyFor is how long an instance also asks for idempotent requests after
+	// the dispatcher said that the service is busy.
+	BusyFor = 250 * time.Millisecond
 	// Slack is the time beyond the usual round trip that a request waits for
 	// the dispatcher's answer.
 	Slack = 2 * time.Millisecond
@@ -33,7 +36,7 @@
 // when the dispatcher must not be asked. Answered or Failed must follow.
 func (p *Path) Ask(now time.Duration) (time.Duration, bool) {
 	switch {
-	case now < p.pauseUntil, p.probing:
+	case p.Paused(now):
 		return 0, false
 	case p.failures > 0:
 		p.probing = true
@@ -44,6 +47,9 @@
 	return p.usual + Slack, true
 }
 
+// Paused tells whether the dispatcher is not asked now.
+func (p *Path) Paused(now time.Duration) bool { return now < p.pauseUntil || p.probing }
+
 // Answered records an answer in time, or one that came late, with its round trip.
 func (p *Path) Answered(roundTrip time.Duration, inTime bool) {
 	if p.usual == 0 {
--- a/pkg/dispatch/slots.go
+++ b/pkg/dispatch/slots.go
@@ -15,8 +15,6 @@
 	slowStart     = 10 * time.Second
 	slowStartFrom = 0.1
 	coldWeight    = 0.5
-	// loadMemory is the time over which the shared load is averaged.
-	loadMemory = time.Second
 )
 
 // slots is one target with the requests that it has.
@@ -27,26 +25,17 @@
 	standing   health.Standing
 	reserved   int
 
-	// average follows reserved as the reported load follows the requests.
-	average   float64
-	averageAt time.Duration
-	// unreserved is the reported load beyond the reservations.
-	unreserved float64
 	// initial is the load that the first report named.
 	initial    float64
 	hasInitial bool
 }
 
 // apply takes a new standing.
-func (t *slots) apply(s health.Standing, now time.Duration) {
-	keep := math.Exp(-(now - t.averageAt).Seconds() / loadMemory.Seconds())
-	t.average = keep*t.average + (1-keep)*float64(t.reserved)
-	t.averageAt = now
+func (t *slots) apply(s health.Standing) {
 	t.standing = s
 	if !t.hasInitial {
 		t.initial, t.hasInitial = float64(s.Load), true
 	}
-	t.unreserved = max(float64(s.Load)-t.average, 0)
 }
 
 // atStart is the part of the load before the dispatcher's start that is
--- a/pkg/lab/dispatchsim/dispatchsim.go
+++ b/pkg/lab/dispatchsim/dispatchsim.go
@@ -25,7 +25,9 @@
 	TwoChoices Policy = "two-choices"
 	// ReserveAll asks the dispatcher for every request.
 	ReserveAll Policy = "reserve-all"
-	// ReserveNonIdempotent asks it for non-idempotent requests only.
+	// ReserveNonIdempotent asks it for non-idempotent requests only, and for all
+	// while the service is busy. Two choices place the others, and the
+	// dispatcher is told where.
 	ReserveNonIdempotent Policy = "reserve-non-idempotent"
 )
 
--- a/pkg/lab/dispatchsim/fleet.go
+++ b/pkg/lab/dispatchsim/fleet.go
@@ -48,6 +48,7 @@
 	paths      map[*instance]*dispatch.Path
 	releases   map[releaseKey][]uint64
 	flushing   map[releaseKey]bool
+	busyUntil  map[releaseKey]time.Duration
 }
 
 type releaseKey struct {
@@ -105,7 +106,7 @@
 	v := &viewer{&control.View{Config: w.config, Membership: w.membership, Self: member, Member: true}}
 	i := &instance{
 		viewer: v, paths: map[*instance]*dispatch.Path{},
-		releases: map[releaseKey][]uint64{}, flushing: map[releaseKey]bool{},
+		releases: map[releaseKey][]uint64{}, flushing: map[releaseKey]bool{}, busyUntil: map[releaseKey]time.Duration{},
 	}
 	collector := health.NewCollector(w.engine)
 	i.follower = health.NewFollower(w.engine, v, collector, &log)
--- a/pkg/lab/dispatchsim/reserve.go
+++ b/pkg/lab/dispatchsim/reserve.go
@@ -37,6 +37,7 @@
 		reply := to.dispatcher.HandleReserve(message)
 		w.engine.after(w.peerDelay(), func() {
 			path.Answered(w.engine.now-asked, !abandoned)
+			r.instance.busy(w, key, reply)
 			if abandoned {
 				r.instance.release(w, key, reply)
 				return
@@ -55,6 +56,50 @@
 	})
 }
 
+// tell says where an instance has placed a request by itself.
+func (r *request) tell(target string) (done func()) {
+	w, i := r.world, r.instance
+	key := releaseKey{w.dispatchers[r.spec.Service], r.spec.Service}
+	message := r.reserveRequest()
+	message.Chosen = target
+	var reply *peerpb.ReserveReply
+	ended := false
+	answered := func(got *peerpb.ReserveReply) {
+		if reply = got; ended {
+			i.release(w, key, reply)
+		}
+	}
+	asked, path := w.engine.now, i.path(key.to)
+	wait, ok := path.Ask(asked)
+	if !ok {
+		return nil
+	}
+	message.Released = i.releases[key]
+	delete(i.releases, key)
+	w.count(func(m *Result) { m.Calls++ })
+	w.engine.after(w.peerDelay(), func() {
+		if key.to.down {
+			w.engine.after(callLimit, func() { path.Failed(w.engine.now) })
+			return
+		}
+		got := key.to.dispatcher.HandleReserve(message)
+		w.engine.after(w.peerDelay(), func() {
+			late := w.engine.now-asked > wait
+			path.Answered(w.engine.now-asked, !late)
+			if late {
+				path.Failed(w.engine.now)
+			}
+			i.busy(w, key, got)
+			answered(got)
+		})
+	})
+	return func() {
+		if ended = true; reply != nil {
+			i.release(w, key, reply)
+		}
+	}
+}
+
 func (r *request) answered(fallback proxy.Attempt, to *instance, reply *peerpb.ReserveReply) {
 	w := r.world
 	switch {
@@ -111,6 +156,21 @@
 	r.send(fallback, nil)
 }
 
+// busy notes that idempotent requests should ask for a while.
+func (i *instance) busy(w *world, key releaseKey, reply *peerpb.ReserveReply) {
+	if reply.GetBusy() {
+		i.busyUntil[key] = w.engine.now + dispatch.BusyFor
+	}
+}
+
+// reserves tells whether the request asks for a slot before it is written.
+func (r *request) reserves() bool {
+	w := r.world
+	key := releaseKey{w.dispatchers[r.spec.Service], r.spec.Service}
+	return w.policy == ReserveAll || w.policy == ReserveNonIdempotent &&
+		(!r.spec.Idempotent || key.to == r.instance || w.engine.now < r.instance.busyUntil[key])
+}
+
 func (i *instance) path(to *instance) *dispatch.Path {
 	p := i.paths[to]
 	if p == nil {
--- a/pkg/lab/dispatchsim/traffic.go
+++ b/pkg/lab/dispatchsim/traffic.go
@@ -11,6 +11,8 @@
 const (
 	requestTimeout = 2 * time.Second
 	maxAttempts    = 3
+	// callLimit bounds a call that the request does not wait for.
+	callLimit = 250 * time.Millisecond
 	// maxWait bounds the wait at a full service, as dispatch.Options does.
 	maxWait = time.Second
 )
@@ -96,9 +98,11 @@
 	switch {
 	case err != nil:
 		r.refused(false)
-	case w.policy == ReserveAll || w.policy == ReserveNonIdempotent && !r.spec.Idempotent:
+	case r.reserves():
 		r.ticket, r.asked = 0, w.engine.now
 		r.ask(a)
+	case w.policy == ReserveNonIdempotent:
+		r.send(a, r.tell(a.Target()))
 	default:
 		r.send(a, nil)
 	}
