Let the second evaluator stand in for a silent dispatcher

Until a crashed dispatcher left the membership (3.2 s), all instances fell back to two choices. Now an instance whose last two calls to the dispatcher had no answer in time asks the second evaluator, which answers if it gets no answers from the dispatcher either. A dispatcher without a call for 1 s starts from the reports again.

Ruled out: a stand-in that answers whoever asks. An instance that is cut from the dispatcher alone would then split the counts.

--- a/pkg/dispatch/balancer.go
+++ b/pkg/dispatch/balancer.go
@@ -54,10 +54,12 @@
 	c clock.Clock, viewer control.Viewer, standings Standings, inner proxy.Balancer, own *Dispatcher, caller Caller,
 	options Options,
 ) *Balancer {
-	return &Balancer{
+	b := &Balancer{
 		inner: inner, clock: c, viewer: viewer, standings: standings, own: own, caller: caller,
 		options: options.withDefaults(), lines: map[string]*line{},
 	}
+	own.ObserveSilence(b.silent)
+	return b
 }
 
 // MayRetry spends the route's retry budget.
@@ -157,49 +159,73 @@
 	return append(others, "")
 }
 
-// lineOf returns the line to the dispatcher of the service, or nil. self tells
-// that this instance is the dispatcher.
-func (b *Balancer) lineOf(service string) (l *line, self bool) {
+// way is how to reach the dispatcher of a service.
+type way struct {
+	// self tells that this instance dispatches; line is nil then.
+	self bool
+	line *line
+	// wait bounds the wait for the answer.
+	wait time.Duration
+}
+
+// way finds the dispatcher, or the instance that stands in while the
+// dispatcher is silent, and adds the pending releases for it to the request.
+// It returns false when neither may be asked now.
+func (b *Balancer) way(now time.Duration, request *peerpb.ReserveRequest) (way, bool) {
 	view := b.viewer.View()
-	to := b.own.roles.dispatcher(view.Membership, service)
-	switch to.Incarnation {
-	case "":
-		return nil, false
-	case view.Self.Incarnation:
-		return nil, true
-	default:
-		return b.line(to, view.Membership), false
+	for _, to := range b.own.roles.dispatchers(view.Membership, request.Service) {
+		if to.Incarnation == view.Self.Incarnation {
+			return way{self: true}, true
+		}
+		l := b.line(to, view.Membership)
+		if wait, ok := l.ask(now, request); ok {
+			return way{line: l, wait: wait}, true
+		}
+		if !l.silent() {
+			break
+		}
 	}
+	b.counters.paused.Add(1)
+	return way{}, false
+}
+
+// silent tells whether a member gave no answers to this instance lately.
+func (b *Balancer) silent(member membership.Member) bool {
+	return b.line(member, b.viewer.View().Membership).silent()
 }
 
 // calm tells whether the wrapped balancer may place idempotent requests. The
 // dispatcher itself reserves for all, because that costs no time.
 func (b *Balancer) calm(service string, now time.Duration) bool {
-	l, self := b.lineOf(service)
-	return !self && (l == nil || !l.busy(now, service))
+	view := b.viewer.View()
+	for _, to := range b.own.roles.dispatchers(view.Membership, service) {
+		if to.Incarnation == view.Self.Incarnation {
+			return false
+		}
+		l := b.line(to, view.Membership)
+		if !l.silent() {
+			return !l.busy(now, service)
+		}
+	}
+	return true
 }
 
 // ask returns the dispatcher's answer, or nil without one in time.
 func (b *Balancer) ask(request *peerpb.ReserveRequest, deadline time.Duration) (*peerpb.ReserveReply, *line) {
 	now := b.clock.SinceBoot()
-	l, self := b.lineOf(request.Service)
 	request.From, request.LifeMs = b.viewer.View().Self.Incarnation, max((deadline-now).Milliseconds(), 1)
+	way, ok := b.way(now, request)
 	switch {
-	case self:
-		return b.own.HandleReserve(request), nil
-	case l == nil:
+	case !ok:
 		return nil, nil
+	case way.self:
+		return b.own.HandleReserve(request), nil
 	}
-	wait, ok := l.ask(now, request)
-	if !ok {
-		b.counters.paused.Add(1)
-		return nil, l
-	}
-	reply := b.call(l, request, now, wait)
+	reply := b.call(way.line, request, now, way.wait)
 	if reply == nil {
 		b.counters.late.Add(1)
 	}
-	return reply, l
+	return reply, way.line
 }
 
 // call waits for the answer no longer than wait. A slot in a later answer is
--- a/pkg/dispatch/balancer_test.go
+++ b/pkg/dispatch/balancer_test.go
@@ -218,3 +218,58 @@
 		is.Equal(r.inner.open, 6)
 	})
 }
+
+// Guards against a stand-in that dispatches while the dispatcher answers, which
+// splits the counts, and against one that refuses when the dispatcher is lost.
+func TestStandIn(t *testing.T) {
+	is := is.New(t)
+	v, ranked := fleetView(2)
+	v.view.Self = ranked[1]
+	s := &standings{}
+	s.set(active, active)
+	d := NewDispatcher(bubbleClock{time.Now()}, v, s, Options{})
+	silent := false
+	d.ObserveSilence(func(m membership.Member) bool { return silent && m == ranked[0] })
+	ask := func() *peerpb.ReserveReply { return d.HandleReserve(&peerpb.ReserveRequest{Service: "s", From: "i1"}) }
+	is.True(!ask().Dispatcher)
+	silent = true
+	is.True(ask().Target != "")
+	silent = false
+	is.True(!ask().Dispatcher)
+}
+
+// Guards against idempotent requests that wait at a calm service, that the
+// dispatcher does not count, or whose slots stay taken.
+func TestIdempotentRequestsAreTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newBalancerRig(Options{QueuePerSlot: -1})
+		request := proxy.Request{Service: "s", Route: "r", Idempotent: true, Deadline: time.Hour}
+		var open []proxy.Attempt
+		for i := range 6 {
+			start := time.Now()
+			a, err := r.balancer.Acquire(request, nil)
+			is.NoErr(err)
+			is.Equal(time.Since(start), time.Duration(0))
+			time.Sleep(10 * time.Millisecond)
+			is.Equal(r.reserved(), i+1)
+			open = append(open, a)
+		}
+		start := time.Now()
+		busy, err := r.balancer.Acquire(request, nil) // All placed on t0: the service is busy.
+		is.NoErr(err)
+		is.True(time.Since(start) == usualDelay && busy.Target() != "t0")
+		open = append(open, busy)
+		for _, a := range open {
+			a.Done(proxy.Answered, time.Millisecond, proxy.Load{})
+			a.Done(proxy.Answered, time.Millisecond, proxy.Load{})
+		}
+		time.Sleep(BusyFor)
+		a, err := r.balancer.Acquire(request, nil)
+		is.NoErr(err)
+		a.Done(proxy.Answered, 0, proxy.Load{}) // Before the dispatcher has answered.
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(r.reserved(), 0)
+		is.Equal(r.inner.open, 0)
+	})
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -1,5 +1,6 @@
 // Package dispatch reserves slots at targets. Each service has one dispatcher,
-// which is its first health evaluator in rank order. It counts the requests
+// which is its first health evaluator in rank order; the second one stands in
+// while neither it nor the others get answers from the first. The dispatcher counts the requests
 // that all instances have at each target and gives the next one to the target
 // with the most free slots. Its answers are hints: without one, an instance
 // chooses by the policy that its Balancer wraps.
@@ -66,6 +67,8 @@
 	options   Options
 	roles     roles
 	ids       atomic.Uint64
+	// silent tells whether this instance gets no answers from a member.
+	silent atomic.Pointer[func(membership.Member) bool]
 
 	mu      sync.RWMutex
 	ledgers map[string]*ledger
@@ -78,13 +81,17 @@
 	}
 }
 
+// ObserveSilence tells the dispatcher how to learn that this instance gets no
+// answers from a member. NewBalancer does so.
+func (d *Dispatcher) ObserveSilence(silent func(membership.Member) bool) { d.silent.Store(&silent) }
+
 // HandleReserve serves the peer call Reserve. The caller fills in the versions
 // of the reply. An instance that is not the dispatcher of the service says so.
 func (d *Dispatcher) HandleReserve(request *peerpb.ReserveRequest) *peerpb.ReserveReply {
 	view := d.viewer.View()
 	service := request.GetService()
 	svc, ok := view.Config.Config.Services[service]
-	if !ok || d.roles.dispatcher(view.Membership, service).Incarnation != view.Self.Incarnation {
+	if !ok || !d.dispatches(view, service) {
 		d.drop(service)
 		return &peerpb.ReserveReply{}
 	}
@@ -113,18 +120,36 @@
 	return reply
 }
 
+// dispatches tells whether this instance is the dispatcher or stands in for it.
+func (d *Dispatcher) dispatches(view *control.View, service string) bool {
+	for _, member := range d.roles.dispatchers(view.Membership, service) {
+		if member.Incarnation == view.Self.Incarnation {
+			return true
+		}
+		if silent := d.silent.Load(); silent == nil || !(*silent)(member) {
+			return false
+		}
+	}
+	return false
+}
+
+// idleRestart is the time without a call after which a ledger starts from the
+// reports again: requests may have gone without it meanwhile.
+const idleRestart = time.Second
+
 func (d *Dispatcher) ledger(service string) *ledger {
+	now := d.clock.SinceBoot()
 	d.mu.RLock()
 	l := d.ledgers[service]
 	d.mu.RUnlock()
-	if l != nil {
+	if l != nil && !l.idle(now) {
 		return l
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if l = d.ledgers[service]; l == nil {
+	if l = d.ledgers[service]; l == nil || l.idle(now) {
 		random := rand.New(rand.NewPCG(d.options.Seed, xxhash.Sum64String(service)))
-		l = newLedger(d.options, random, &d.ids, d.clock.SinceBoot())
+		l = newLedger(d.options, random, &d.ids, now)
 		d.ledgers[service] = l
 	}
 	return l
@@ -143,34 +168,32 @@
 	}
 }
 
-// roles caches the dispatcher of each service for one membership version,
+// roles caches the dispatchers of each service for one membership version,
 // because ranking sorts all members.
 type roles struct {
 	mu      sync.RWMutex
 	version int64
-	members map[string]membership.Member
+	members map[string][]membership.Member
 }
 
-// dispatcher returns the zero Member when the service has none.
-func (r *roles) dispatcher(m *membership.Membership, service string) membership.Member {
+// dispatchers returns the dispatcher and those that stand in for it, in order.
+func (r *roles) dispatchers(m *membership.Membership, service string) []membership.Member {
 	if m == nil {
-		return membership.Member{}
+		return nil
 	}
 	r.mu.RLock()
-	member, ok := r.members[service]
+	members, ok := r.members[service]
 	ok = ok && r.version == m.Version
 	r.mu.RUnlock()
 	if ok {
-		return member
-	}
-	if ranked := health.EvaluatorsOf(m, service); len(ranked) > 0 {
-		member = ranked[0]
+		return members
 	}
+	members = health.EvaluatorsOf(m, service)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.members == nil || r.version != m.Version {
-		r.members, r.version = map[string]membership.Member{}, m.Version
+		r.members, r.version = map[string][]membership.Member{}, m.Version
 	}
-	r.members[service] = member
-	return member
+	r.members[service] = members
+	return members
 }
--- a/pkg/dispatch/ledger.go
+++ b/pkg/dispatch/ledger.go
@@ -79,6 +79,13 @@
 	}
 }
 
+// idle tells whether no call came for idleRestart.
+func (l *ledger) idle(now time.Duration) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now-l.now > idleRestart
+}
+
 // advance brings the targets up to date and drops what has expired.
 func (l *ledger) advance(now time.Duration, c *config.Snapshot, svc config.Service, standings *health.Standings) {
 	l.now = now
--- a/pkg/dispatch/line.go
+++ b/pkg/dispatch/line.go
@@ -68,11 +68,20 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.path.Answered(roundTrip, inTime)
+	if !reply.GetDispatcher() {
+		l.path.Declined(now)
+	}
 	if reply.GetBusy() {
 		l.busyUntil[service] = now + BusyFor
 	}
 }
 
+func (l *line) silent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.path.Silent()
+}
+
 func (l *line) busy(now time.Duration, service string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/dispatch/path.go
+++ b/pkg/dispatch/path.go
@@ -19,6 +19,12 @@
 	// is short because a single late answer is mostly a scheduling delay.
 	firstPause = 25 * time.Millisecond
 	maxPause   = 2 * time.Second
+	// silentAfter late or missing answers in a row make a dispatcher silent, so
+	// that the next evaluator stands in. A single one is no reason to split the
+	// counts over two dispatchers.
+	silentAfter = 2
+	// declinedPause follows the answer of an instance that does not dispatch.
+	declinedPause = 250 * time.Millisecond
 )
 
 // Path is what an instance knows of the way to one dispatcher. It is not safe
@@ -50,6 +56,12 @@
 // Paused tells whether the dispatcher is not asked now.
 func (p *Path) Paused(now time.Duration) bool { return now < p.pauseUntil || p.probing }
 
+// Silent tells whether another instance may stand in for the dispatcher.
+func (p *Path) Silent() bool { return p.failures >= silentAfter }
+
+// Declined records that the instance does not dispatch the service.
+func (p *Path) Declined(now time.Duration) { p.pauseUntil = now + declinedPause }
+
 // Answered records an answer in time, or one that came late, with its round trip.
 func (p *Path) Answered(roundTrip time.Duration, inTime bool) {
 	if p.usual == 0 {
--- a/pkg/dispatch/tell.go
+++ b/pkg/dispatch/tell.go
@@ -25,25 +25,21 @@
 // tell says to the dispatcher where the wrapped balancer has placed a request.
 // The request does not wait for it.
 func (b *Balancer) tell(request *peerpb.ReserveRequest, deadline time.Duration, chosen proxy.Attempt) proxy.Attempt {
-	l, _ := b.lineOf(request.Service)
-	if l == nil {
-		return chosen
-	}
 	now := b.clock.SinceBoot()
 	request.From, request.LifeMs = b.viewer.View().Self.Incarnation, max((deadline-now).Milliseconds(), 1)
 	request.Chosen = chosen.Target()
-	wait, ok := l.ask(now, request)
-	if !ok {
-		b.counters.paused.Add(1)
+	way, ok := b.way(now, request)
+	if !ok || way.self {
 		return chosen
 	}
+	l := way.line
 	a := &told{Attempt: chosen, balancer: b}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 		defer cancel()
 		reply, err := b.caller.SendReserve(ctx, l.to, request)
 		after := b.clock.SinceBoot()
-		inTime := err == nil && after-now <= wait
+		inTime := err == nil && after-now <= way.wait
 		if err == nil {
 			l.answered(after, after-now, inTime, request.Service, reply)
 		}
--- a/pkg/lab/dispatchsim/dispatchsim.go
+++ b/pkg/lab/dispatchsim/dispatchsim.go
@@ -82,7 +82,7 @@
 	deployment    deployment.Deployment
 	config        *config.Snapshot
 	membership    *membership.Membership
-	dispatchers   map[string]*instance
+	dispatchers   map[string][]*instance
 	instances     []*instance
 	byIncarnation map[string]*instance
 	targets       map[string]*target
