--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -237,3 +237,16 @@
 	is.True(served["only"] > 0.22*total)
 	is.True(served["light"] > 0.33*total)
 }
+
+// Guards against a full queue that shuts out the teams with few requests in it.
+func TestFullQueueEvictsTheHeaviestTeam(t *testing.T) {
+	is := is.New(t)
+	r := newRig(1, Options{QueuePerSlot: -1, MaxWaiting: 4})
+	for range 6 {
+		r.ask("big", "heavy")
+	}
+	is.Equal(r.ask("big", "heavy").Ticket, uint64(0))
+	light := r.ask("small", "light")
+	is.True(light.Full && light.Ticket != 0)
+	is.Equal(r.dispatcher.Dump()["s"].Waiting, 4)
+}
--- a/pkg/peer/drpcpeer/drpcpeer_test.go
+++ b/pkg/peer/drpcpeer/drpcpeer_test.go
@@ -89,6 +89,9 @@
 		OnBorrow: func(context.Context, *peerpb.BorrowRequest) (*peerpb.BorrowReply, error) {
 			return &peerpb.BorrowReply{Loan: 1}, nil
 		},
+		OnReserve: func(_ context.Context, req *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+			return &peerpb.ReserveReply{Target: req.Service}, nil
+		},
 		OnReport: func(context.Context, *peerpb.ReportRequest) (*peerpb.ReportReply, error) {
 			return &peerpb.ReportReply{Verdicts: []*peerpb.Verdict{{Service: string(make([]byte, 50_000))}}}, nil
 		},
@@ -100,6 +103,9 @@
 		is.NoErr(err)
 		_, err = client.Borrow(t.Context(), address, &peerpb.BorrowRequest{Team: "school"})
 		is.NoErr(err)
+		reserved, err := client.Reserve(t.Context(), address, &peerpb.ReserveRequest{Service: "portal"})
+		is.NoErr(err)
+		is.Equal(reserved.Target, "portal")
 		_, err = client.Report(t.Context(), address, &peerpb.ReportRequest{From: string(make([]byte, 20_000))})
 		is.NoErr(err)
 	}
@@ -116,6 +122,7 @@
 	calls := client.Traffic()
 	is.True(calls["report"].SentBytes > 200_000 && calls["report"].ReceivedBytes > 500_000)
 	is.True(calls["borrow"].SentBytes < 2000 && calls["borrow"].ReceivedBytes < 2000)
+	is.True(calls["reserve"].Calls == 10 && calls["reserve"].SentBytes < 2000 && calls["reserve"].ReceivedBytes < 2000)
 	is.Equal(calls["fetch"], Calls{})
 }
 
