--- a/pkg/dispatch/balancer.go
+++ b/pkg/dispatch/balancer.go
@@ -13,6 +13,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 )
 
 // Caller brings a request to the dispatcher. Implementations fill in the
@@ -45,7 +46,7 @@
 
 var _ proxy.Balancer = (*Balancer)(nil)
 
-type counters struct{ granted, late, paused, unusable, full, refused atomic.Uint64 }
+type counters struct{ granted, told, late, paused, unusable, full, refused atomic.Uint64 }
 
 // NewBalancer wraps inner. own is this instance's dispatcher, which answers
 // without a message.
@@ -53,10 +54,12 @@
 	c clock.Clock, viewer control.Viewer, standings Standings, inner proxy.Balancer, own *Dispatcher, caller Caller,
 	options Options,
 ) *Balancer {
-	return &Balancer{
+	b := &Balancer{
 		inner: inner, clock: c, viewer: viewer, standings: standings, own: own, caller: caller,
 		options: options.withDefaults(), lines: map[string]*line{},
 	}
+	own.ObserveSilence(b.silent)
+	return b
 }
 
 // MayRetry spends the route's retry budget.
@@ -68,13 +71,16 @@
 // those of the wrapped balancer, and overloaded after MaxWait.
 func (b *Balancer) Acquire(r proxy.Request, tried []string) (proxy.Attempt, error) {
 	fallback, err := b.inner.Acquire(r, tried)
-	if err != nil || r.Idempotent && !b.options.All || b.onTrial(r.Service, fallback.Target()) {
+	if err != nil || b.onTrial(r.Service, fallback.Target()) {
 		return fallback, err
 	}
 	request := &peerpb.ReserveRequest{
 		Service: r.Service, Team: r.Team, Batch: r.Batch, Idempotent: r.Idempotent, Tried: tried,
 	}
 	start := b.clock.SinceBoot()
+	if r.Idempotent && !b.options.All && b.calm(r.Service, start) {
+		return b.tell(request, r.Deadline, fallback), nil
+	}
 	end := min(start+b.options.MaxWait, r.Deadline)
 	for {
 		reply, line := b.ask(request, r.Deadline)
@@ -153,29 +159,73 @@
 	return append(others, "")
 }
 
-// ask returns the dispatcher's answer, or nil without one in time.
-func (b *Balancer) ask(request *peerpb.ReserveRequest, deadline time.Duration) (*peerpb.ReserveReply, *line) {
+// way is how to reach the dispatcher of a service.
+type way struct {
+	// self tells that this instance dispatches; line is nil then.
+	self bool
+	line *line
+	// wait bounds the wait for the answer.
+	wait time.Duration
+}
+
+// way finds the dispatcher, or the instance that stands in while the
+// dispatcher is silent, and adds the pending releases for it to the request.
+// It returns false when neither may be asked now.
+func (b *Balancer) way(now time.Duration, request *peerpb.ReserveRequest) (way, bool) {
 	view := b.viewer.View()
-	to := b.own.roles.dispatcher(view.Membership, request.Service)
-	if to.Incarnation == "" {
-		return nil, nil
+	for _, to := range b.own.roles.dispatchers(view.Membership, request.Service) {
+		if to.Incarnation == view.Self.Incarnation {
+			return way{self: true}, true
+		}
+		l := b.line(to, view.Membership)
+		if wait, ok := l.ask(now, request); ok {
+			return way{line: l, wait: wait}, true
+		}
+		if !l.silent() {
+			break
+		}
+	}
+	b.counters.paused.Add(1)
+	return way{}, false
+}
+
+// silent tells whether a member gave no answers to this instance lately.
+func (b *Balancer) silent(member membership.Member) bool {
+	return b.line(member, b.viewer.View().Membership).silent()
+}
+
+// calm tells whether the wrapped balancer may place idempotent requests. The
+// dispatcher itself reserves for all, because that costs no time.
+func (b *Balancer) calm(service string, now time.Duration) bool {
+	view := b.viewer.View()
+	for _, to := range b.own.roles.dispatchers(view.Membership, service) {
+		if to.Incarnation == view.Self.Incarnation {
+			return false
+		}
+		l := b.line(to, view.Membership)
+		if !l.silent() {
+			return !l.busy(now, service)
+		}
 	}
+	return true
+}
+
+// ask returns the dispatcher's answer, or nil without one in time.
+func (b *Balancer) ask(request *peerpb.ReserveRequest, deadline time.Duration) (*peerpb.ReserveReply, *line) {
 	now := b.clock.SinceBoot()
-	request.From, request.LifeMs = view.Self.Incarnation, max((deadline-now).Milliseconds(), 1)
-	if to.Incarnation == view.Self.Incarnation {
+	request.From, request.LifeMs = b.viewer.View().Self.Incarnation, max((deadline-now).Milliseconds(), 1)
+	way, ok := b.way(now, request)
+	switch {
+	case !ok:
+		return nil, nil
+	case way.self:
 		return b.own.HandleReserve(request), nil
 	}
-	l := b.line(to, view.Membership)
-	wait, ok := l.ask(now, request)
-	if !ok {
-		b.counters.paused.Add(1)
-		return nil, l
-	}
-	reply := b.call(l, request, now, wait)
+	reply := b.call(way.line, request, now, way.wait)
 	if reply == nil {
 		b.counters.late.Add(1)
 	}
-	return reply, l
+	return reply, way.line
 }
 
 // call waits for the answer no longer than wait. A slot in a later answer is
@@ -184,11 +234,8 @@
 	var mu sync.Mutex
 	var reply *peerpb.ReserveReply
 	var abandoned bool
-	sent := &peerpb.ReserveRequest{
-		From: request.From, Service: request.Service, Released: request.Released, Team: request.Team,
-		Batch: request.Batch, Idempotent: request.Idempotent, Tried: request.Tried, LifeMs: request.LifeMs,
-		Ticket: request.Ticket,
-	}
+	// The request is changed for the next ask, maybe while this call is made.
+	sent := proto.CloneOf(request)
 	waiting, answered := context.WithCancel(context.Background())
 	go func() {
 		defer answered()
@@ -200,7 +247,8 @@
 		}
 		mu.Lock()
 		defer mu.Unlock()
-		l.answered(b.clock.SinceBoot()-asked, !abandoned)
+		now := b.clock.SinceBoot()
+		l.answered(now, now-asked, !abandoned, sent.Service, got)
 		if !abandoned {
 			reply = got
 		} else if got.GetTarget() != "" {
--- a/pkg/dispatch/line.go
+++ b/pkg/dispatch/line.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// releaseDelay is how long a release waits for a request that carries it.
-	releaseDelay = 5 * time.Millisecond
+	// ReleaseDelay is how long a release waits for a request that carries it.
+	ReleaseDelay = 5 * time.Millisecond
 	// maxPending bounds the releases of one service that wait for a call. A
 	// release that is dropped ends by its life.
 	maxPending = 1024
@@ -24,6 +24,8 @@
 	mu      sync.Mutex
 	path    Path
 	pending map[string][]uint64
+	// busyUntil is the time until which services count as busy.
+	busyUntil map[string]time.Duration
 	// flushing is set for services whose releases will be sent by themselves.
 	flushing map[string]bool
 }
@@ -42,7 +44,9 @@
 	}
 	l := b.lines[to.Incarnation]
 	if l == nil {
-		l = &line{to: to, pending: map[string][]uint64{}, flushing: map[string]bool{}}
+		l = &line{
+			to: to, pending: map[string][]uint64{}, flushing: map[string]bool{}, busyUntil: map[string]time.Duration{},
+		}
 		b.lines[to.Incarnation] = l
 	}
 	return l
@@ -60,10 +64,28 @@
 	return wait, ok
 }
 
-func (l *line) answered(roundTrip time.Duration, inTime bool) {
+func (l *line) answered(now, roundTrip time.Duration, inTime bool, service string, reply *peerpb.ReserveReply) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.path.Answered(roundTrip, inTime)
+	if !reply.GetDispatcher() {
+		l.path.Declined(now)
+	}
+	if reply.GetBusy() {
+		l.busyUntil[service] = now + BusyFor
+	}
+}
+
+func (l *line) silent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.path.Silent()
+}
+
+func (l *line) busy(now time.Duration, service string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now < l.busyUntil[service]
 }
 
 func (l *line) failed(now time.Duration) {
@@ -73,7 +95,7 @@
 }
 
 // release notes the end of a reservation. It is told with the next request to
-// the dispatcher, or after releaseDelay.
+// the dispatcher, or after ReleaseDelay.
 func (l *line) release(b *Balancer, p *place) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -90,7 +112,7 @@
 // flush sends the releases that no request has carried. During a pause it
 // waits, so that one late answer loses no release.
 func (l *line) flush(b *Balancer, service string) {
-	pause := releaseDelay
+	pause := ReleaseDelay
 	for pause > 0 {
 		_ = b.clock.Sleep(context.Background(), pause)
 		l.mu.Lock()
