limit: hold a stock ahead of demand for teams whose burst lasts 200 ms

A pool prefetched 10 ms of its demand, which is nothing for a team below 100/s, so that a request needed a loan as soon as the own bucket was empty. A pool now holds up to 4 tokens plus 20 ms of its demand, bounded by its part of a quarter of the burst and by 250 ms of its demand.

--- a/pkg/limit/borrow.go
+++ b/pkg/limit/borrow.go
@@ -1,9 +1,6 @@
 package limit
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Pauses of the borrower.
 const (
@@ -11,8 +8,6 @@
 	minPause = 2 * time.Millisecond
 	// maxPause bounds the wait for an issuer that expects to be empty for long.
 	maxPause = 50 * time.Millisecond
-	// maxOverdue bounds the waiting requests of a pool that asks for half tokens.
-	maxOverdue = 16
 	// overloadTime is how long a pool that refused a request asks for whole
 	// tokens only. At five times the rate, half tokens stood at many borrowers.
 	overloadTime = 5 * time.Second
@@ -20,11 +15,6 @@
 	patienceParts = 16
 	// giveBackAfter is how long a borrowed token may stay unused.
 	giveBackAfter = 20 * time.Millisecond
-	// prefetchParts bounds prefetching to one part in so many of the burst. A
-	// loan that is partly spent keeps its whole amount off the lender's ceiling
-	// until it is closed: without the bound, 500/s with a burst of 5 lost most
-	// of its rate.
-	prefetchParts = 16
 )
 
 // Message is one Borrow request to the member To. Millitokens of 0 asks for
@@ -68,30 +58,9 @@
 // lender is what the borrower remembers of an issuer.
 type lender struct{ notBefore time.Duration }
 
-// demand estimates the requests per second of the recent past.
-type demand struct {
-	rate float64
-	last time.Duration
-}
-
-// demandWindow is the time constant of the estimate.
-const demandWindow = 200 * time.Millisecond
-
-// at lets the estimate decay exponentially since the last request.
-func (d *demand) at(now time.Duration) float64 {
-	return d.rate * math.Exp(-(now-d.last).Seconds()/demandWindow.Seconds())
-}
-
-func (d *demand) add(now time.Duration) {
-	d.rate = d.at(now) + 1/demandWindow.Seconds()
-	d.last = now
-}
-
 // wanted is the number of thousandths to hold: for the waiting requests and ahead of demand.
 func (p *Pool) wanted(now time.Duration) int64 {
-	ahead := int64(p.demand.at(now) * p.params.Prefetch.Seconds())
-	ahead = min(ahead, int64(p.history.teams[p.team].Burst/prefetchParts))
-	return (int64(len(p.waiters)) + ahead) * Millitoken
+	return int64(len(p.waiters))*Millitoken + p.ahead(now)
 }
 
 // messages asks issuers for what is missing and closes finished loans, each
@@ -107,7 +76,7 @@
 		}
 		missing -= a.amount
 	}
-	if fresh && missing > 0 {
+	if fresh && (missing >= Millitoken || missing > 0 && len(p.waiters) > 0) {
 		out = p.ask(now, missing)
 	}
 	for _, c := range p.closing {
@@ -139,10 +108,7 @@
 		if l := p.peers[id]; id == p.history.self || p.asks[id] != nil || l != nil && l.notBefore > now {
 			continue
 		}
-		amount := min(missing, p.chunk(len(issuers)))
-		if p.overdue(now) {
-			amount = min(missing, Millitoken/2)
-		}
+		amount := p.portion(now, missing, len(issuers))
 		p.asks[id] = &ask{amount: amount, asked: now}
 		out = append(out, Message{To: id, Millitokens: amount, Asked: now})
 		missing -= amount
@@ -150,27 +116,6 @@
 	return out
 }
 
-// overdue tells that the oldest request has waited for a quarter of its time.
-// The pool then asks for half tokens, which issuers have more often than whole
-// ones. With a longer queue this would slow the pool down: at 500/s with a
-// burst of 5 it refused 3.9% falsely.
-func (p *Pool) overdue(now time.Duration) bool {
-	if len(p.waiters) == 0 || len(p.waiters) > maxOverdue || now < p.overloadedUntil {
-		return false
-	}
-	t := p.waiters[0]
-	return now-t.start > (t.deadline-t.start)/4
-}
-
-// chunk is the most that one issuer can hold, in whole tokens if it can hold one.
-func (p *Pool) chunk(issuers int) int64 {
-	ceiling := shareOf(p.history.teams[p.team], int64(issuers)).Ceiling()
-	if ceiling > Millitoken {
-		ceiling -= ceiling % Millitoken
-	}
-	return max(1, ceiling)
-}
-
 // Reply brings the answer to m; ok is false when the call failed. Poll must follow.
 func (p *Pool) Reply(now time.Duration, m Message, r Reply, ok bool) {
 	if a := p.asks[m.To]; a != nil && a.asked == m.Asked && m.Millitokens > 0 {
--- a/pkg/limit/pool.go
+++ b/pkg/limit/pool.go
@@ -33,8 +33,11 @@
 	AskTimeout time.Duration
 	// Silence is the time for which a silent issuer is not asked.
 	Silence time.Duration
-	// Prefetch is the time whose recent demand is borrowed ahead.
+	// Prefetch is the time whose recent demand is borrowed ahead by teams
+	// without a stock.
 	Prefetch time.Duration
+	// StockAhead is the time whose recent demand is added to a stock.
+	StockAhead time.Duration
 	// Parallel bounds the issuers that one pool asks at the same time.
 	Parallel int
 }
@@ -49,7 +52,7 @@
 		K: 16, MinCeiling: 2,
 		Hold: fence + fence/drift + life + life/drift, LoanLife: life, BorrowerLife: life - life/drift,
 		MaxWait: time.Second, AskTimeout: 50 * time.Millisecond, Silence: 500 * time.Millisecond,
-		Prefetch: 10 * time.Millisecond, Parallel: 4,
+		Prefetch: 10 * time.Millisecond, StockAhead: 20 * time.Millisecond, Parallel: 4,
 	}
 }
 
