limit: spend minted tokens first at pools that hold a stock

The bucket of the issuer that serves a team was full most of the time, since borrowed tokens were spent first, and a full bucket mints nothing: 1/k of the rate was lost.

--- a/pkg/limit/pool.go
+++ b/pkg/limit/pool.go
@@ -215,7 +215,7 @@
 	return sum
 }
 
-// grant serves waiting requests in order. Borrowed tokens go first, since they expire.
+// grant serves waiting requests in order.
 func (p *Pool) grant(now time.Duration) {
 	for len(p.waiters) > 0 && p.available() >= Millitoken {
 		p.spend(Millitoken)
@@ -226,7 +226,15 @@
 	p.advance(now)
 }
 
+// spend takes minted tokens first from a pool that holds a stock: its bucket
+// would be full most of the time and mint nothing. Other pools spend borrowed
+// tokens first, since these expire and the bucket can be lent.
 func (p *Pool) spend(amount int64) {
+	if p.stocked() {
+		own := min(amount, p.issuer.bucket.tokens)
+		p.issuer.bucket.tokens -= own
+		amount -= own
+	}
 	for n := range p.held {
 		part := min(amount, p.held[n].left)
 		p.held[n].left -= part
