limit: collect fractions of tokens where most of a team's demand is

Half a token stays at each of k issuers on average, which is 4 of 18 tokens at 37/s burst 18. A pool with more than half of the team's rate as demand and less than 4 tokens now asks for quarters. Since this starves pools with little demand (0.63% false at 50/s burst 20, 80% at one instance), a request there that has waited an eighth of its time also asks for quarters; before, halves after a quarter.

Quarters in pure form waited less than quarters plus whole tokens up to the ceiling (37/s: 235 against 302 ms at p99); eighths 215 ms with twice the messages; collecting only for 0.3 s after an empty answer 312 ms.

--- a/pkg/limit/stock.go
+++ b/pkg/limit/stock.go
@@ -24,6 +24,14 @@
 	// stockTime bounds a stock to the demand of this time, well below the life
 	// of a loan.
 	stockTime = 250 * time.Millisecond
+	// collectBelow is the number of thousandths below which a pool collects fractions.
+	collectBelow = stockBase * Millitoken
+	// fraction is the unit of collected amounts in thousandths. Eighths waited
+	// little less and took almost twice as many messages.
+	fraction = Millitoken / 4
+	// portionParts bounds a collected loan to one part in so many of the lender's
+	// ceiling, since the lender mints only up to what is not on loan.
+	portionParts = 4
 	// maxOverdue bounds the waiting requests of a pool that asks for fractions.
 	maxOverdue = 16
 	// prefetchParts bounds the prefetching of other teams to one part in so many
@@ -79,6 +87,13 @@
 // portion is the part of missing to ask one issuer for.
 func (p *Pool) portion(now time.Duration, missing int64, issuers int) int64 {
 	switch chunk := p.chunk(issuers); {
+	case p.collects(now):
+		amount := min(missing, max(fraction, chunk/portionParts))
+		// The lender gives the part beyond whole tokens also when it has less
+		// than one token.
+		return max(min(amount, fraction), amount-(amount+Millitoken-fraction)%Millitoken)
+	case p.overdue(now) && p.stocked():
+		return min(missing, fraction)
 	case p.overdue(now):
 		return min(missing, Millitoken/2)
 	default:
@@ -86,6 +101,15 @@
 	}
 }
 
+// collects tells that most of the team's demand is at this pool, which is low
+// in tokens. It then borrows fractions, which would otherwise stay at every
+// issuer. At most a few pools of a team can meet the condition, so that the
+// fractions do not stay at many borrowers instead.
+func (p *Pool) collects(now time.Duration) bool {
+	return p.stocked() && now >= p.overloadedUntil && len(p.waiters) <= maxOverdue &&
+		p.demand.at(now) > p.fleetRate()/2 && p.available() < collectBelow
+}
+
 // overdue tells that the oldest request has waited for a part of its time. The
 // pool then asks for fractions, which issuers have more often than whole
 // tokens. With a longer queue this would slow the pool down: at 500/s with a
@@ -94,8 +118,14 @@
 	if len(p.waiters) == 0 || len(p.waiters) > maxOverdue || now < p.overloadedUntil {
 		return false
 	}
+	// Without a stock, an eighth of the time and quarter tokens refused 5.5%
+	// falsely at 50/s with a burst of 5, all requests spread evenly.
+	parts := time.Duration(4)
+	if p.stocked() {
+		parts = 8
+	}
 	t := p.waiters[0]
-	return now-t.start > (t.deadline-t.start)/4
+	return now-t.start > (t.deadline-t.start)/parts
 }
 
 // chunk is the most that one issuer can hold, in whole tokens if it can hold one.
