limit: keep half of the minted tokens of a pool that holds a stock

Spending all minted tokens first leaves the own bucket empty while the other issuers are full, so that the team's tokens never add up to its burst. Now only what exceeds half of the ceiling goes first.

--- a/pkg/limit/pool.go
+++ b/pkg/limit/pool.go
@@ -226,12 +226,12 @@
 	p.advance(now)
 }
 
-// spend takes minted tokens first from a pool that holds a stock: its bucket
-// would be full most of the time and mint nothing. Other pools spend borrowed
-// tokens first, since these expire and the bucket can be lent.
+// spend takes borrowed tokens first, since they expire and minted ones can be
+// lent. A pool that holds a stock first takes minted tokens above half of the
+// ceiling: its bucket would be full most of the time and mint nothing.
 func (p *Pool) spend(amount int64) {
 	if p.stocked() {
-		own := min(amount, p.issuer.bucket.tokens)
+		own := min(amount, max(0, p.issuer.bucket.tokens-p.issuer.ceiling()/2))
 		p.issuer.bucket.tokens -= own
 		amount -= own
 	}
