--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -25,11 +25,11 @@
 
 	LoanFailed = Event{400, "loan_failed", zerolog.WarnLevel, "no token issuer of a team answered a loan request; check the network between instances"}
 
-	TargetEjected  = Event{500, "target_ejected", zerolog.WarnLevel, "a health evaluator ejected a target; look at the target"}
-	TargetReturned = Event{501, "target_returned", zerolog.InfoLevel, "an ejected target takes full load again"}
-	FloorHeld      = Event{502, "floor_held", zerolog.WarnLevel, "a failing target was kept because of the floor; add capacity or repair targets"}
-	TargetDraining = Event{503, "target_draining", zerolog.InfoLevel, "a target announced that it is leaving"}
-	EvaluatorChanged   = Event{504, "evaluator_changed", zerolog.InfoLevel, "the instance follows another health evaluator for a service"}
+	TargetEjected    = Event{500, "target_ejected", zerolog.WarnLevel, "a health evaluator ejected a target; look at the target"}
+	TargetReturned   = Event{501, "target_returned", zerolog.InfoLevel, "an ejected target takes full load again"}
+	FloorHeld        = Event{502, "floor_held", zerolog.WarnLevel, "a failing target was kept because of the floor; add capacity or repair targets"}
+	TargetDraining   = Event{503, "target_draining", zerolog.InfoLevel, "a target announced that it is leaving"}
+	EvaluatorChanged = Event{504, "evaluator_changed", zerolog.InfoLevel, "the instance follows another health evaluator for a service"}
 
 	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
 	AnswerIncomplete = Event{601, "answer_incomplete", zerolog.WarnLevel, "a target's answer was cut short and not passed on"}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -125,23 +125,3 @@
 	})
 	return ranked
 }
-
-// RankSpread returns the first n members of Rank, but takes members of zones
-// that have the fewest places so far first.
-func (m *Membership) RankSpread(key string, n int) []Member {
-	ranked := m.Rank(key)
-	perZone := map[string]int{}
-	chosen := make([]Member, 0, min(n, len(ranked)))
-	for len(chosen) < n && len(ranked) > 0 {
-		best := 0
-		for i, member := range ranked {
-			if perZone[member.Zone] < perZone[ranked[best].Zone] {
-				best = i
-			}
-		}
-		perZone[ranked[best].Zone]++
-		chosen = append(chosen, ranked[best])
-		ranked = slices.Delete(ranked, best, best+1)
-	}
-	return chosen
-}
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -83,6 +83,64 @@
 	}
 }
 
+// spreadOneByOne is the plain form of RankSpread: it takes the best member of a
+// zone with the fewest places so far.
+func spreadOneByOne(m *Membership, key string, n int) []Member {
+	ranked := m.Rank(key)
+	perZone := map[string]int{}
+	var chosen []Member
+	for len(chosen) < n && len(ranked) > 0 {
+		best := 0
+		for i, x := range ranked {
+			if perZone[x.Zone] < perZone[ranked[best].Zone] {
+				best = i
+			}
+		}
+		perZone[ranked[best].Zone]++
+		chosen = append(chosen, ranked[best])
+		ranked = slices.Delete(ranked, best, best+1)
+	}
+	return chosen
+}
+
+// Guards against the one-pass form choosing other members than the plain form;
+// instances of different releases must agree on roles.
+func TestRankSpreadEqualsThePlainForm(t *testing.T) {
+	is := is.New(t)
+	for _, size := range []int{0, 1, 5, 48} {
+		var add []Member
+		for i := range size {
+			add = append(add, Member{Incarnation: fmt.Sprintf("%x", i*7919), Zone: fmt.Sprint(i % 7 % 4)})
+		}
+		m := (&Membership{}).With(add, nil, 15)
+		for k := range 100 {
+			for _, n := range []int{1, 2, 8, 16} {
+				want, got := spreadOneByOne(m, fmt.Sprint(k), n), m.RankSpread(fmt.Sprint(k), n)
+				is.Equal(len(got), len(want))
+				is.True(slices.Equal(got, want))
+			}
+		}
+	}
+}
+
+func BenchmarkRankSpread(b *testing.B) {
+	var add []Member
+	for i := range 550 {
+		add = append(add, Member{Incarnation: fmt.Sprintf("%024x", i*7919), Zone: fmt.Sprint(i % 11)})
+	}
+	m := (&Membership{}).With(add, nil, 15)
+	b.Run("plain", func(b *testing.B) {
+		for b.Loop() {
+			spreadOneByOne(m, "team", 16)
+		}
+	})
+	b.Run("one-pass", func(b *testing.B) {
+		for b.Loop() {
+			m.RankSpread("team", 16)
+		}
+	})
+}
+
 // Guards against all places of a role in one zone.
 func TestRankSpreadUsesAllZones(t *testing.T) {
 	is := is.New(t)
