--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -90,7 +90,7 @@
 func TestCountsMatchReservations(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const n = 4
-		r := newRig(n, Options{All: true, Seed: rapid.Uint64().Draw(t, "seed")})
+		r := newRig(n, Options{All: true, QueuePerSlot: 0.5, Seed: rapid.Uint64().Draw(t, "seed")})
 		type held struct {
 			id      uint64
 			target  string
@@ -162,7 +162,11 @@
 	full := r.ask("big", "x")
 	is.True(full.Full && full.Ticket != 0 && full.RetryUs > 0)
 	is.Equal(full.Target, "")
-	r.clock.Advance(defaultLife)
+	for range 4 {
+		// Calls keep the counts; an idle dispatcher starts from the reports again.
+		r.clock.Advance(defaultLife / 4)
+		r.reserve(&peerpb.ReserveRequest{ReleaseOnly: true})
+	}
 	is.True(r.ask("big", "x").Target != "")
 	is.Equal(r.dispatcher.Dump()["s"].Expired, uint64(6))
 }
@@ -233,3 +237,16 @@
 	is.True(served["only"] > 0.22*total)
 	is.True(served["light"] > 0.33*total)
 }
+
+// Guards against a full queue that shuts out the teams with few requests in it.
+func TestFullQueueEvictsTheHeaviestTeam(t *testing.T) {
+	is := is.New(t)
+	r := newRig(1, Options{QueuePerSlot: -1, MaxWaiting: 4})
+	for range 6 {
+		r.ask("big", "heavy")
+	}
+	is.Equal(r.ask("big", "heavy").Ticket, uint64(0))
+	light := r.ask("small", "light")
+	is.True(light.Full && light.Ticket != 0)
+	is.Equal(r.dispatcher.Dump()["s"].Waiting, 4)
+}
--- a/pkg/limit/pool.go
+++ b/pkg/limit/pool.go
@@ -33,8 +33,11 @@
 	AskTimeout time.Duration
 	// Silence is the time for which a silent issuer is not asked.
 	Silence time.Duration
-	// Prefetch is the time whose recent demand is borrowed ahead.
+	// Prefetch is the time whose recent demand is borrowed ahead by teams
+	// without a stock.
 	Prefetch time.Duration
+	// StockAhead is the time whose recent demand is added to a stock.
+	StockAhead time.Duration
 	// Parallel bounds the issuers that one pool asks at the same time.
 	Parallel int
 }
@@ -49,7 +52,7 @@
 		K: 16, MinCeiling: 2,
 		Hold: fence + fence/drift + life + life/drift, LoanLife: life, BorrowerLife: life - life/drift,
 		MaxWait: time.Second, AskTimeout: 50 * time.Millisecond, Silence: 500 * time.Millisecond,
-		Prefetch: 10 * time.Millisecond, Parallel: 4,
+		Prefetch: 10 * time.Millisecond, StockAhead: 20 * time.Millisecond, Parallel: 4,
 	}
 }
 
@@ -212,7 +215,7 @@
 	return sum
 }
 
-// grant serves waiting requests in order. Borrowed tokens go first, since they expire.
+// grant serves waiting requests in order.
 func (p *Pool) grant(now time.Duration) {
 	for len(p.waiters) > 0 && p.available() >= Millitoken {
 		p.spend(Millitoken)
@@ -223,7 +226,15 @@
 	p.advance(now)
 }
 
+// spend takes borrowed tokens first, since they expire and minted ones can be
+// lent. A pool that holds a stock first takes minted tokens above half of the
+// ceiling: its bucket would be full most of the time and mint nothing.
 func (p *Pool) spend(amount int64) {
+	if p.stocked() {
+		own := min(amount, max(0, p.issuer.bucket.tokens-p.issuer.ceiling()/2))
+		p.issuer.bucket.tokens -= own
+		amount -= own
+	}
 	for n := range p.held {
 		part := min(amount, p.held[n].left)
 		p.held[n].left -= part
