--- a/pkg/fairqueue/fairqueue.go
+++ b/pkg/fairqueue/fairqueue.go
@@ -73,7 +73,10 @@
 	if w == nil {
 		return nil, refusal.After(refusal.Overloaded, s.retryAfter())
 	}
-	timer := time.NewTimer(max(0, min(q.options.MaxWait, r.Deadline-q.clock.SinceBoot())))
+	// A request that leaves later than this has no time left to be answered;
+	// sending it would use a slot for nothing.
+	latest := r.Deadline - s.usualLatency()
+	timer := time.NewTimer(max(0, min(q.options.MaxWait, latest-q.clock.SinceBoot())))
 	defer timer.Stop()
 	select {
 	case <-w.admitted:
--- a/pkg/fairqueue/fairqueue_test.go
+++ b/pkg/fairqueue/fairqueue_test.go
@@ -159,3 +159,23 @@
 		leave()
 	}
 }
+
+// Guards against a request that waits so long that no time is left for its
+// answer: it would hold a slot of an overloaded target and fail all the same.
+func TestRequestsLeaveWhileAnAnswerIsPossible(t *testing.T) {
+	is := is.New(t)
+	const usual = 200 * time.Millisecond
+	q := newQueue(1, Options{})
+	q.Report("s", proxy.Answered, usual)
+	leave, err := q.Enter(context.Background(), request("big", "a"))
+	is.NoErr(err)
+	r := request("big", "b")
+	now := clock.System{}.SinceBoot()
+	r.Deadline = now + usual + 50*time.Millisecond
+	_, err = q.Enter(context.Background(), r)
+	var refused *refusal.Refusal
+	is.True(errors.As(err, &refused))
+	is.Equal(refused.Code, refusal.Overloaded.Code)
+	is.True(clock.System{}.SinceBoot() <= r.Deadline) // refused before its deadline
+	leave()
+}
--- a/pkg/fairqueue/service.go
+++ b/pkg/fairqueue/service.go
@@ -180,6 +180,13 @@
 	}
 }
 
+// usualLatency is the smoothed latency of answers, or 0 before the first one.
+func (s *service) usualLatency() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.usual * float64(time.Second))
+}
+
 // retryAfter estimates when the waiting requests will have been served.
 func (s *service) retryAfter() time.Duration {
 	s.mu.Lock()
