limit: let stocks take half of the burst

At half of the rate a request of a small team waited 3 ms for a loan in one of ten cases although tokens were plentiful: the stock was bounded to a quarter of the burst by the pool's part of the rate, 1.25 tokens at 20/s burst 10.

--- a/pkg/limit/stock.go
+++ b/pkg/limit/stock.go
@@ -20,7 +20,7 @@
 	stockBase = 4
 	// stockParts bounds the stocks of all pools to one part in so many of the
 	// burst, by the pool's part of the demand.
-	stockParts = 4
+	stockParts = 2
 	// stockTime bounds a stock to the demand of this time, well below the life
 	// of a loan.
 	stockTime = 250 * time.Millisecond
