--- a/pkg/lab/limitsim/limitsim_test.go
+++ b/pkg/lab/limitsim/limitsim_test.go
@@ -72,12 +72,7 @@
 				t.Parallel()
 				c := baseCase(limits.rate, limits.burst, 16)
 				c.Load, c.Skew, c.Requests = 5, skew, 8000
-				// A burst of 10 ms of the rate is short against the 3 ms for which
-				// a loan keeps tokens off the lender's ceiling; 0.914 was measured.
-				want := 0.95
-				if float64(limits.burst)/limits.rate < 0.02 {
-					want = 0.9
-				}
+				const want = 0.95
 				r := Run(c)
 				ratio := float64(r.Requests-r.FleetRefused) / float64(r.Requests-r.CentralRefused)
 				t.Logf("admitted %.3f of the central bucket", ratio)
@@ -98,7 +93,7 @@
 
 // Guards against a policy by which requests wait although the team has tokens,
 // which stand at other instances. A wait is allowed as far as requests would
-// also queue at one central bucket; 100 ms more was measured for bursts below 20.
+// also queue at one central bucket.
 func TestWaits(t *testing.T) {
 	for _, limits := range teamsOfDeployment {
 		for _, skew := range []float64{0, 0.8} {
@@ -108,19 +103,11 @@
 				c.Skew, c.Steered, c.Requests = skew, true, max(*requests, 8000)
 				r := Run(c)
 				t.Logf("rate %v burst %d skew %v: %v", limits.rate, limits.burst, skew, r)
-				allowed := 2 * time.Millisecond
-				if limits.burst < 30 {
-					allowed = r.CentralWait.P99 + 100*time.Millisecond
-				}
+				allowed := r.CentralWait.P99 + 2*time.Millisecond
 				if skew == 0 && r.Wait.P99 > allowed {
 					t.Errorf("p99 of the wait %v, allowed %v", r.Wait.P99, allowed)
 				}
-				// With 80% at one instance, 0.19% was refused falsely at 22/s; the
-				// central bucket refuses 2.2% there.
-				allowedFalse := 0.1
-				if skew > 0 && limits.burst < 12 {
-					allowedFalse = 0.25
-				}
+				const allowedFalse = 0.1
 				if r.FalsePercent() > allowedFalse || r.OverLimit > 0 {
 					t.Errorf("%.3f%% refused falsely, %d over the limit", r.FalsePercent(), r.OverLimit)
 				}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,7 +6,8 @@
 cd "$(dirname "$0")/.."
 skip=()
 if [ -s KNOWN-RED.txt ]; then
-  names=$(sed -n 's/^\([A-Za-z0-9_/-]*\) *|.*/\1/p' KNOWN-RED.txt | paste -sd'|' -)
-  [ -z "$names" ] || skip=(-skip "^($names)\$")
+  # Each element of a test's name is matched whole.
+  names=$(sed -n 's/^\(Test[^ |]*\) *|.*/\1/p' KNOWN-RED.txt | sed 's#[.]#[.]#g; s#/#$/^#g; s#.*#^&$#' | paste -sd'|' -)
+  [ -z "$names" ] || skip=(-skip "$names")
 fi
 go test "${skip[@]}" "$@" ./...
