Let the asking instance name its reservations, so that it can release lost ones

A dispatcher that was frozen for 400 ms handled the calls that had waited in its connections. The instances had given up on them and did not know the reservations, so the service looked full for up to 2 s and requests waited for it. Releases in failed calls were lost as well.

The instance now chooses the id of a reservation and releases it whenever no answer came in time; releases of failed calls are sent again. A release that overtakes its request is remembered for 1 s. A place among the waiting has the same id and is given up when the request ends, so the ticket is gone.

TestLostDispatcherCostsOneBoundedWait counts calls that bring releases only by themselves: no request waits for them.

--- a/pkg/dispatch/balancer.go
+++ b/pkg/dispatch/balancer.go
@@ -38,6 +38,7 @@
 	caller    Caller
 	options   Options
 	counters  counters
+	ids       atomic.Uint64
 
 	mu         sync.Mutex
 	membership int64
@@ -76,6 +77,7 @@
 	}
 	request := &peerpb.ReserveRequest{
 		Service: r.Service, Team: r.Team, Batch: r.Batch, Idempotent: r.Idempotent, Tried: tried,
+		Id: b.ids.Add(1),
 	}
 	start := b.clock.SinceBoot()
 	if r.Idempotent && !b.options.All && b.calm(r.Service, start) {
@@ -86,17 +88,19 @@
 		reply, line := b.ask(request, r.Deadline)
 		switch {
 		case reply.GetTarget() != "":
-			return b.use(r, tried, fallback, &place{line: line, service: r.Service, target: reply.Target, id: reply.Reservation})
+			return b.use(r, tried, fallback, &place{line: line, service: r.Service, target: reply.Target, id: request.Id})
 		case !reply.GetFull():
 			return b.fallBack(r, tried, fallback)
 		}
 		// A request that waits must not count as a request at a target.
 		discard(fallback)
 		fallback = nil
-		request.Ticket = reply.Ticket
 		retry := time.Duration(reply.RetryUs) * time.Microsecond
-		if request.Ticket == 0 || b.clock.SinceBoot()+retry >= end {
+		if !reply.Waiting || b.clock.SinceBoot()+retry >= end {
 			b.counters.refused.Add(1)
+			if reply.Waiting {
+				b.release(&place{line: line, service: r.Service, id: request.Id})
+			}
 			return nil, errors.WithStack(refusal.After(refusal.Overloaded, retry))
 		}
 		b.counters.full.Add(1)
@@ -228,8 +232,8 @@
 	return reply, way.line
 }
 
-// call waits for the answer no longer than wait. A slot in a later answer is
-// released at once.
+// call waits for the answer no longer than wait. Without an answer in time the
+// dispatcher may have reserved a slot all the same, so it is released.
 func (b *Balancer) call(l *line, request *peerpb.ReserveRequest, asked, wait time.Duration) *peerpb.ReserveReply {
 	var mu sync.Mutex
 	var reply *peerpb.ReserveReply
@@ -239,9 +243,7 @@
 	waiting, answered := context.WithCancel(context.Background())
 	go func() {
 		defer answered()
-		ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-		defer cancel()
-		got, err := b.caller.SendReserve(ctx, l.to, sent)
+		got, err := l.send(b, sent)
 		if err != nil {
 			return
 		}
@@ -251,8 +253,6 @@
 		l.answered(now, now-asked, !abandoned, sent.Service, got)
 		if !abandoned {
 			reply = got
-		} else if got.GetTarget() != "" {
-			b.release(&place{line: l, service: sent.Service, id: got.Reservation})
 		}
 	}()
 	_ = b.clock.Sleep(waiting, wait)
@@ -261,6 +261,7 @@
 	if reply == nil {
 		abandoned = true
 		l.failed(b.clock.SinceBoot())
+		l.release(b, &place{service: sent.Service, id: sent.Id})
 	}
 	return reply
 }
--- a/pkg/dispatch/balancer_test.go
+++ b/pkg/dispatch/balancer_test.go
@@ -72,11 +72,16 @@
 type network struct {
 	delay atomic.Int64
 	to    *Dispatcher
-	calls atomic.Int64
+	// calls counts reservations, releases the calls with nothing else.
+	calls, releases atomic.Int64
 }
 
 func (n *network) SendReserve(ctx context.Context, _ membership.Member, request *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
-	n.calls.Add(1)
+	if request.ReleaseOnly {
+		n.releases.Add(1)
+	} else {
+		n.calls.Add(1)
+	}
 	delay := time.Duration(n.delay.Load())
 	if delay < 0 {
 		<-ctx.Done()
@@ -177,6 +182,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		is.True(r.network.calls.Load() <= 10)
+		is.True(r.network.releases.Load() <= 20)
 		is.True(total <= 10*(maxUsual+Slack))
 		r.network.delay.Store(int64(time.Millisecond))
 		time.Sleep(maxPause)
@@ -216,6 +222,8 @@
 		is.True(errors.As(err, &refused) && refused.Code == refusal.Overloaded.Code && refused.RetryAfter > 0)
 		is.True(took <= 110*time.Millisecond)
 		is.Equal(r.inner.open, 6)
+		time.Sleep(20 * time.Millisecond)
+		is.Equal(r.dispatcher.Dump()["s"].Waiting, 0)
 	})
 }
 
@@ -273,3 +281,44 @@
 		is.Equal(r.inner.open, 0)
 	})
 }
+
+// Guards against slots and targets that stay taken when many requests run at
+// once, wait, end before their answers and lose the dispatcher for a while.
+func TestNothingIsLeftAfterConcurrentRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newBalancerRig(Options{MaxWait: 200 * time.Millisecond})
+		var requests sync.WaitGroup
+		var placed, refused atomic.Int64
+		for i := range 600 {
+			requests.Go(func() {
+				time.Sleep(time.Duration(i) * 3 * time.Millisecond)
+				deadline := time.Duration(i)*3*time.Millisecond + time.Second
+				a, err := r.balancer.Acquire(proxy.Request{
+					Service: "s", Route: "r", Team: targetName(i % 3), Batch: "big", Idempotent: i%2 == 0, Deadline: deadline,
+				}, nil)
+				if err != nil {
+					refused.Add(1)
+					return
+				}
+				placed.Add(1)
+				time.Sleep(time.Duration(i%40) * time.Millisecond)
+				a.Done(proxy.Answered, time.Millisecond, proxy.Load{})
+			})
+		}
+		time.Sleep(600 * time.Millisecond)
+		r.network.delay.Store(-1)
+		time.Sleep(300 * time.Millisecond)
+		r.network.delay.Store(int64(usualDelay))
+		requests.Wait()
+		time.Sleep(2 * time.Second)
+		r.dispatcher.HandleReserve(&peerpb.ReserveRequest{Service: "s", From: "i1", ReleaseOnly: true})
+		dump := r.balancer.Dump()
+		t.Logf("placed %d, refused %d, %+v", placed.Load(), refused.Load(), dump)
+		is.True(placed.Load() > 550 && dump.Granted > 200 && dump.Told > 0 && dump.Paused > 0)
+		is.Equal(placed.Load()+refused.Load(), int64(600))
+		is.Equal(r.inner.open, 0)
+		is.Equal(r.reserved(), 0)
+		is.Equal(r.dispatcher.Dump()["s"].Waiting, 0)
+	})
+}
--- a/pkg/dispatch/bench_test.go
+++ b/pkg/dispatch/bench_test.go
@@ -20,8 +20,9 @@
 	var released []uint64
 	b.ReportAllocs()
 	for b.Loop() {
-		reply := r.reserve(&peerpb.ReserveRequest{Team: "clerks", Batch: "big", Released: released, LifeMs: 2000})
-		released = []uint64{reply.Reservation}
+		request := &peerpb.ReserveRequest{Team: "clerks", Batch: "big", Released: released, LifeMs: 2000}
+		r.reserve(request)
+		released = []uint64{request.Id}
 	}
 }
 
@@ -65,9 +66,13 @@
 	}
 	b.ReportAllocs()
 	before := processorTime(b)
+	id := uint64(1 << 20)
 	for b.Loop() {
-		reply := call(&peerpb.ReserveRequest{Team: "clerks", Batch: "big", LifeMs: 2000})
-		call(&peerpb.ReserveRequest{Released: []uint64{reply.Reservation}, ReleaseOnly: true})
+		id++
+		if call(&peerpb.ReserveRequest{Team: "clerks", Batch: "big", LifeMs: 2000, Id: id}).Target == "" {
+			b.Fatal("no slot was given")
+		}
+		call(&peerpb.ReserveRequest{Released: []uint64{id}, ReleaseOnly: true})
 	}
 	b.ReportMetric(float64((processorTime(b)-before).Microseconds())/float64(b.N), "cpu-us/request")
 	traffic := client.Traffic()["reserve"]
--- a/pkg/dispatch/dispatch_test.go
+++ b/pkg/dispatch/dispatch_test.go
@@ -60,6 +60,7 @@
 	clock      *clock.Manual
 	standings  *standings
 	dispatcher *Dispatcher
+	ids        uint64
 }
 
 func newRig(targets int, options Options) *rig {
@@ -76,6 +77,10 @@
 
 func (r *rig) reserve(request *peerpb.ReserveRequest) *peerpb.ReserveReply {
 	request.Service, request.From = "s", "i2"
+	if request.Id == 0 {
+		r.ids++
+		request.Id = r.ids
+	}
 	return r.dispatcher.HandleReserve(request)
 }
 
@@ -132,7 +137,7 @@
 				if s := states[i]; s != active && s != peerpb.TargetState_TARGET_STATE_COLD || i == 0 && request.Tried != nil {
 					t.Fatalf("gave %s in state %v, tried %v", reply.Target, s, request.Tried)
 				}
-				model = append(model, held{reply.Reservation, reply.Target, now + time.Duration(request.LifeMs)*time.Millisecond})
+				model = append(model, held{request.Id, reply.Target, now + time.Duration(request.LifeMs)*time.Millisecond})
 			}
 			counts := map[string]int{}
 			for _, h := range model {
@@ -160,7 +165,7 @@
 		}
 	}
 	full := r.ask("big", "x")
-	is.True(full.Full && full.Ticket != 0 && full.RetryUs > 0)
+	is.True(full.Full && full.Waiting && full.RetryUs > 0)
 	is.Equal(full.Target, "")
 	for range 4 {
 		// Calls keep the counts; an idle dispatcher starts from the reports again.
@@ -201,7 +206,9 @@
 func TestWaitingRequestsFollowShares(t *testing.T) {
 	is := is.New(t)
 	r := newRig(1, Options{All: true, QueuePerSlot: -1})
-	open := []uint64{r.ask("big", "heavy").Reservation, r.ask("big", "heavy").Reservation}
+	r.ask("big", "heavy")
+	r.ask("big", "heavy")
+	open := []uint64{1, 2}
 	flows := []struct {
 		batch, team    string
 		waiting, every int
@@ -220,14 +227,14 @@
 			asking := append(tickets[f.team], make([]uint64, f.waiting-len(tickets[f.team]))...)
 			tickets[f.team] = nil
 			for _, ticket := range asking {
-				reply := r.reserve(&peerpb.ReserveRequest{Batch: f.batch, Team: f.team, Ticket: ticket})
-				if reply.Target == "" {
-					tickets[f.team] = append(tickets[f.team], reply.Ticket)
+				request := &peerpb.ReserveRequest{Batch: f.batch, Team: f.team, Id: ticket}
+				if r.reserve(request).Target == "" {
+					tickets[f.team] = append(tickets[f.team], request.Id)
 					continue
 				}
 				served[f.team]++
 				total++
-				open = append(open, reply.Reservation)
+				open = append(open, request.Id)
 			}
 		}
 	}
@@ -245,8 +252,22 @@
 	for range 6 {
 		r.ask("big", "heavy")
 	}
-	is.Equal(r.ask("big", "heavy").Ticket, uint64(0))
+	is.True(!r.ask("big", "heavy").Waiting)
 	light := r.ask("small", "light")
-	is.True(light.Full && light.Ticket != 0)
+	is.True(light.Full && light.Waiting)
 	is.Equal(r.dispatcher.Dump()["s"].Waiting, 4)
 }
+
+// Guards against a slot that stays taken when the release overtakes the request
+// or when a request is carried out twice.
+func TestReleaseBeforeRequest(t *testing.T) {
+	is := is.New(t)
+	r := newRig(1, Options{})
+	is.True(r.reserve(&peerpb.ReserveRequest{Id: 7}).Target != "")
+	is.True(r.reserve(&peerpb.ReserveRequest{Id: 7}).Target != "")
+	is.Equal(r.dispatcher.Dump()["s"].Targets[0].Reserved, 1)
+	r.reserve(&peerpb.ReserveRequest{Released: []uint64{7, 8}, ReleaseOnly: true})
+	is.Equal(r.reserve(&peerpb.ReserveRequest{Id: 8}).Target, "")
+	is.Equal(r.reserve(&peerpb.ReserveRequest{Id: 8, Chosen: "t0"}).Target, "")
+	is.Equal(r.dispatcher.Dump()["s"].Targets[0].Reserved, 0)
+}
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -67,7 +67,6 @@
 	standings Standings
 	options   Options
 	roles     roles
-	ids       atomic.Uint64
 	// silent tells whether this instance gets no answers from a member.
 	silent atomic.Pointer[func(membership.Member) bool]
 
@@ -102,12 +101,12 @@
 	defer l.mu.Unlock()
 	l.advance(now, view.Config, svc, d.standings.Standings(service))
 	for _, id := range request.GetReleased() {
-		l.release(id, request.GetFrom())
+		l.release(key{request.GetFrom(), id})
 	}
 	reply := &peerpb.ReserveReply{Dispatcher: true}
 	share := view.Config.Config.Batches[request.GetBatch()].Share
 	switch {
-	case request.GetReleaseOnly():
+	case request.GetReleaseOnly(), l.ended.keys[keyOf(request)]:
 	case request.GetChosen() != "":
 		l.note(request, share, reply)
 	default:
@@ -150,7 +149,7 @@
 	defer d.mu.Unlock()
 	if l = d.ledgers[service]; l == nil || l.idle(now) {
 		random := rand.New(rand.NewPCG(d.options.Seed, xxhash.Sum64String(service)))
-		l = newLedger(d.options, random, &d.ids, now)
+		l = newLedger(d.options, random, now)
 		d.ledgers[service] = l
 	}
 	return l
--- a/pkg/dispatch/ledger.go
+++ b/pkg/dispatch/ledger.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/config"
@@ -43,7 +42,6 @@
 type ledger struct {
 	options Options
 	random  *rand.Rand
-	ids     *atomic.Uint64
 
 	mu        sync.Mutex
 	now       time.Duration
@@ -52,30 +50,37 @@
 	applied   *health.Standings
 	targets   []*slots
 	byName    map[string]*slots
-	reserved  map[uint64]*reservation
+	reserved  map[key]*reservation
 	deadlines deadlines
 	// hold is the usual time between a grant and its release.
 	hold time.Duration
 
-	waiting map[uint64]*waiter
+	waiting map[key]*waiter
 	order   order
+	ended   ended
 
-	granted, released, expired, refused uint64
+	granted, released, expired, refused, enqueued uint64
+}
+
+// key names one request of one instance.
+type key struct {
+	from string
+	id   uint64
 }
 
 // reservation is one request at one target.
 type reservation struct {
-	id      uint64
-	from    string
+	key     key
 	target  *slots
 	since   time.Duration
 	expires time.Duration
 }
 
-func newLedger(options Options, random *rand.Rand, ids *atomic.Uint64, now time.Duration) *ledger {
+func newLedger(options Options, random *rand.Rand, now time.Duration) *ledger {
 	return &ledger{
-		options: options, random: random, ids: ids, now: now, started: now, byName: map[string]*slots{},
-		reserved: map[uint64]*reservation{}, hold: initialHold, waiting: map[uint64]*waiter{}, order: newOrder(),
+		options: options, random: random, now: now, started: now, byName: map[string]*slots{},
+		reserved: map[key]*reservation{}, hold: initialHold, waiting: map[key]*waiter{}, order: newOrder(),
+		ended: ended{keys: map[key]bool{}},
 	}
 }
 
@@ -101,11 +106,12 @@
 	}
 	for len(l.deadlines) > 0 && l.deadlines[0].expires <= now {
 		r := heap.Pop(&l.deadlines).(*reservation)
-		if l.reserved[r.id] == r {
+		if l.reserved[r.key] == r {
 			l.expired++
 			l.remove(r)
 		}
 	}
+	l.ended.forget(now)
 	for _, w := range l.waiting {
 		if w.expires <= now {
 			l.endWait(w)
@@ -130,6 +136,8 @@
 	sort.Slice(l.targets, func(i, j int) bool { return l.targets[i].name < l.targets[j].name })
 }
 
+func keyOf(request *peerpb.ReserveRequest) key { return key{request.GetFrom(), request.GetId()} }
+
 // lifeOf is the time after which a reservation ends by itself.
 func lifeOf(request *peerpb.ReserveRequest) time.Duration {
 	if request.GetLifeMs() <= 0 {
@@ -144,12 +152,13 @@
 		// Without verdicts an ejected target could be given.
 		return
 	}
-	life := lifeOf(request)
-	team := l.order.flow(request.GetBatch(), request.GetTeam(), share)
-	w := l.waiting[request.GetTicket()]
-	if w != nil && w.from != request.GetFrom() {
-		w = nil
+	k, life := keyOf(request), lifeOf(request)
+	if r := l.reserved[k]; r != nil {
+		l.answer(r, life, reply)
+		return
 	}
+	team := l.order.flow(request.GetBatch(), request.GetTeam(), share)
+	w := l.waiting[k]
 	t, possible := l.choose(request.GetTried(), zone)
 	switch {
 	case !possible:
@@ -157,56 +166,62 @@
 	case t != nil && l.order.eligible(team, l.lead()):
 		l.endWait(w)
 		l.order.charge(team)
-		l.answer(l.grant(t, request.GetFrom(), life), life, reply)
+		l.answer(l.grant(t, k, life), life, reply)
 	case w != nil:
 		w.expires = l.now + waitLife
-		l.answerFull(w, reply)
+		l.answerFull(reply)
 	case len(l.waiting) >= l.options.MaxWaiting && !l.evict(team):
 		l.refused++
 		reply.Full, reply.RetryUs = true, l.retry().Microseconds()
 	default:
-		l.answerFull(l.enqueue(team, request.GetFrom()), reply)
+		l.enqueue(team, k)
+		l.answerFull(reply)
 	}
 }
 
 // note counts a request that its instance has placed by itself.
 func (l *ledger) note(request *peerpb.ReserveRequest, share float64, reply *peerpb.ReserveReply) {
-	if t := l.byName[request.GetChosen()]; t != nil {
+	t := l.byName[request.GetChosen()]
+	if t != nil && l.reserved[keyOf(request)] == nil {
 		life := lifeOf(request)
 		l.order.charge(l.order.flow(request.GetBatch(), request.GetTeam(), share))
-		l.answer(l.grant(t, request.GetFrom(), life), life, reply)
+		l.answer(l.grant(t, keyOf(request), life), life, reply)
 	}
 }
 
 func (l *ledger) answer(r *reservation, life time.Duration, reply *peerpb.ReserveReply) {
-	reply.Target, reply.Reservation, reply.LifeMs = r.target.name, r.id, life.Milliseconds()
+	reply.Target, reply.LifeMs = r.target.name, life.Milliseconds()
 }
 
 // grant counts one more request at the target.
-func (l *ledger) grant(t *slots, from string, life time.Duration) *reservation {
-	r := &reservation{id: l.ids.Add(1), from: from, target: t, since: l.now, expires: l.now + life}
+func (l *ledger) grant(t *slots, k key, life time.Duration) *reservation {
+	r := &reservation{key: k, target: t, since: l.now, expires: l.now + life}
 	t.reserved++
 	l.granted++
-	l.reserved[r.id] = r
+	l.reserved[r.key] = r
 	heap.Push(&l.deadlines, r)
 	return r
 }
 
-// release ends a reservation; one that has expired or that another instance
-// holds is ignored.
-func (l *ledger) release(id uint64, from string) {
-	r := l.reserved[id]
-	if r == nil || r.from != from {
-		return
+// release ends the reservation or the wait of a request. A request that is not
+// known may still be on its way; it then gets nothing.
+func (l *ledger) release(k key) {
+	r := l.reserved[k]
+	switch {
+	case r != nil:
+		l.released++
+		l.hold += time.Duration(holdWeight * float64(l.now-r.since-l.hold))
+		l.remove(r)
+	case l.waiting[k] != nil:
+		l.endWait(l.waiting[k])
+	default:
+		l.ended.add(k, l.now)
 	}
-	l.released++
-	l.hold += time.Duration(holdWeight * float64(l.now-r.since-l.hold))
-	l.remove(r)
 }
 
 func (l *ledger) remove(r *reservation) {
-	if l.reserved[r.id] == r {
-		delete(l.reserved, r.id)
+	if l.reserved[r.key] == r {
+		delete(l.reserved, r.key)
 		r.target.reserved--
 	}
 }
--- a/pkg/dispatch/line.go
+++ b/pkg/dispatch/line.go
@@ -15,6 +15,9 @@
 	// maxPending bounds the releases of one service that wait for a call. A
 	// release that is dropped ends by its life.
 	maxPending = 1024
+	// retryRelease is the time between attempts to bring releases to a
+	// dispatcher that does not answer.
+	retryRelease = 50 * time.Millisecond
 )
 
 // line is the way to one dispatcher with the releases that it has yet to hear.
@@ -109,28 +112,42 @@
 	}
 }
 
-// flush sends the releases that no request has carried. During a pause it
-// waits, so that one late answer loses no release.
+// flush sends the releases that no request has carried, and those whose call
+// failed, until the instance is no longer the dispatcher's peer. Slots that are
+// not released would make the service look full.
 func (l *line) flush(b *Balancer, service string) {
 	pause := ReleaseDelay
-	for pause > 0 {
+	for {
 		_ = b.clock.Sleep(context.Background(), pause)
 		l.mu.Lock()
-		pause = l.path.pauseUntil - b.clock.SinceBoot()
+		released := l.pending[service]
+		delete(l.pending, service)
+		_, member := b.viewer.View().Membership.Find(l.to.Incarnation)
+		if len(released) == 0 || !member {
+			delete(l.flushing, service)
+			l.mu.Unlock()
+			return
+		}
 		l.mu.Unlock()
+		_, err := l.send(b, &peerpb.ReserveRequest{
+			From: b.viewer.View().Self.Incarnation, Service: service, Released: released, ReleaseOnly: true,
+		})
+		pause = ReleaseDelay
+		if err != nil {
+			pause = retryRelease
+		}
 	}
-	l.mu.Lock()
-	released := l.pending[service]
-	delete(l.pending, service)
-	delete(l.flushing, service)
-	l.mu.Unlock()
-	if len(released) == 0 {
-		return
-	}
+}
+
+// send makes one call and keeps the releases of a failed one for the next.
+func (l *line) send(b *Balancer, request *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
 	defer cancel()
-	// Releases that are lost end by their life.
-	_, _ = b.caller.SendReserve(ctx, l.to, &peerpb.ReserveRequest{
-		From: b.viewer.View().Self.Incarnation, Service: service, Released: released, ReleaseOnly: true,
-	})
+	reply, err := b.caller.SendReserve(ctx, l.to, request)
+	if err != nil {
+		for _, id := range request.Released {
+			l.release(b, &place{service: request.Service, id: id})
+		}
+	}
+	return reply, err
 }
--- a/pkg/dispatch/order.go
+++ b/pkg/dispatch/order.go
@@ -44,8 +44,8 @@
 
 // waiter is a request without a slot yet.
 type waiter struct {
-	ticket  uint64
-	from    string
+	key     key
+	number  uint64
 	team    *flow
 	expires time.Duration
 }
@@ -165,17 +165,16 @@
 	return team
 }
 
-func (l *ledger) enqueue(team *flow, from string) *waiter {
-	w := &waiter{ticket: l.ids.Add(1), from: from, team: team, expires: l.now + waitLife}
-	l.waiting[w.ticket] = w
+func (l *ledger) enqueue(team *flow, k key) {
+	l.enqueued++
+	l.waiting[k] = &waiter{key: k, number: l.enqueued, team: team, expires: l.now + waitLife}
 	l.order.add(team)
-	return w
 }
 
 // endWait forgets a waiter, if there is one.
 func (l *ledger) endWait(w *waiter) {
 	if w != nil {
-		delete(l.waiting, w.ticket)
+		delete(l.waiting, w.key)
 		l.order.remove(w.team)
 	}
 }
@@ -189,7 +188,7 @@
 	}
 	var newest *waiter
 	for _, w := range l.waiting {
-		if w.team == team && (newest == nil || w.ticket > newest.ticket) {
+		if w.team == team && (newest == nil || w.number > newest.number) {
 			newest = w
 		}
 	}
@@ -198,8 +197,8 @@
 	return newest != nil
 }
 
-func (l *ledger) answerFull(w *waiter, reply *peerpb.ReserveReply) {
-	reply.Full, reply.Ticket, reply.RetryUs = true, w.ticket, l.retry().Microseconds()
+func (l *ledger) answerFull(reply *peerpb.ReserveReply) {
+	reply.Full, reply.Waiting, reply.RetryUs = true, true, l.retry().Microseconds()
 }
 
 // turn is the usual time between two slots that become free.
--- a/pkg/lab/dispatchsim/dispatchsim.go
+++ b/pkg/lab/dispatchsim/dispatchsim.go
@@ -43,8 +43,10 @@
 	Load float64
 	// HeavyFactor multiplies the rate of the heavy team; 0 means 1.
 	HeavyFactor float64
-	// Crash stops the dispatchers of both services at CrashAt.
+	// Crash stops the dispatchers of both services at crashAt.
 	Crash bool
+	// Freeze stops both dispatchers from answering at crashAt for this time.
+	Freeze time.Duration
 }
 
 // Times of a run. Figures cover the time from warmUp on. A crashed instance is
@@ -70,6 +72,7 @@
 		{Name: "load-95", Load: 0.95},
 		{Name: "load-95-heavy-team", Load: 0.95, HeavyFactor: 5},
 		{Name: "load-60-crash", Load: 0.6, Crash: true},
+		{Name: "load-60-freeze", Load: 0.6, Freeze: 400 * time.Millisecond},
 	}
 }
 
@@ -86,6 +89,7 @@
 	instances     []*instance
 	byIncarnation map[string]*instance
 	targets       map[string]*target
+	ids           uint64
 	result        Result
 }
 
@@ -128,6 +132,7 @@
 	if scenario.Crash {
 		w.engine.after(crashAt, w.crash)
 	}
+	w.engine.after(crashAt, w.freeze)
 	w.engine.runUntil(runFor)
 	return w.result
 }
--- a/pkg/lab/dispatchsim/figures_test.go
+++ b/pkg/lab/dispatchsim/figures_test.go
@@ -32,8 +32,8 @@
 		percent(r.Failed, r.Requests), ms(r.Waits, 0.5), ms(r.Waits, 0.9), ms(r.Waits, 0.99), ms(r.Added, 0.5), ms(r.Added, 0.99),
 		ms(r.Latency, 0.5), ms(r.Latency, 0.99), team, 100*share, float64(r.Calls)/float64(r.Requests),
 		percent(r.Late, r.Calls), r.Requests)
-	if scenario.Crash {
-		t.Logf("%-18s %-22s after the crash: refused %d, failed %d of %d; added p50/p99/max %.2f/%.2f/%.2f", scenario.Name,
+	if scenario.Crash || scenario.Freeze > 0 {
+		t.Logf("%-18s %-22s after the fault: refused %d, failed %d of %d; added p50/p99/max %.2f/%.2f/%.2f", scenario.Name,
 			policy, r.Window.Refused, r.Window.Failed, r.Window.Requests, ms(r.Window.Added, 0.5), ms(r.Window.Added, 0.99), ms(r.Window.Added, 1))
 	}
 }
--- a/pkg/lab/dispatchsim/fleet.go
+++ b/pkg/lab/dispatchsim/fleet.go
@@ -45,10 +45,12 @@
 	evaluator  *health.Evaluator
 	dispatcher *dispatch.Dispatcher
 	down       bool
-	paths      map[*instance]*dispatch.Path
-	releases   map[releaseKey][]uint64
-	flushing   map[releaseKey]bool
-	busyUntil  map[releaseKey]time.Duration
+	// frozenUntil is the time until which messages wait.
+	frozenUntil time.Duration
+	paths       map[*instance]*dispatch.Path
+	releases    map[releaseKey][]uint64
+	flushing    map[releaseKey]bool
+	busyUntil   map[releaseKey]time.Duration
 }
 
 type releaseKey struct {
@@ -162,6 +164,26 @@
 	})
 }
 
+// freeze stops the dispatchers from handling messages for a while.
+func (w *world) freeze() {
+	for _, dispatchers := range w.dispatchers {
+		dispatchers[0].frozenUntil = w.engine.now + w.scenario.Freeze
+	}
+}
+
+// deliver runs the handling of a message at an instance, unless it is down.
+func (w *world) deliver(to *instance, handle func()) {
+	w.engine.after(w.peerDelay(), func() {
+		switch {
+		case to.down:
+		case w.engine.now < to.frozenUntil:
+			w.engine.after(to.frozenUntil-w.engine.now, handle)
+		default:
+			handle()
+		}
+	})
+}
+
 // peerDelay is the time of one message between instances.
 func (w *world) peerDelay() time.Duration {
 	d := peerNetwork + time.Duration(w.random.ExpFloat64()*float64(peerJitter))
--- a/pkg/lab/dispatchsim/reserve.go
+++ b/pkg/lab/dispatchsim/reserve.go
@@ -28,20 +28,18 @@
 	delete(r.instance.releases, key)
 	w.count(func(m *Result) { m.Calls++ })
 	var inTime, abandoned bool
-	w.engine.after(w.peerDelay(), func() {
-		if to.down {
-			return
-		}
+	w.deliver(to, func() {
 		reply := to.dispatcher.HandleReserve(message)
 		w.engine.after(w.peerDelay(), func() {
+			if w.engine.now-asked > callLimit {
+				return
+			}
 			path.Answered(w.engine.now-asked, !abandoned)
 			r.instance.heard(w, key, reply)
-			if abandoned {
-				r.instance.release(w, key, reply)
-				return
+			if !abandoned {
+				inTime = true
+				r.answered(fallback, to, reply)
 			}
-			inTime = true
-			r.answered(fallback, to, reply)
 		})
 	})
 	w.engine.after(wait, func() {
@@ -49,6 +47,7 @@
 			abandoned = true
 			path.Failed(w.engine.now)
 			w.count(func(m *Result) { m.Late++ })
+			r.instance.release(w, key, message.Id)
 			r.fallBack(fallback)
 		}
 	})
@@ -82,37 +81,31 @@
 	key, path := releaseKey{to, r.spec.Service}, i.path(to)
 	message := r.reserveRequest()
 	message.Chosen = target
-	var reply *peerpb.ReserveReply
-	ended := false
-	answered := func(got *peerpb.ReserveReply) {
-		if reply = got; ended {
-			i.release(w, key, reply)
-		}
-	}
 	message.Released = i.releases[key]
 	delete(i.releases, key)
 	w.count(func(m *Result) { m.Calls++ })
-	w.engine.after(w.peerDelay(), func() {
-		if key.to.down {
-			w.engine.after(callLimit, func() { path.Failed(w.engine.now) })
-			return
+	answeredInTime := false
+	w.engine.after(callLimit, func() {
+		if !answeredInTime {
+			path.Failed(w.engine.now)
 		}
+	})
+	w.deliver(to, func() {
 		got := key.to.dispatcher.HandleReserve(message)
 		w.engine.after(w.peerDelay(), func() {
+			if w.engine.now-asked > callLimit {
+				return
+			}
+			answeredInTime = true
 			late := w.engine.now-asked > wait
 			path.Answered(w.engine.now-asked, !late)
 			if late {
 				path.Failed(w.engine.now)
 			}
 			i.heard(w, key, got)
-			answered(got)
 		})
 	})
-	return func() {
-		if ended = true; reply != nil {
-			i.release(w, key, reply)
-		}
-	}
+	return func() { i.release(w, key, message.Id) }
 }
 
 func (r *request) answered(fallback proxy.Attempt, to *instance, reply *peerpb.ReserveReply) {
@@ -127,17 +120,18 @@
 			fallback.Done(proxy.Canceled, 0, proxy.Load{})
 		}
 		retry := time.Duration(reply.RetryUs) * time.Microsecond
-		if reply.Ticket == 0 || w.engine.now+retry >= min(r.asked+maxWait, r.spec.Deadline) {
+		if !reply.Waiting || w.engine.now+retry >= min(r.asked+maxWait, r.spec.Deadline) {
+			r.instance.release(w, releaseKey{to, r.spec.Service}, r.id)
 			r.refused(false)
 			return
 		}
-		r.ticket = reply.Ticket
 		w.engine.after(retry, func() { r.ask(nil) })
 	}
 }
 
 func (r *request) use(fallback proxy.Attempt, key releaseKey, reply *peerpb.ReserveReply) {
-	done := func() { r.instance.release(r.world, key, reply) }
+	id := r.id
+	done := func() { r.instance.release(r.world, key, id) }
 	if fallback != nil && fallback.Target() == reply.Target {
 		r.send(fallback, done)
 		return
@@ -213,20 +207,17 @@
 }
 
 // release gives a slot back with the next message or by itself.
-func (i *instance) release(w *world, key releaseKey, reply *peerpb.ReserveReply) {
-	if reply.GetTarget() == "" {
-		return
-	}
+func (i *instance) release(w *world, key releaseKey, id uint64) {
 	send := func(ids []uint64) {
 		key.to.dispatcher.HandleReserve(&peerpb.ReserveRequest{
 			From: i.incarnation(), Service: key.service, Released: ids, ReleaseOnly: true,
 		})
 	}
 	if key.to == i {
-		send([]uint64{reply.Reservation})
+		send([]uint64{id})
 		return
 	}
-	i.releases[key] = append(i.releases[key], reply.Reservation)
+	i.releases[key] = append(i.releases[key], id)
 	if i.flushing[key] {
 		return
 	}
@@ -239,10 +230,6 @@
 			return
 		}
 		w.count(func(m *Result) { m.Calls++ })
-		w.engine.after(w.peerDelay(), func() {
-			if !key.to.down {
-				send(ids)
-			}
-		})
+		w.deliver(key.to, func() { send(ids) })
 	})
 }
--- a/pkg/lab/dispatchsim/traffic.go
+++ b/pkg/lab/dispatchsim/traffic.go
@@ -26,7 +26,8 @@
 	arrived  time.Duration
 	asked    time.Duration
 	tried    []string
-	ticket   uint64
+	// id names the request at the dispatcher.
+	id uint64
 	// written is set once the request was sent to a target.
 	written bool
 }
@@ -94,12 +95,14 @@
 
 func (r *request) try() {
 	w := r.world
+	w.ids++
+	r.id = w.ids
 	a, err := r.instance.balancer.Acquire(r.spec, r.tried)
 	switch {
 	case err != nil:
 		r.refused(false)
 	case r.reserves():
-		r.ticket, r.asked = 0, w.engine.now
+		r.asked = w.engine.now
 		r.ask(a)
 	case w.policy == ReserveNonIdempotent:
 		r.send(a, r.tell(a.Target()))
@@ -167,7 +170,7 @@
 func (r *request) reserveRequest() *peerpb.ReserveRequest {
 	return &peerpb.ReserveRequest{
 		From: r.instance.incarnation(), Service: r.spec.Service, Team: r.spec.Team, Batch: r.spec.Batch,
-		Idempotent: r.spec.Idempotent, Tried: r.tried, Ticket: r.ticket,
+		Idempotent: r.spec.Idempotent, Tried: r.tried, Id: r.id,
 		LifeMs: max((r.spec.Deadline - r.world.engine.now).Milliseconds(), 1),
 	}
 }
