Measure added latency on entitled requests with kept connections

Change: callers dial with net and keep connections; added latency counts requests that a central bucket admits at once.

--- a/pkg/lab/caller/dial.go
+++ b/pkg/lab/caller/dial.go
@@ -2,10 +2,16 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
+// dialTimeout bounds one attempt to connect.
+const dialTimeout = time.Second
+
+func dial(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, dialTimeout) }
+
 func isDialError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
--- a/pkg/lab/experiment/load.go
+++ b/pkg/lab/experiment/load.go
@@ -20,6 +20,8 @@
 	sent       time.Time
 	answer     caller.Answer
 	whole      bool
+	// entitled is set when one central bucket would have admitted the request.
+	entitled bool
 	// added is the latency beyond the time that the target had the request.
 	added time.Duration
 }
