--- a/pkg/lab/dispatchsim/dispatchsim.go
+++ b/pkg/lab/dispatchsim/dispatchsim.go
@@ -10,6 +10,8 @@
 	"slices"
 	"time"
 
+	"github.com/arbutuslink/arbutuslink/pkg/lab/eventsim"
+
 	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/lab/deployment"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
@@ -77,7 +79,7 @@
 }
 
 type world struct {
-	engine        *engine
+	engine        *eventsim.Engine
 	random        *rand.Rand
 	seed          uint64
 	policy        Policy
@@ -123,17 +125,17 @@
 // Run simulates one scenario. Equal arguments give equal results.
 func Run(policy Policy, scenario Scenario, seed uint64) Result {
 	w := &world{
-		engine: &engine{}, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), policy: policy, scenario: scenario,
+		engine: &eventsim.Engine{}, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), policy: policy, scenario: scenario,
 		deployment: deployment.Olomouc(), result: Result{Teams: map[string]*TeamResult{}},
 	}
 	w.buildFleet()
 	w.buildTargets()
 	w.startTraffic()
 	if scenario.Crash {
-		w.engine.after(crashAt, w.crash)
+		w.engine.After(crashAt, w.crash)
 	}
-	w.engine.after(crashAt, w.freeze)
-	w.engine.runUntil(runFor)
+	w.engine.After(crashAt, w.freeze)
+	w.engine.RunUntil(runFor)
 	return w.result
 }
 
--- a/pkg/lab/dispatchsim/fleet.go
+++ b/pkg/lab/dispatchsim/fleet.go
@@ -123,9 +123,9 @@
 	i.dispatcher = dispatch.NewDispatcher(w.engine, v, i.follower, w.options(seed))
 	i.dispatcher.ObserveSilence(func(m membership.Member) bool { return i.path(w.byIncarnation[m.Incarnation]).Silent() })
 	phase := time.Duration(w.random.Int64N(int64(health.ReportInterval)))
-	w.engine.every(phase, health.ReportInterval, func() { w.report(i) })
-	w.engine.every(phase, health.ReportInterval, i.evaluator.Tick)
-	w.engine.every(phase, probePoll, func() { w.probe(i) })
+	w.engine.Every(phase, health.ReportInterval, func() { w.report(i) })
+	w.engine.Every(phase, health.ReportInterval, i.evaluator.Tick)
+	w.engine.Every(phase, probePoll, func() { w.probe(i) })
 	return i
 }
 
@@ -153,7 +153,7 @@
 		}
 	}
 	w.instances = slices.DeleteFunc(w.instances, func(i *instance) bool { return i.down })
-	w.engine.after(removeAfter, func() {
+	w.engine.After(removeAfter, func() {
 		w.membership = w.membership.With(nil, gone, maxWitnesses)
 		for _, i := range w.instances {
 			next := *i.viewer.view
@@ -167,17 +167,17 @@
 // freeze stops the dispatchers from handling messages for a while.
 func (w *world) freeze() {
 	for _, dispatchers := range w.dispatchers {
-		dispatchers[0].frozenUntil = w.engine.now + w.scenario.Freeze
+		dispatchers[0].frozenUntil = w.engine.SinceBoot() + w.scenario.Freeze
 	}
 }
 
 // deliver runs the handling of a message at an instance, unless it is down.
 func (w *world) deliver(to *instance, handle func()) {
-	w.engine.after(w.peerDelay(), func() {
+	w.engine.After(w.peerDelay(), func() {
 		switch {
 		case to.down:
-		case w.engine.now < to.frozenUntil:
-			w.engine.after(to.frozenUntil-w.engine.now, handle)
+		case w.engine.SinceBoot() < to.frozenUntil:
+			w.engine.After(to.frozenUntil-w.engine.SinceBoot(), handle)
 		default:
 			handle()
 		}
@@ -203,12 +203,12 @@
 	})
 	for _, out := range outgoing {
 		to := w.byIncarnation[out.To.Incarnation]
-		w.engine.after(w.peerDelay(), func() {
+		w.engine.After(w.peerDelay(), func() {
 			if to.down {
 				return
 			}
 			reply := to.evaluator.HandleReport(out.Request)
-			w.engine.after(w.peerDelay(), func() { i.follower.Hear(out.To.Incarnation, out.Asked, reply) })
+			w.engine.After(w.peerDelay(), func() { i.follower.Hear(out.To.Incarnation, out.Asked, reply) })
 		})
 	}
 }
--- a/pkg/lab/dispatchsim/reserve.go
+++ b/pkg/lab/dispatchsim/reserve.go
@@ -12,7 +12,7 @@
 // request that has waited for a slot.
 func (r *request) ask(fallback proxy.Attempt) {
 	w := r.world
-	message, asked := r.reserveRequest(), w.engine.now
+	message, asked := r.reserveRequest(), w.engine.SinceBoot()
 	to, wait, ok := r.way()
 	switch {
 	case !ok:
@@ -30,11 +30,11 @@
 	var inTime, abandoned bool
 	w.deliver(to, func() {
 		reply := to.dispatcher.HandleReserve(message)
-		w.engine.after(w.peerDelay(), func() {
-			if w.engine.now-asked > callLimit {
+		w.engine.After(w.peerDelay(), func() {
+			if w.engine.SinceBoot()-asked > callLimit {
 				return
 			}
-			path.Answered(w.engine.now-asked, !abandoned)
+			path.Answered(w.engine.SinceBoot()-asked, !abandoned)
 			r.instance.heard(w, key, reply)
 			if !abandoned {
 				inTime = true
@@ -42,10 +42,10 @@
 			}
 		})
 	})
-	w.engine.after(wait, func() {
+	w.engine.After(wait, func() {
 		if !inTime {
 			abandoned = true
-			path.Failed(w.engine.now)
+			path.Failed(w.engine.SinceBoot())
 			w.count(func(m *Result) { m.Late++ })
 			r.instance.release(w, key, message.Id)
 			r.fallBack(fallback)
@@ -60,7 +60,7 @@
 			return to, 0, true
 		}
 		path := r.instance.path(to)
-		if wait, ok := path.Ask(r.world.engine.now); ok {
+		if wait, ok := path.Ask(r.world.engine.SinceBoot()); ok {
 			return to, wait, true
 		}
 		if !path.Silent() {
@@ -73,7 +73,7 @@
 // tell says where an instance has placed a request by itself.
 func (r *request) tell(target string) (done func()) {
 	w, i := r.world, r.instance
-	asked := w.engine.now
+	asked := w.engine.SinceBoot()
 	to, wait, ok := r.way()
 	if !ok || to == i {
 		return nil
@@ -85,22 +85,22 @@
 	delete(i.releases, key)
 	w.count(func(m *Result) { m.Calls++ })
 	answeredInTime := false
-	w.engine.after(callLimit, func() {
+	w.engine.After(callLimit, func() {
 		if !answeredInTime {
-			path.Failed(w.engine.now)
+			path.Failed(w.engine.SinceBoot())
 		}
 	})
 	w.deliver(to, func() {
 		got := key.to.dispatcher.HandleReserve(message)
-		w.engine.after(w.peerDelay(), func() {
-			if w.engine.now-asked > callLimit {
+		w.engine.After(w.peerDelay(), func() {
+			if w.engine.SinceBoot()-asked > callLimit {
 				return
 			}
 			answeredInTime = true
-			late := w.engine.now-asked > wait
-			path.Answered(w.engine.now-asked, !late)
+			late := w.engine.SinceBoot()-asked > wait
+			path.Answered(w.engine.SinceBoot()-asked, !late)
 			if late {
-				path.Failed(w.engine.now)
+				path.Failed(w.engine.SinceBoot())
 			}
 			i.heard(w, key, got)
 		})
@@ -120,12 +120,12 @@
 			fallback.Done(proxy.Canceled, 0, proxy.Load{})
 		}
 		retry := time.Duration(reply.RetryUs) * time.Microsecond
-		if !reply.Waiting || w.engine.now+retry >= min(r.asked+maxWait, r.spec.Deadline) {
+		if !reply.Waiting || w.engine.SinceBoot()+retry >= min(r.asked+maxWait, r.spec.Deadline) {
 			r.instance.release(w, releaseKey{to, r.spec.Service}, r.id)
 			r.refused(false)
 			return
 		}
-		w.engine.after(retry, func() { r.ask(nil) })
+		w.engine.After(retry, func() { r.ask(nil) })
 	}
 }
 
@@ -168,10 +168,10 @@
 // heard takes what an answer says besides the target.
 func (i *instance) heard(w *world, key releaseKey, reply *peerpb.ReserveReply) {
 	if !reply.GetDispatcher() {
-		i.path(key.to).Declined(w.engine.now)
+		i.path(key.to).Declined(w.engine.SinceBoot())
 	}
 	if reply.GetBusy() {
-		i.busyUntil[key] = w.engine.now + dispatch.BusyFor
+		i.busyUntil[key] = w.engine.SinceBoot() + dispatch.BusyFor
 	}
 }
 
@@ -191,7 +191,7 @@
 			return true
 		}
 		if !r.instance.path(to).Silent() {
-			return w.engine.now < r.instance.busyUntil[releaseKey{to, r.spec.Service}]
+			return w.engine.SinceBoot() < r.instance.busyUntil[releaseKey{to, r.spec.Service}]
 		}
 	}
 	return false
@@ -222,7 +222,7 @@
 		return
 	}
 	i.flushing[key] = true
-	w.engine.after(dispatch.ReleaseDelay, func() {
+	w.engine.After(dispatch.ReleaseDelay, func() {
 		ids := i.releases[key]
 		delete(i.releases, key)
 		delete(i.flushing, key)
--- a/pkg/lab/dispatchsim/target.go
+++ b/pkg/lab/dispatchsim/target.go
@@ -45,7 +45,7 @@
 			return
 		}
 	}
-	j.queued = t.world.engine.now
+	j.queued = t.world.engine.SinceBoot()
 	t.queue = append(t.queue, j)
 	t.start()
 }
@@ -61,9 +61,9 @@
 		t.running++
 		j.running = true
 		if !j.probe {
-			w.count(func(r *Result) { r.Waits = append(r.Waits, w.engine.now-j.queued) })
+			w.count(func(r *Result) { r.Waits = append(r.Waits, w.engine.SinceBoot()-j.queued) })
 		}
-		w.engine.after(t.serviceTime(j), func() {
+		w.engine.After(t.serviceTime(j), func() {
 			if j.running {
 				j.running = false
 				t.running--
@@ -85,7 +85,7 @@
 
 func (t *target) reply(j *job, result proxy.Result) {
 	load := proxy.Load{Known: true, InFlight: t.running, Queued: len(t.queue)}
-	t.world.engine.after(targetNetwork, func() {
+	t.world.engine.After(targetNetwork, func() {
 		if !j.canceled {
 			j.answer(result, load)
 		}
@@ -114,8 +114,8 @@
 		}
 	}
 	j.answer = func(proxy.Result, proxy.Load) { finish(health.ProbeOK) }
-	t.world.engine.after(targetNetwork, func() { t.submit(j) })
-	t.world.engine.after(health.ProbeTimeout, func() {
+	t.world.engine.After(targetNetwork, func() { t.submit(j) })
+	t.world.engine.After(health.ProbeTimeout, func() {
 		t.cancel(j)
 		finish(health.ProbeFailed)
 	})
--- a/pkg/lab/dispatchsim/traffic.go
+++ b/pkg/lab/dispatchsim/traffic.go
@@ -52,12 +52,12 @@
 }
 
 func (w *world) arrivals(route deployment.Route, team deployment.Team, mean float64) {
-	w.engine.after(time.Duration(w.random.ExpFloat64()*mean), func() {
+	w.engine.After(time.Duration(w.random.ExpFloat64()*mean), func() {
 		r := &request{
-			world: w, instance: w.instances[w.random.IntN(len(w.instances))], team: team.Name, arrived: w.engine.now,
+			world: w, instance: w.instances[w.random.IntN(len(w.instances))], team: team.Name, arrived: w.engine.SinceBoot(),
 			spec: proxy.Request{
 				Team: team.Name, Batch: team.Batch, Route: route.Name, Service: route.Service,
-				Idempotent: route.Idempotent, Deadline: w.engine.now + requestTimeout,
+				Idempotent: route.Idempotent, Deadline: w.engine.SinceBoot() + requestTimeout,
 			},
 		}
 		r.count(func(m *Result) { m.Requests++; m.team(team.Name).Requests++ }, func(m *WindowResult) { m.Requests++ })
@@ -67,7 +67,7 @@
 }
 
 func (w *world) count(change func(*Result)) {
-	if w.engine.now >= warmUp {
+	if w.engine.SinceBoot() >= warmUp {
 		change(&w.result)
 	}
 }
@@ -102,7 +102,7 @@
 	case err != nil:
 		r.refused(false)
 	case r.reserves():
-		r.asked = w.engine.now
+		r.asked = w.engine.SinceBoot()
 		r.ask(a)
 	case w.policy == ReserveNonIdempotent:
 		r.send(a, r.tell(a.Target()))
@@ -115,7 +115,7 @@
 func (r *request) send(a proxy.Attempt, done func()) {
 	w := r.world
 	t := w.targets[a.Target()]
-	started := w.engine.now
+	started := w.engine.SinceBoot()
 	if !r.written {
 		r.written = true
 		added := started - r.arrived
@@ -128,15 +128,15 @@
 			return
 		}
 		finished = true
-		a.Done(result, w.engine.now-started, load)
+		a.Done(result, w.engine.SinceBoot()-started, load)
 		if done != nil {
 			done()
 		}
 		r.ended(a.Target(), result)
 	}
 	j.answer = finish
-	w.engine.after(targetNetwork, func() { t.submit(j) })
-	w.engine.after(r.spec.Deadline-w.engine.now, func() {
+	w.engine.After(targetNetwork, func() { t.submit(j) })
+	w.engine.After(r.spec.Deadline-w.engine.SinceBoot(), func() {
 		if !finished {
 			t.cancel(j)
 			finish(proxy.TimedOut, proxy.Load{})
@@ -148,13 +148,13 @@
 	w := r.world
 	if result == proxy.Answered {
 		r.count(func(m *Result) {
-			m.Latency = append(m.Latency, w.engine.now-r.arrived)
+			m.Latency = append(m.Latency, w.engine.SinceBoot()-r.arrived)
 			m.team(r.team).Answered++
 		}, nil)
 		return
 	}
 	r.tried = append(r.tried, target)
-	if r.spec.Idempotent && len(r.tried) < maxAttempts && w.engine.now < r.spec.Deadline &&
+	if r.spec.Idempotent && len(r.tried) < maxAttempts && w.engine.SinceBoot() < r.spec.Deadline &&
 		r.instance.balancer.MayRetry(r.spec.Route) {
 		r.try()
 		return
@@ -171,6 +171,6 @@
 	return &peerpb.ReserveRequest{
 		From: r.instance.incarnation(), Service: r.spec.Service, Team: r.spec.Team, Batch: r.spec.Batch,
 		Idempotent: r.spec.Idempotent, Tried: r.tried, Id: r.id,
-		LifeMs: max((r.spec.Deadline - r.world.engine.now).Milliseconds(), 1),
+		LifeMs: max((r.spec.Deadline - r.world.engine.SinceBoot()).Milliseconds(), 1),
 	}
 }
--- a/pkg/lab/dispatchsim/engine.go
+++ b/pkg/lab/eventsim/eventsim.go
@@ -1,4 +1,6 @@
-package dispatchsim
+// Package eventsim runs events in simulated time, in one goroutine and in a
+// fixed order. Its Engine is the clock of everything that it runs.
+package eventsim
 
 import (
 	"container/heap"
@@ -6,9 +8,9 @@
 	"time"
 )
 
-// engine runs events in order of time; events of equal time run in order of
+// Engine runs events in order of time; events of equal time run in order of
 // their scheduling. It is the clock of everything that it runs.
-type engine struct {
+type Engine struct {
 	now      time.Duration
 	events   eventHeap
 	sequence uint64
@@ -21,28 +23,30 @@
 }
 
 // Now returns the wall time, which starts at an arbitrary fixed date.
-func (e *engine) Now() time.Time { return time.Unix(0, 0).Add(e.now) }
+func (e *Engine) Now() time.Time { return time.Unix(0, 0).Add(e.now) }
 
 // SinceBoot returns the simulated time.
-func (e *engine) SinceBoot() time.Duration { return e.now }
+func (e *Engine) SinceBoot() time.Duration { return e.now }
 
 // Sleep never waits: the simulation calls the steps of the loops itself.
-func (e *engine) Sleep(ctx context.Context, _ time.Duration) error { return ctx.Err() }
+func (e *Engine) Sleep(ctx context.Context, _ time.Duration) error { return ctx.Err() }
 
-func (e *engine) after(d time.Duration, run func()) {
+// After runs the function once, d from now.
+func (e *Engine) After(d time.Duration, run func()) {
 	e.sequence++
 	heap.Push(&e.events, timedEvent{at: e.now + d, sequence: e.sequence, run: run})
 }
 
-// every runs the function repeatedly, first after the phase.
-func (e *engine) every(phase, interval time.Duration, run func()) {
-	e.after(phase, func() {
+// Every runs the function repeatedly, first after the phase.
+func (e *Engine) Every(phase, interval time.Duration, run func()) {
+	e.After(phase, func() {
 		run()
-		e.every(interval, interval, run)
+		e.Every(interval, interval, run)
 	})
 }
 
-func (e *engine) runUntil(end time.Duration) {
+// RunUntil runs all events up to the time end.
+func (e *Engine) RunUntil(end time.Duration) {
 	for len(e.events) > 0 && e.events[0].at <= end {
 		next := heap.Pop(&e.events).(timedEvent)
 		e.now = next.at
--- a/pkg/lab/healthsim/fleet.go
+++ b/pkg/lab/healthsim/fleet.go
@@ -127,18 +127,18 @@
 
 func (w *world) startLoops(i *instance) {
 	phase := time.Duration(w.random.Int64N(int64(health.ReportInterval)))
-	w.engine.every(phase, health.ReportInterval, func() { w.report(i) })
-	w.engine.every(phase, health.ReportInterval, i.evaluator.Tick)
-	w.engine.every(phase, probePoll, func() { w.probe(i) })
+	w.engine.Every(phase, health.ReportInterval, func() { w.report(i) })
+	w.engine.Every(phase, health.ReportInterval, i.evaluator.Tick)
+	w.engine.Every(phase, probePoll, func() { w.probe(i) })
 }
 
 func (w *world) report(i *instance) {
 	outgoing := i.reporter.Collect()
 	sort.Slice(outgoing, func(a, b int) bool { return outgoing[a].To.Incarnation < outgoing[b].To.Incarnation })
 	for _, out := range outgoing {
-		w.engine.after(3*network, func() {
+		w.engine.After(3*network, func() {
 			reply := w.byIncarnation[out.To.Incarnation].evaluator.HandleReport(out.Request)
-			w.engine.after(3*network, func() { i.follower.Hear(out.To.Incarnation, out.Asked, reply) })
+			w.engine.After(3*network, func() { i.follower.Hear(out.To.Incarnation, out.Asked, reply) })
 		})
 	}
 }
--- a/pkg/lab/healthsim/measure.go
+++ b/pkg/lab/healthsim/measure.go
@@ -24,13 +24,13 @@
 }
 
 func (m *requestMeasure) count(w *world, change func(*counts)) {
-	if w.engine.now >= faultAt {
+	if w.engine.SinceBoot() >= faultAt {
 		change(&m.counts)
 	}
 }
 
 func (m *requestMeasure) answered(w *world, latency time.Duration) {
-	if w.engine.now >= faultAt {
+	if w.engine.SinceBoot() >= faultAt {
 		m.latency = append(m.latency, latency)
 	}
 }
@@ -76,8 +76,8 @@
 	m := &w.measure
 	if w.targets[name].faulty {
 		_, known := m.detected[name]
-		if w.engine.now >= faultAt && !known && share >= detectedShare {
-			m.detected[name] = w.engine.now - faultAt
+		if w.engine.SinceBoot() >= faultAt && !known && share >= detectedShare {
+			m.detected[name] = w.engine.SinceBoot() - faultAt
 		}
 		return
 	}
--- a/pkg/lab/healthsim/scenario.go
+++ b/pkg/lab/healthsim/scenario.go
@@ -6,6 +6,8 @@
 	"sort"
 	"time"
 
+	"github.com/arbutuslink/arbutuslink/pkg/lab/eventsim"
+
 	"github.com/arbutuslink/arbutuslink/pkg/config"
 )
 
@@ -49,7 +51,7 @@
 }
 
 type world struct {
-	engine        *engine
+	engine        *eventsim.Engine
 	random        *rand.Rand
 	seed          uint64
 	config        *config.Config
@@ -83,15 +85,15 @@
 // Run simulates one scenario. Equal arguments give equal results.
 func Run(policy Policy, scenario Scenario, seed uint64) Result {
 	w := &world{
-		engine: &engine{}, seed: seed, random: rand.New(rand.NewPCG(seed, 1)),
+		engine: &eventsim.Engine{}, seed: seed, random: rand.New(rand.NewPCG(seed, 1)),
 		names: map[string][]string{}, affected: map[string][]string{}, measure: newMeasure(),
 	}
 	w.buildFleet(policy)
 	w.buildTargets()
 	w.startTraffic()
 	w.schedule(scenario)
-	w.engine.every(measureEvery, measureEvery, w.sample)
-	w.engine.runUntil(runFor)
+	w.engine.Every(measureEvery, measureEvery, w.sample)
+	w.engine.RunUntil(runFor)
 	return w.result()
 }
 
@@ -107,17 +109,17 @@
 			f, isSingle := single[scenario]
 			switch {
 			case scenario == AllSlow:
-				w.engine.after(faultAt, func() { t.fault = fault{slow: 3} })
+				w.engine.After(faultAt, func() { t.fault = fault{slow: 3} })
 			case scenario == AllSlower:
-				w.engine.after(faultAt, func() { t.fault = fault{slow: 1.5} })
+				w.engine.After(faultAt, func() { t.fault = fault{slow: 1.5} })
 			case scenario == ColdStart && affected:
-				w.engine.after(faultAt, t.restartCold)
+				w.engine.After(faultAt, t.restartCold)
 			case isSingle && affected:
 				t.faulty = true
-				w.engine.after(faultAt, func() { t.fault = f })
+				w.engine.After(faultAt, func() { t.fault = f })
 				if scenario == Flapping {
-					w.engine.every(faultAt+flapBad, flapBad+flapGood, func() { t.fault = fault{} })
-					w.engine.every(faultAt+flapBad+flapGood, flapBad+flapGood, func() { t.fault = f })
+					w.engine.Every(faultAt+flapBad, flapBad+flapGood, func() { t.fault = fault{} })
+					w.engine.Every(faultAt+flapBad+flapGood, flapBad+flapGood, func() { t.fault = f })
 				}
 			}
 		}
--- a/pkg/lab/healthsim/target.go
+++ b/pkg/lab/healthsim/target.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/arbutuslink/arbutuslink/pkg/lab/eventsim"
+
 	"github.com/arbutuslink/arbutuslink/pkg/health"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
@@ -39,7 +41,7 @@
 
 // simTarget runs at most slots jobs at once and queues the others.
 type simTarget struct {
-	engine  *engine
+	engine  *eventsim.Engine
 	random  *rand.Rand
 	name    string
 	slots   int
@@ -63,7 +65,7 @@
 		case t.fault.stall:
 			return
 		case t.random.Float64() < t.fault.errorShare:
-			t.engine.after(errorService, func() { t.reply(j, proxy.ServerError) })
+			t.engine.After(errorService, func() { t.reply(j, proxy.ServerError) })
 			return
 		case len(t.queue) >= shedQueue*t.slots:
 			t.reply(j, proxy.Shed)
@@ -83,7 +85,7 @@
 		}
 		t.running++
 		j.running = true
-		t.engine.after(t.serviceTime(j), func() { t.finish(j) })
+		t.engine.After(t.serviceTime(j), func() { t.finish(j) })
 	}
 }
 
@@ -111,7 +113,7 @@
 
 func (t *simTarget) reply(j *job, result proxy.Result) {
 	load := t.load()
-	t.engine.after(network, func() {
+	t.engine.After(network, func() {
 		if !j.canceled {
 			j.answer(result, load)
 		}
@@ -133,7 +135,7 @@
 }
 
 func (t *simTarget) restartCold() {
-	t.coldLeft, t.coldUntil = coldRequests, t.engine.now+5*time.Second
+	t.coldLeft, t.coldUntil = coldRequests, t.engine.SinceBoot()+5*time.Second
 }
 
 func (t *simTarget) probe(done func(health.ProbeStatus)) {
@@ -146,14 +148,14 @@
 		}
 	}
 	j.answer = func(proxy.Result, proxy.Load) {
-		if t.engine.now < t.coldUntil {
+		if t.engine.SinceBoot() < t.coldUntil {
 			finish(health.ProbeCold)
 			return
 		}
 		finish(health.ProbeOK)
 	}
-	t.engine.after(network, func() { t.submit(j) })
-	t.engine.after(health.ProbeTimeout, func() {
+	t.engine.After(network, func() { t.submit(j) })
+	t.engine.After(health.ProbeTimeout, func() {
 		t.cancel(j)
 		finish(health.ProbeFailed)
 	})
--- a/pkg/lab/healthsim/traffic.go
+++ b/pkg/lab/healthsim/traffic.go
@@ -28,9 +28,9 @@
 		var arrive func()
 		arrive = func() {
 			w.arrive(s)
-			w.engine.after(time.Duration(w.random.ExpFloat64()*mean), arrive)
+			w.engine.After(time.Duration(w.random.ExpFloat64()*mean), arrive)
 		}
-		w.engine.after(time.Duration(w.random.ExpFloat64()*mean), arrive)
+		w.engine.After(time.Duration(w.random.ExpFloat64()*mean), arrive)
 	}
 }
 
@@ -39,7 +39,7 @@
 		world: w, instance: w.instances[w.random.IntN(len(w.instances))],
 		spec: proxy.Request{
 			Route: s.name, Service: s.name, Idempotent: w.random.Float64() < s.idempotent,
-			Deadline: w.engine.now + requestTimeout,
+			Deadline: w.engine.SinceBoot() + requestTimeout,
 		},
 	}
 	w.measure.requests.count(w, func(c *counts) { c.total++ })
@@ -54,7 +54,7 @@
 		return
 	}
 	t := w.targets[a.Target()]
-	started := w.engine.now
+	started := w.engine.SinceBoot()
 	j := &job{}
 	finished := false
 	finish := func(result proxy.Result, load proxy.Load) {
@@ -62,16 +62,16 @@
 			return
 		}
 		finished = true
-		a.Done(result, w.engine.now-started, load)
-		r.ended(a.Target(), result, w.engine.now-started)
+		a.Done(result, w.engine.SinceBoot()-started, load)
+		r.ended(a.Target(), result, w.engine.SinceBoot()-started)
 	}
 	j.answer = finish
-	w.engine.after(network, func() {
+	w.engine.After(network, func() {
 		if !j.canceled {
 			t.submit(j)
 		}
 	})
-	w.engine.after(r.spec.Deadline-w.engine.now, func() {
+	w.engine.After(r.spec.Deadline-w.engine.SinceBoot(), func() {
 		if !finished {
 			t.cancel(j)
 			finish(proxy.TimedOut, proxy.Load{})
@@ -86,7 +86,7 @@
 		return
 	}
 	r.tried = append(r.tried, target)
-	if r.spec.Idempotent && len(r.tried) < maxAttempts && w.engine.now < r.spec.Deadline &&
+	if r.spec.Idempotent && len(r.tried) < maxAttempts && w.engine.SinceBoot() < r.spec.Deadline &&
 		r.instance.balancer.MayRetry(r.spec.Route) {
 		r.try()
 		return
--- a/pkg/lab/report/plot.go
+++ b/pkg/lab/report/plot.go
@@ -15,8 +15,9 @@
 	plotHeight = 9 * vg.Centimeter
 )
 
-// Plot draws the samples of a run into a PNG or SVG file, by its extension.
-// The error is a *FileError.
+// Plot draws what went wrong: requests that were not answered whole, which are
+// few against those that were, and ejected targets. The extension of the file
+// selects PNG or SVG. The error is a *FileError.
 func (r *Report) Plot(file string) error {
 	p := plot.New()
 	p.Title.Text = r.Experiment + " (" + r.Policy + ")"
@@ -27,7 +28,6 @@
 		color color.Color
 		value func(Sample) float64
 	}{
-		{"answered whole", color.RGBA{G: 128, A: 255}, func(s Sample) float64 { return float64(s.Whole) }},
 		{"refused", color.RGBA{R: 200, G: 140, A: 255}, func(s Sample) float64 { return float64(s.Refused) }},
 		{"failed", color.RGBA{R: 200, A: 255}, func(s Sample) float64 { return float64(s.Failed) }},
 		{"targets ejected", color.RGBA{B: 200, A: 255}, func(s Sample) float64 { return float64(s.Ejected) }},
