Give the advertised peer address in one place

Cause: pkg/entry and pkg/lab/fleet each chose between the peer address and the advertised one. Change: settings.Entry.AdvertisedPeer; both use it. Behaviour is unchanged.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -81,7 +81,7 @@
 	i.transport = drpcpeer.NewClientFrom(s.PeerSourceIP)
 	i.control = control.New(control.Options{
 		Self: membership.Member{
-			Instance: s.Instance, Zone: s.AvailabilityZone, PeerAddress: advertisedPeer(s),
+			Instance: s.Instance, Zone: s.AvailabilityZone, PeerAddress: s.AdvertisedPeer(),
 			CallerAddress: s.CallerAddress, OperatorAddress: s.OperatorAddress,
 		},
 		Seeds: s.SeedPeers, Store: i.store, Transport: i.transport, Clock: i.clock, List: i.platform.list, Log: log,
@@ -93,13 +93,6 @@
 	return i
 }
 
-func advertisedPeer(s *settings.Entry) string {
-	if s.AdvertisePeerAddress != "" {
-		return s.AdvertisePeerAddress
-	}
-	return s.PeerAddress
-}
-
 func (i *Instance) buildLimits() {
 	params := limit.DefaultParams(i.settings.Timings.Fence())
 	params.K = i.settings.Limits.IssuersPerTeam
--- a/pkg/lab/fleet/fleet.go
+++ b/pkg/lab/fleet/fleet.go
@@ -163,17 +163,10 @@
 		return err
 	}
 	instance.Process = p
-	f.listing.follow(advertised(s), s.AvailabilityZone, p)
+	f.listing.follow(s.AdvertisedPeer(), s.AvailabilityZone, p)
 	return waitListening(ctx, s.CallerAddress, p)
 }
 
-func advertised(s *settings.Entry) string {
-	if s.AdvertisePeerAddress != "" {
-		return s.AdvertisePeerAddress
-	}
-	return s.PeerAddress
-}
-
 func (f *Fleet) instanceSettings(n int) *settings.Entry {
 	zones := f.Options.Deployment.Zones
 	ip := f.network.loopback(instanceNet, n+1)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -152,6 +152,14 @@
 	return e, nil
 }
 
+// AdvertisedPeer is the address that other instances connect to.
+func (e *Entry) AdvertisedPeer() string {
+	if e.AdvertisePeerAddress != "" {
+		return e.AdvertisePeerAddress
+	}
+	return e.PeerAddress
+}
+
 // Fence is FenceMS as a duration.
 func (t Timings) Fence() time.Duration { return milliseconds(t.FenceMS) }
 
