--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -126,7 +126,7 @@
 }
 
 // MayRetry spends the route's retry budget.
-func (b *Balancer) MayRetry(route string) bool { return b.budgets.spend(route) }
+func (b *Balancer) MayRetry(r proxy.Request) bool { return b.budgets.spend(r.Route) }
 
 func (s *service) refuse(tried []string, full int) error {
 	cause := &NoTargetError{Service: s.name, Configured: len(s.targets), Tried: len(tried), Full: full}
--- a/pkg/balance/balance_test.go
+++ b/pkg/balance/balance_test.go
@@ -181,14 +181,14 @@
 		a, err := r.acquire(true)
 		is.NoErr(err)
 		a.Done(proxy.Broken, 0, proxy.Load{})
-		for r.balancer.MayRetry("r") {
+		for r.balancer.MayRetry(proxy.Request{Route: "r"}) {
 			spent++
 		}
 	}
 	is.True(spent >= 100 && spent <= 111) // 10% of the requests plus the start budget
 	r.clock.Advance(10 * time.Second)
-	is.True(r.balancer.MayRetry("r"))
-	is.True(!r.balancer.MayRetry("r"))
+	is.True(r.balancer.MayRetry(proxy.Request{Route: "r"}))
+	is.True(!r.balancer.MayRetry(proxy.Request{Route: "r"}))
 }
 
 // Guards against a preference of the own zone that outweighs load, and against
--- a/pkg/balance/baseline.go
+++ b/pkg/balance/baseline.go
@@ -98,7 +98,7 @@
 }
 
 // MayRetry spends the route's retry budget.
-func (b *Baseline) MayRetry(route string) bool { return b.budgets.spend(route) }
+func (b *Baseline) MayRetry(r proxy.Request) bool { return b.budgets.spend(r.Route) }
 
 // Ejected tells whether this instance has ejected the target.
 func (b *Baseline) Ejected(service, target string) bool {
--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -3,7 +3,10 @@
 // they have been published.
 package config
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Config is one version's document.
 type Config struct {
@@ -29,6 +32,10 @@
 	// RatePerSecond*T + Burst requests in any T seconds.
 	RatePerSecond float64 `json:"rate_per_second"`
 	Burst         int     `json:"burst"`
+	// Unlimited lifts the limit; RatePerSecond and Burst then have no meaning.
+	Unlimited bool `json:"unlimited,omitempty"`
+	// Priority takes precedence over that of the route; nil leaves the route's.
+	Priority *int `json:"priority,omitempty"`
 }
 
 // Key is the stored form of a caller's key.
@@ -68,12 +75,28 @@
 	Leaving bool `json:"leaving"`
 }
 
+// Share is one service of a route and its part of the requests.
+type Share struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
 // Route maps requests to a service.
 type Route struct {
+	// Host restricts the route to requests for this host; empty means all hosts.
+	Host       string `json:"host,omitempty"`
 	PathPrefix string `json:"path_prefix"`
 	// Methods restricts the route; empty means all methods.
 	Methods []string `json:"methods"`
 	Service string   `json:"service"`
+	// Split divides the requests among services in place of Service.
+	Split []Share `json:"split,omitempty"`
+	// Public admits requests without a key.
+	Public bool `json:"public,omitempty"`
+	// Priority ranks requests when targets are full; 0 is the highest.
+	Priority int `json:"priority,omitempty"`
+	// ObjectiveMS is the latency in ms within which a response has its full value; 0 means none.
+	ObjectiveMS int `json:"objective_ms,omitempty"`
 	// OpenToAll admits every team with a valid key; otherwise only Teams.
 	OpenToAll bool     `json:"open_to_all"`
 	Teams     []string `json:"teams"`
@@ -82,6 +105,9 @@
 	TimeoutMS  int  `json:"timeout_ms"`
 	// MaxAttempts bounds the connections an idempotent request is written to.
 	MaxAttempts int `json:"max_attempts"`
+	// MaxRedirects bounds the further targets of a non-idempotent request after
+	// targets that proved that they did not run it.
+	MaxRedirects int `json:"max_redirects,omitempty"`
 	// Deduplicate records the Idempotency-Key of a request in the platform's table.
 	Deduplicate bool `json:"deduplicate"`
 }
@@ -89,6 +115,42 @@
 // Timeout is the time a request may take from admission to the end of its answer.
 func (r Route) Timeout() time.Duration { return time.Duration(r.TimeoutMS) * time.Millisecond }
 
+// Objective is the latency within which a response has its full value, or the
+// timeout when none is set.
+func (r Route) Objective() time.Duration {
+	if r.ObjectiveMS == 0 {
+		return r.Timeout()
+	}
+	return time.Duration(r.ObjectiveMS) * time.Millisecond
+}
+
+// Serves tells whether requests of the route may go to the service.
+func (r Route) Serves(service string) bool {
+	if len(r.Split) == 0 {
+		return r.Service == service
+	}
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// Choose returns the service of one request. draw is uniform in [0, 1).
+func (r Route) Choose(draw float64) string {
+	if len(r.Split) == 0 {
+		return r.Service
+	}
+	total := 0.0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := draw * total
+	for _, s := range r.Split {
+		if left < s.Weight {
+			return s.Service
+		}
+		left -= s.Weight
+	}
+	return r.Split[len(r.Split)-1].Service
+}
+
 // ProbeInterval is the time between two probes of one target.
 func (s Service) ProbeInterval() time.Duration {
 	return time.Duration(s.ProbeIntervalMS) * time.Millisecond
--- a/pkg/config/config_test.go
+++ b/pkg/config/config_test.go
@@ -111,11 +111,11 @@
 func TestMatchUsesWholeSegments(t *testing.T) {
 	is := is.New(t)
 	s := NewSnapshot(1, sample())
-	_, ok := s.Match("GET", "/preview/7")
+	_, ok := s.Match("", "GET", "/preview/7")
 	is.True(ok)
-	_, ok = s.Match("GET", "/previews")
+	_, ok = s.Match("", "GET", "/previews")
 	is.True(!ok)
-	_, ok = s.Match("POST", "/preview")
+	_, ok = s.Match("", "POST", "/preview")
 	is.True(!ok)
 }
 
@@ -144,7 +144,7 @@
 	for _, tc := range cases {
 		t.Run(tc.method+tc.path, func(t *testing.T) {
 			is := is.New(t)
-			m, ok := s.Match(tc.method, tc.path)
+			m, ok := s.Match("", tc.method, tc.path)
 			is.True(ok)
 			is.Equal(m.ID, tc.want)
 		})
--- a/pkg/config/key.go
+++ b/pkg/config/key.go
@@ -29,19 +29,23 @@
 	return hex.EncodeToString(sum[:])
 }
 
+// Digest returns the stored form of a key that was issued elsewhere.
+func Digest(key string) string { return digest(key) }
+
 // Authenticate returns the id and the team of a presented key. It takes the
-// same time for every wrong secret of an existing key id.
+// same time for every wrong secret of an existing key id. A key that was issued
+// elsewhere has no id in it and is found by its digest.
 func (s *Snapshot) Authenticate(presented string) (id, team string, ok bool) {
-	rest, found := strings.CutPrefix(presented, keyPrefix)
-	if !found {
-		return "", "", false
+	sum := digest(presented)
+	rest, own := strings.CutPrefix(presented, keyPrefix)
+	if own {
+		id, _, own = strings.Cut(rest, ".")
 	}
-	id, _, found = strings.Cut(rest, ".")
-	if !found {
-		return "", "", false
+	if !own {
+		id = s.digests[sum]
 	}
 	key, exists := s.Config.Keys[id]
-	match := subtle.ConstantTimeCompare([]byte(digest(presented)), []byte(key.SHA256)) == 1
+	match := subtle.ConstantTimeCompare([]byte(sum), []byte(key.SHA256)) == 1
 	if !exists || !match {
 		return "", "", false
 	}
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -12,11 +12,16 @@
 	Version int64
 	Config  *Config
 
-	// routes maps a path prefix without a trailing slash to its routes; those
-	// with methods come first.
-	routes map[string][]compiledRoute
+	// hosts maps a host to its routes; routes for all hosts stand under "".
+	hosts map[string]routeTable
+	// digests maps the digest of a key to its id.
+	digests map[string]string
 }
 
+// routeTable maps a path prefix without a trailing slash to its routes; those
+// with methods come first.
+type routeTable map[string][]compiledRoute
+
 type compiledRoute struct {
 	id      string
 	route   Route
@@ -34,23 +39,39 @@
 
 // NewSnapshot compiles a validated configuration.
 func NewSnapshot(version int64, c *Config) *Snapshot {
-	s := &Snapshot{Version: version, Config: c, routes: make(map[string][]compiledRoute, len(c.Routes))}
+	s := &Snapshot{
+		Version: version, Config: c, hosts: map[string]routeTable{}, digests: make(map[string]string, len(c.Keys)),
+	}
+	for id, k := range c.Keys {
+		s.digests[k.SHA256] = id
+	}
 	for id, r := range c.Routes {
+		table := s.hosts[r.Host]
+		if table == nil {
+			table = routeTable{}
+			s.hosts[r.Host] = table
+		}
 		prefix := strings.TrimSuffix(r.PathPrefix, "/")
-		s.routes[prefix] = append(s.routes[prefix], compiledRoute{id: id, route: r, methods: toSet(r.Methods), teams: toSet(r.Teams)})
+		table[prefix] = append(table[prefix], compiledRoute{id: id, route: r, methods: toSet(r.Methods), teams: toSet(r.Teams)})
 	}
-	for _, group := range s.routes {
-		sort.Slice(group, func(i, j int) bool {
-			a, b := len(group[i].methods) > 0, len(group[j].methods) > 0
-			if a != b {
-				return a
-			}
-			return group[i].id < group[j].id
-		})
+	for _, table := range s.hosts {
+		for _, group := range table {
+			sortRoutes(group)
+		}
 	}
 	return s
 }
 
+func sortRoutes(group []compiledRoute) {
+	sort.Slice(group, func(i, j int) bool {
+		a, b := len(group[i].methods) > 0, len(group[j].methods) > 0
+		if a != b {
+			return a
+		}
+		return group[i].id < group[j].id
+	})
+}
+
 func toSet(values []string) map[string]bool {
 	set := make(map[string]bool, len(values))
 	for _, v := range values {
@@ -59,13 +80,23 @@
 	return set
 }
 
-// Match finds the route of a request by the longest path prefix. A prefix
-// matches whole path segments only. The time grows with the number of segments
-// of the path, not with the number of routes.
-func (s *Snapshot) Match(method, path string) (RouteMatch, bool) {
+// Match finds the route of a request by the longest path prefix among the
+// routes of its host, then among those for all hosts. A prefix matches whole
+// path segments only. The time grows with the number of segments of the path,
+// not with the number of routes.
+func (s *Snapshot) Match(host, method, path string) (RouteMatch, bool) {
+	if table, ok := s.hosts[host]; ok && host != "" {
+		if match, ok := table.match(method, path); ok {
+			return match, true
+		}
+	}
+	return s.hosts[""].match(method, path)
+}
+
+func (t routeTable) match(method, path string) (RouteMatch, bool) {
 	for prefix := path; ; {
-		for i := range s.routes[prefix] {
-			r := &s.routes[prefix][i]
+		for i := range t[prefix] {
+			r := &t[prefix][i]
 			if len(r.methods) == 0 || r.methods[method] {
 				return RouteMatch{ID: r.id, Route: r.route, teams: r.teams}, true
 			}
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -172,7 +172,11 @@
 		v.check(m != "" && strings.ToUpper(m) == m, path, ".methods", m, "upper-case HTTP methods")
 	}
 	_, ok := c.Services[r.Service]
-	v.check(ok, path, ".service", r.Service, "the id of a service")
+	v.check(ok || len(r.Split) > 0, path, ".service", r.Service, "the id of a service")
+	for _, part := range r.Split {
+		_, ok := c.Services[part.Service]
+		v.check(ok && part.Weight >= 0, path, ".split", part, "ids of services with weights of at least 0")
+	}
 	for _, t := range r.Teams {
 		_, ok := c.Teams[t]
 		v.check(ok, path, ".teams", t, "ids of teams")
@@ -194,7 +198,7 @@
 	byPrefix := map[string][]string{}
 	for _, id := range ids {
 		r := c.Routes[id]
-		prefix := strings.TrimSuffix(r.PathPrefix, "/")
+		prefix := r.Host + strings.TrimSuffix(r.PathPrefix, "/")
 		for _, other := range byPrefix[prefix] {
 			v.Check(!methodsOverlap(r.Methods, c.Routes[other].Methods), "$.routes."+id+".path_prefix", r.PathPrefix,
 				"a prefix and methods that differ from route "+other)
--- /dev/null
+++ b/pkg/discovery/discovery.go
@@ -0,0 +1,201 @@
+// Package discovery keeps the catalogue of targets that a platform lists.
+package discovery
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+)
+
+const (
+	// lapseHold is how long targets that vanish around an outage of the store
+	// stay in use: live ones are listed again within about 2 s of its return.
+	lapseHold = 2200 * time.Millisecond
+	// slowListing is the time of a listing from which the store counts as in
+	// trouble; the usual time is 4 ms.
+	slowListing = 400 * time.Millisecond
+	// listingLimit bounds one listing.
+	listingLimit = 900 * time.Millisecond
+)
+
+// Target is one target as its platform lists it.
+type Target struct {
+	ID, Service, Address, Zone string
+	// Slots is the number of requests that the target runs at once.
+	Slots int
+	// Draining targets take no new requests.
+	Draining bool
+	// WarmupLeft is the time that the target stays slow after its start,
+	// counted from the listing in which it first appeared.
+	WarmupLeft time.Duration
+	// Started identifies one run of the target's process.
+	Started int64
+}
+
+// Source lists the targets. Entries that cannot be read are left out.
+type Source interface {
+	Targets(ctx context.Context) ([]Target, error)
+}
+
+// Entry is a target in the catalogue.
+type Entry struct {
+	Target
+	// WarmUntil is the time since boot up to which the target is slow.
+	WarmUntil time.Duration
+	// missing is the time since boot at which a listing first lacked the
+	// target; 0 while it is listed.
+	missing time.Duration
+}
+
+// Catalogue is one state of the listing. It is immutable.
+type Catalogue struct {
+	// Version counts the changes of the catalogue.
+	Version uint64
+	// ReadAt is the time since boot at which the listing was asked for.
+	ReadAt time.Duration
+	// Services maps a service to its targets in the order of their ids.
+	Services map[string][]*Entry
+
+	byID map[string]*Entry
+}
+
+// Find returns the target with this id, or nil.
+func (c *Catalogue) Find(id string) *Entry { return c.byID[id] }
+
+// Registry owns the catalogue. It is safe for concurrent use.
+type Registry struct {
+	clock  clock.Clock
+	source Source
+	log    *zerolog.Logger
+
+	current atomic.Pointer[Catalogue]
+	// troubledAt is the time since boot at which the store last failed, or 0.
+	troubledAt atomic.Int64
+
+	// refreshing is held during a listing, so that callers share one.
+	refreshing sync.Mutex
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(c clock.Clock, source Source, log *zerolog.Logger) *Registry {
+	r := &Registry{clock: c, source: source, log: log}
+	r.current.Store(&Catalogue{ReadAt: -time.Hour, Services: map[string][]*Entry{}, byID: map[string]*Entry{}})
+	return r
+}
+
+// Catalogue returns the newest catalogue.
+func (r *Registry) Catalogue() *Catalogue { return r.current.Load() }
+
+// NoteTrouble records that the store did not answer as it should.
+func (r *Registry) NoteTrouble() { r.troubledAt.Store(int64(r.clock.SinceBoot())) }
+
+// EnsureFresh lists the targets unless the catalogue is younger than maxAge.
+// Without an answer the old catalogue stays in use.
+func (r *Registry) EnsureFresh(ctx context.Context, maxAge time.Duration) {
+	if r.clock.SinceBoot()-r.Catalogue().ReadAt < maxAge {
+		return
+	}
+	r.refreshing.Lock()
+	defer r.refreshing.Unlock()
+	if r.clock.SinceBoot()-r.Catalogue().ReadAt >= maxAge {
+		// The failure is logged and kept in troubledAt.
+		_ = r.list(ctx)
+	}
+}
+
+// Refresh lists the targets.
+func (r *Registry) Refresh(ctx context.Context) error {
+	r.refreshing.Lock()
+	defer r.refreshing.Unlock()
+	return r.list(ctx)
+}
+
+func (r *Registry) list(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, listingLimit)
+	defer cancel()
+	began := r.clock.SinceBoot()
+	listed, err := r.source.Targets(ctx)
+	now := r.clock.SinceBoot()
+	if err != nil {
+		r.NoteTrouble()
+		event.ListingFailed.Log(r.log).Err(err).Dur("age", now-r.Catalogue().ReadAt).Send()
+		return errors.Wrap(err, "list targets")
+	}
+	if now-began > slowListing {
+		r.NoteTrouble()
+	}
+	r.apply(listed, began, now)
+	return nil
+}
+
+// apply replaces the catalogue by a listing.
+func (r *Registry) apply(listed []Target, readAt, now time.Duration) {
+	old := r.Catalogue()
+	next := &Catalogue{Version: old.Version, ReadAt: readAt, Services: map[string][]*Entry{}, byID: map[string]*Entry{}}
+	changed := false
+	for _, t := range listed {
+		entry := old.byID[t.ID]
+		if entry == nil || entry.Target != t || entry.missing != 0 {
+			changed = true
+			entry = renew(entry, t, now)
+			event.TargetListed.Log(r.log).Str("target", t.ID).Str("service", t.Service).Bool("draining", t.Draining).
+				Dur("warmup", t.WarmupLeft).Send()
+		}
+		next.add(entry)
+	}
+	for id, entry := range old.byID {
+		if next.byID[id] != nil {
+			continue
+		}
+		if kept := r.keep(entry, now); kept != nil {
+			next.add(kept)
+			continue
+		}
+		changed = true
+		event.TargetGone.Log(r.log).Str("target", id).Str("service", entry.Service).Send()
+	}
+	for _, entries := range next.Services {
+		slices.SortFunc(entries, func(a, b *Entry) int { return strings.Compare(a.ID, b.ID) })
+	}
+	if changed {
+		next.Version++
+	}
+	r.current.Store(next)
+}
+
+func renew(old *Entry, t Target, now time.Duration) *Entry {
+	entry := &Entry{Target: t, WarmUntil: now + t.WarmupLeft}
+	if old != nil && old.Started == t.Started && old.WarmupLeft == t.WarmupLeft {
+		entry.WarmUntil = old.WarmUntil
+	}
+	return entry
+}
+
+// keep returns the entry of a target that is no longer listed while it may
+// have lapsed during an outage, and nil once it counts as gone.
+func (r *Registry) keep(entry *Entry, now time.Duration) *Entry {
+	troubled := time.Duration(r.troubledAt.Load())
+	if troubled == 0 || now-troubled > lapseHold || entry.Draining {
+		return nil
+	}
+	if entry.missing != 0 {
+		return entry
+	}
+	kept := *entry
+	kept.missing = now
+	return &kept
+}
+
+func (c *Catalogue) add(entry *Entry) {
+	c.Services[entry.Service] = append(c.Services[entry.Service], entry)
+	c.byID[entry.ID] = entry
+}
--- a/pkg/dispatch/balancer.go
+++ b/pkg/dispatch/balancer.go
@@ -64,7 +64,7 @@
 }
 
 // MayRetry spends the route's retry budget.
-func (b *Balancer) MayRetry(route string) bool { return b.inner.MayRetry(route) }
+func (b *Balancer) MayRetry(r proxy.Request) bool { return b.inner.MayRetry(r) }
 
 // Acquire chooses a target that is not in tried. It waits for the dispatcher's
 // answer for the usual round trip plus Slack, and longer only while the
--- a/pkg/dispatch/balancer_test.go
+++ b/pkg/dispatch/balancer_test.go
@@ -63,7 +63,7 @@
 	return nil, refusal.New(refusal.NoTarget, nil)
 }
 
-func (*innerBalancer) MayRetry(string) bool { return true }
+func (*innerBalancer) MayRetry(proxy.Request) bool { return true }
 
 // usualDelay is the round trip unless a test sets another one.
 const usualDelay = 1500 * time.Microsecond
--- /dev/null
+++ b/pkg/edge/listen.go
@@ -0,0 +1,104 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+)
+
+// ListenError says that a listener could not be opened.
+type ListenError struct {
+	Address string
+	Cause   error
+}
+
+// Error names the address and the cause.
+func (e *ListenError) Error() string { return "listen on " + e.Address + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+type listeners struct{ callers, ready, directory, metrics net.Listener }
+
+// listen opens all listeners or none.
+func (i *Instance) listen() (*listeners, error) {
+	l, s := &listeners{}, i.Settings
+	open := []struct {
+		address string
+		into    *net.Listener
+	}{
+		{s.CallerAddress, &l.callers},
+		{s.ReadyAddress, &l.ready},
+		{s.DirectoryAddress, &l.directory},
+		{s.MetricsAddress, &l.metrics},
+	}
+	for _, o := range open {
+		if o.address == "" {
+			continue
+		}
+		listener, err := net.Listen("tcp", o.address)
+		if err != nil {
+			l.close()
+			return nil, errors.WithStack(&ListenError{Address: o.address, Cause: err})
+		}
+		*o.into = listener
+	}
+	address, err := netip.ParseAddrPort(s.GossipAddress)
+	if err == nil {
+		i.socket, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
+	}
+	if err != nil {
+		l.close()
+		return nil, errors.WithStack(&ListenError{Address: s.GossipAddress, Cause: err})
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, listener := range []net.Listener{l.callers, l.ready, l.directory, l.metrics} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// Send sends a datagram to another instance. A lost heartbeat is made up for
+// by the next one, so failures are not reported.
+func (i *Instance) Send(address string, data []byte) {
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		event.DatagramRejected.Log(i.Log).Err(err).Str("address", address).Send()
+		return
+	}
+	_, _ = i.socket.WriteToUDPAddrPort(data, to)
+}
+
+// maxDatagram is the largest datagram of IPv4 in bytes.
+const maxDatagram = 64 << 10
+
+// receive hands datagrams to the fleet until ctx ends.
+func (i *Instance) receive(ctx context.Context) error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := i.socket.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return errors.WithStack(ctx.Err())
+		}
+		if err != nil {
+			event.DatagramRejected.Log(i.Log).Err(err).Send()
+			continue
+		}
+		i.fleet.Receive(buffer[:n])
+	}
+}
+
+// silentLogger drops the log lines of fasthttp, which report every connection
+// that a client broke off.
+type silentLogger struct{}
+
+// Printf drops the line.
+func (silentLogger) Printf(string, ...any) {}
--- /dev/null
+++ b/pkg/edge/record.go
@@ -0,0 +1,130 @@
+package edge
+
+import (
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+)
+
+// Names of metrics and tags; docs/metrics.md describes them.
+const (
+	metricRequests = "edge_requests"
+	metricAttempts = "edge_attempts"
+	metricLatency  = "edge_request_seconds"
+
+	tagStatus  = "status"
+	tagCode    = "code"
+	tagService = "service"
+	tagResult  = "result"
+)
+
+// latencyBuckets are the upper bounds of the latency histogram.
+var latencyBuckets = tally.DurationBuckets{
+	10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+	400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond, 3200 * time.Millisecond, 6400 * time.Millisecond,
+}
+
+// recorder logs and counts the requests. It implements proxy.Recorder.
+type recorder struct {
+	log *zerolog.Logger
+
+	mu    sync.Mutex
+	scope tally.Scope
+	// counters and histograms avoid the scope's lock and allocations per request.
+	counters   map[string]tally.Counter
+	histograms map[string]tally.Histogram
+}
+
+func newRecorder(log *zerolog.Logger) *recorder {
+	return &recorder{log: log, scope: tally.NoopScope, counters: map[string]tally.Counter{}, histograms: map[string]tally.Histogram{}}
+}
+
+// setScope directs the metrics to scope. Counts from before are lost.
+func (r *recorder) setScope(scope tally.Scope) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.scope = scope
+	clear(r.counters)
+	clear(r.histograms)
+}
+
+// Record logs one line for the request and counts it.
+func (r *recorder) Record(record proxy.Record) {
+	r.count(record)
+	line := event.RequestEnded.Log(r.log)
+	if line == nil {
+		return
+	}
+	line.Str("request_id", record.Request.ID).Str("team", record.Request.Team).Str("route", record.Request.Route).
+		Str("service", record.Request.Service).Bool("idempotent", record.Request.Idempotent).
+		Int64("config_version", record.ConfigVersion).Int("status", record.Status).
+		Int64("elapsed_us", record.Elapsed.Microseconds()).Int64("queued_us", record.Queued.Microseconds())
+	if record.Refusal != "" {
+		line.Str("refusal", string(record.Refusal))
+	}
+	if record.Cause != nil {
+		line.Str("cause", record.Cause.Error())
+	}
+	if len(record.Trail) > 0 {
+		line.Str("trail", trailText(record.Trail))
+	}
+	line.Send()
+}
+
+// trailText names the attempts as target:result:microseconds.
+func trailText(trail []proxy.Trail) string {
+	var b strings.Builder
+	for i, t := range trail {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(t.Target)
+		b.WriteByte(':')
+		b.WriteString(t.Result.String())
+		b.WriteByte(':')
+		b.WriteString(strconv.FormatInt(t.Latency.Microseconds(), 10))
+	}
+	return b.String()
+}
+
+func (r *recorder) count(record proxy.Record) {
+	service := record.Request.Service
+	if service == "" {
+		service = "none"
+	}
+	code := string(record.Refusal)
+	if code == "" {
+		code = "none"
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	status := strconv.Itoa(record.Status)
+	r.counter(metricRequests, map[string]string{tagService: service, tagStatus: status, tagCode: code}, service+status+code).Inc(1)
+	for _, t := range record.Trail {
+		result := t.Result.String()
+		r.counter(metricAttempts, map[string]string{tagService: service, tagResult: result}, service+"/"+result).Inc(1)
+	}
+	h := r.histograms[service]
+	if h == nil {
+		h = r.scope.Tagged(map[string]string{tagService: service}).Histogram(metricLatency, latencyBuckets)
+		r.histograms[service] = h
+	}
+	h.RecordDuration(record.Elapsed)
+}
+
+// counter returns the counter of one set of tags. The caller holds mu.
+func (r *recorder) counter(name string, tags map[string]string, key string) tally.Counter {
+	c := r.counters[name+key]
+	if c == nil {
+		c = r.scope.Tagged(tags).Counter(name)
+		r.counters[name+key] = c
+	}
+	return c
+}
--- /dev/null
+++ b/pkg/edge/shutdown.go
@@ -0,0 +1,45 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+)
+
+const (
+	// stopMargin is the part of the grace period that is left for the end of
+	// the process after its last request.
+	stopMargin = 700 * time.Millisecond
+	// lingerShare is the part of the grace period in which the instance still
+	// takes requests: callers keep an answer of the directory for up to three
+	// times its lifetime.
+	lingerShare = 0.55
+)
+
+// shutdown takes the instance out of service without cutting a request: it is
+// no longer ready and named, serves those who still know its address, and
+// waits for open requests.
+func (i *Instance) shutdown(callers *fasthttp.Server) {
+	grace := i.Settings.GracePeriod()
+	event.Draining.Log(i.Log).Dur("grace", grace).Int64("open_requests", i.proxy.Open()).Send()
+	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
+	defer cancel()
+	i.leaving.Store(true)
+	if err := i.fleet.Leave(ctx); err != nil {
+		event.JoinFailed.Log(i.Log).Err(err).Msg("the row of this instance stays in the roster")
+	}
+	i.proxy.StartDrain()
+	_ = i.clock.Sleep(ctx, time.Duration(lingerShare*float64(grace)))
+	err := i.proxy.Drain(ctx)
+	if err == nil {
+		err = callers.ShutdownWithContext(ctx)
+	}
+	if err != nil {
+		event.StopTimedOut.Log(i.Log).Int64("open_requests", i.proxy.Open()).Send()
+		return
+	}
+	event.Stopped.Log(i.Log).Send()
+}
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -97,7 +97,7 @@
 		return
 	}
 	route := noRoute
-	if match, ok := i.control.View().Config.Match(string(ctx.Method()), path); ok {
+	if match, ok := i.control.View().Config.Match(string(ctx.Host()), string(ctx.Method()), path); ok {
 		route = match.ID
 	}
 	i.counters.request(route, h)
@@ -119,10 +119,10 @@
 }
 
 // MayRetry spends the route's retry budget.
-func (b *countingBalancer) MayRetry(route string) bool {
-	granted := b.Balancer.MayRetry(route)
+func (b *countingBalancer) MayRetry(r proxy.Request) bool {
+	granted := b.Balancer.MayRetry(r)
 	if granted {
-		b.counters.add(1, series{name: metricRetries, first: route}, tagRoute, "")
+		b.counters.add(1, series{name: metricRetries, first: r.Route}, tagRoute, "")
 	}
 	return granted
 }
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -18,6 +18,9 @@
 	MajorityReplaced = Event{205, "majority_replaced", zerolog.WarnLevel, "the membership was replaced after a majority of witnesses was lost"}
 	LeftMembership   = Event{206, "left_membership", zerolog.InfoLevel, "the instance has left the membership"}
 	RemovedSelf      = Event{207, "removed_self", zerolog.WarnLevel, "this incarnation was removed from the membership and joins anew"}
+	ServingChanged   = Event{208, "serving_changed", zerolog.InfoLevel, "the set of instances that serve callers changed, as this instance sees it"}
+	JoinFailed       = Event{209, "join_failed", zerolog.WarnLevel, "the instance could not enter or read the roster of members; check the platform's store"}
+	DatagramRejected = Event{210, "datagram_rejected", zerolog.WarnLevel, "a datagram could not be read or built; check who sends to the gossip address"}
 
 	ConfigApplied   = Event{300, "config_applied", zerolog.InfoLevel, "a configuration version is in use at this instance"}
 	ConfigDelivered = Event{301, "config_delivered", zerolog.InfoLevel, "a version was delivered to a majority of witnesses"}
@@ -30,12 +33,19 @@
 	FloorHeld        = Event{502, "floor_held", zerolog.WarnLevel, "a failing target was kept because of the floor; add capacity or repair targets"}
 	TargetDraining   = Event{503, "target_draining", zerolog.InfoLevel, "a target announced that it is leaving"}
 	EvaluatorChanged = Event{504, "evaluator_changed", zerolog.InfoLevel, "the instance follows another health evaluator for a service"}
+	TargetListed     = Event{505, "target_listed", zerolog.InfoLevel, "the platform lists a target that is new or has changed"}
+	TargetGone       = Event{506, "target_gone", zerolog.InfoLevel, "the platform no longer lists a target; it gets no requests"}
 
 	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
 	AnswerIncomplete = Event{601, "answer_incomplete", zerolog.WarnLevel, "a target's answer was cut short and not passed on"}
+	RequestEnded     = Event{602, "request_ended", zerolog.InfoLevel, "a request was answered or refused; the line names what decided"}
 
 	PlatformUnavailable = Event{700, "platform_unavailable", zerolog.WarnLevel, "the platform does not answer; traffic goes on, changes wait"}
 	PlatformAvailable   = Event{701, "platform_available", zerolog.InfoLevel, "the platform answers again"}
+	ListingFailed       = Event{702, "listing_failed", zerolog.WarnLevel, "the targets could not be listed; the last listing stays in use"}
+	EntryRejected       = Event{703, "entry_rejected", zerolog.WarnLevel, "an entry of a target in the platform's store could not be read and is ignored; check who wrote it"}
+	SettingsReloaded    = Event{704, "settings_reloaded", zerolog.InfoLevel, "the settings file was read again"}
+	SettingsRejected    = Event{705, "settings_rejected", zerolog.WarnLevel, "the settings file could not be read again; the previous settings stay in use"}
 
 	PatchAccepted = Event{800, "patch_accepted", zerolog.InfoLevel, "an operator's patch was accepted"}
 	PatchRefused  = Event{801, "patch_refused", zerolog.InfoLevel, "an operator's patch was refused"}
@@ -49,11 +59,12 @@
 	return []Event{
 		Started, Draining, Stopped, StopTimedOut,
 		Joined, MemberRemoved, FenceLost, FenceRegained, GuestStarted, MajorityReplaced, LeftMembership, RemovedSelf,
+		ServingChanged, JoinFailed, DatagramRejected,
 		ConfigApplied, ConfigDelivered, ConfigRejected,
 		LoanFailed,
-		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged,
-		OutcomeUnknown, AnswerIncomplete,
-		PlatformUnavailable, PlatformAvailable,
+		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone,
+		OutcomeUnknown, AnswerIncomplete, RequestEnded,
+		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
 	}
 }
--- a/pkg/event/limit.go
+++ b/pkg/event/limit.go
@@ -14,10 +14,20 @@
 	repeatPeriod = 10 * time.Second
 )
 
+var requestLines = &zerolog.BurstSampler{Burst: maxRequestLines, Period: time.Second}
+
 // samplers holds one sampler per event ID.
 var samplers sync.Map
 
+// maxRequestLines bounds the lines of RequestEnded per second. A serving
+// instance has about 25 requests per second.
+const maxRequestLines = 300
+
 func (e Event) allowed() bool {
+	if e.ID == RequestEnded.ID {
+		return requestLines.Sample(e.Level)
+	}
+
 	sampler, _ := samplers.LoadOrStore(e.ID, &zerolog.BurstSampler{Burst: maxRepeats, Period: repeatPeriod})
 	return sampler.(zerolog.Sampler).Sample(e.Level)
 }
--- /dev/null
+++ b/pkg/fleet/decide.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+)
+
+// decide publishes who serves. The caller holds mu.
+func (f *Fleet) decide(now time.Duration) {
+	old := f.View()
+	next := &View{Version: old.Version, Self: f.Self}
+	next.Serving = f.shouldServe(now, old.Serving)
+	if next.Serving {
+		next.Peers = append(next.Peers, f.Self)
+	}
+	for _, k := range f.members {
+		if now-k.heard < silence && k.serving && !k.leaving {
+			next.Peers = append(next.Peers, k.Member)
+		}
+	}
+	sortByName(next.Peers)
+	if next.Serving == old.Serving && equalMembers(next.Peers, old.Peers) {
+		return
+	}
+	next.Version++
+	f.view.Store(next)
+	event.ServingChanged.Log(f.Log).Bool("self", next.Serving).Int("serving", len(next.Peers)).
+		Int("serving_in_zone", len(next.InZone(f.Self.Zone))).Int("known", len(f.members)+1).Send()
+}
+
+// shouldServe tells whether this instance is among the first of its zone. A
+// standby hears only from serving instances, so it waits for those before it.
+func (f *Fleet) shouldServe(now time.Duration, serves bool) bool {
+	if f.leaving.Load() || !f.Ready() {
+		f.shortSince = 0
+		return false
+	}
+	self := &known{Member: f.Self, serving: serves, rate: f.Rate()}
+	zone := []*known{self}
+	rate, size, before := self.rate, 1, 0
+	for _, k := range f.members {
+		if k.Zone != f.Self.Zone {
+			continue
+		}
+		size++
+		alive := now-k.heard < silence && !k.leaving
+		if alive && k.serving {
+			rate += k.rate
+		}
+		// A standby that was never silent may still be about to take over.
+		if !alive && !k.leaving && rank(k, self) < 0 {
+			before++
+		}
+		if alive {
+			zone = append(zone, k)
+		}
+	}
+	slices.SortFunc(zone, rank)
+	position := slices.Index(zone, self)
+	if position >= wanted(size, rate) {
+		f.shortSince = 0
+		return false
+	}
+	if serves {
+		return true
+	}
+	if f.shortSince == 0 {
+		f.shortSince = now
+	}
+	return now-f.shortSince >= time.Duration(min(before, maxPromotionSteps))*promotionStep
+}
+
+// maxPromotionSteps bounds the wait of a standby for those before it.
+const maxPromotionSteps = 4
+
+// wanted is the number of instances that serve in a zone.
+func wanted(size int, rate float64) int {
+	byRate := int(math.Ceil(rate / rateOneServes))
+	return min(size, max(leastServing, size/servingShare, byRate))
+}
--- /dev/null
+++ b/pkg/fleet/fleet.go
@@ -0,0 +1,299 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+)
+
+const (
+	// servingInterval is the time between heartbeats to serving instances.
+	servingInterval = 250 * time.Millisecond
+	// standbyInterval is the time between heartbeats from and to standbys.
+	standbyInterval = 500 * time.Millisecond
+	// farInterval is the time between heartbeats to standbys of other zones and
+	// to silent instances, which may be back behind a healed cut.
+	farInterval = 3 * time.Second
+	// silence is the time without a heartbeat after which an instance counts as
+	// dead: three lost heartbeats of the slower interval.
+	silence = 1600 * time.Millisecond
+	// promotionStep delays each further standby, so that the first in rank
+	// takes over alone.
+	promotionStep = 150 * time.Millisecond
+	// rateOneServes is the number of requests per second from which a zone gets
+	// one more serving instance.
+	rateOneServes = 25
+	// leastServing and servingShare bound the serving instances of a zone from
+	// below: a number, and one of so many known members.
+	leastServing = 3
+	servingShare = 4
+	// tick is the time between two looks at the members.
+	tick = servingInterval
+	// lingeringRate is the rate in requests per second from which an instance
+	// that no longer serves goes on exchanging its state.
+	lingeringRate = 0.5
+	// rosterPause is the longest wait between two tries to read the roster.
+	rosterPause = time.Second
+	// rosterLimit bounds one call.
+	rosterLimit = 2 * time.Second
+)
+
+// Exchange is a component whose state travels in heartbeats.
+type Exchange interface {
+	// Fill adds to a heartbeat to a serving instance.
+	Fill(h *peerpb.Heartbeat)
+	// Absorb takes what an instance says. from is its name, which stays the same
+	// over restarts; the incarnation changes.
+	Absorb(from string, h *peerpb.Heartbeat)
+}
+
+// Options are the parts of a Fleet.
+type Options struct {
+	Self      Member
+	Clock     clock.Clock
+	Roster    Roster
+	Transport Transport
+	Exchanges []Exchange
+	// Rate returns the admitted requests per second of this instance.
+	Rate func() float64
+	// Ready tells whether this instance could serve callers.
+	Ready func() bool
+	Log   *zerolog.Logger
+}
+
+// Fleet owns the members. One goroutine decides who serves; Receive and View
+// may be called from others.
+type Fleet struct {
+	Options
+	view    atomic.Pointer[View]
+	leaving atomic.Bool
+
+	mu      sync.Mutex
+	members map[string]*known
+	// announced is what all members were last told of whether this instance serves.
+	announced bool
+	// shortSince is the time since boot from which this standby should serve.
+	shortSince time.Duration
+}
+
+// New returns a fleet that knows only this instance.
+func New(o Options) *Fleet {
+	f := &Fleet{Options: o, members: map[string]*known{}}
+	f.view.Store(&View{Self: o.Self})
+	return f
+}
+
+// View returns which instances serve.
+func (f *Fleet) View() *View { return f.view.Load() }
+
+// Run joins the fleet and sends heartbeats until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	go f.join(ctx)
+	for {
+		f.step()
+		// A random part keeps the instances from sending in step.
+		if err := f.Clock.Sleep(ctx, tick-rand.N(tick/8)); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+}
+
+// join enters this instance into the roster and greets all others.
+func (f *Fleet) join(ctx context.Context) {
+	joined := false
+	for ctx.Err() == nil && !f.leaving.Load() {
+		call, cancel := context.WithTimeout(ctx, rosterLimit)
+		var err error
+		if !joined {
+			err = f.Roster.Join(call, f.Self)
+			joined = err == nil
+		}
+		var listed []Member
+		if err == nil {
+			listed, err = f.Roster.Members(call)
+		}
+		cancel()
+		if err == nil {
+			f.greet(listed)
+			event.Joined.Log(f.Log).Int("members", len(listed)).Send()
+			return
+		}
+		event.JoinFailed.Log(f.Log).Err(err).Send()
+		_ = f.Clock.Sleep(ctx, rand.N(rosterPause))
+	}
+}
+
+// greet takes the listed members as alive and asks them for a heartbeat.
+func (f *Fleet) greet(listed []Member) {
+	now := f.Clock.SinceBoot()
+	f.mu.Lock()
+	for _, m := range listed {
+		if m.Instance != f.Self.Instance && f.members[m.Instance] == nil {
+			f.members[m.Instance] = &known{Member: m, heard: now}
+		}
+	}
+	f.mu.Unlock()
+	hello := f.heartbeat(false)
+	hello.Hello = true
+	data := f.encode(hello)
+	for _, m := range listed {
+		if m.Instance != f.Self.Instance {
+			f.Transport.Send(m.GossipAddress, data)
+		}
+	}
+}
+
+// Leave tells the others that this instance shuts down, and removes it from
+// the roster.
+func (f *Fleet) Leave(ctx context.Context) error {
+	f.leaving.Store(true)
+	f.step()
+	data := f.encode(f.heartbeat(false))
+	f.mu.Lock()
+	for _, k := range f.members {
+		f.Transport.Send(k.GossipAddress, data)
+	}
+	f.mu.Unlock()
+	return errors.Wrap(f.Roster.Leave(ctx, f.Self), "leave the roster")
+}
+
+// Receive takes one datagram. Datagrams that cannot be read are dropped.
+func (f *Fleet) Receive(data []byte) {
+	h := &peerpb.Heartbeat{}
+	if err := proto.Unmarshal(data, h); err != nil {
+		event.DatagramRejected.Log(f.Log).Err(err).Int("bytes", len(data)).Send()
+		return
+	}
+	if h.Instance == "" || h.Instance == f.Self.Instance {
+		return
+	}
+	if !f.learn(h) {
+		return
+	}
+	for _, x := range f.Exchanges {
+		x.Absorb(h.Instance, h)
+	}
+	if h.Hello {
+		f.Transport.Send(h.GossipAddress, f.encode(f.heartbeat(f.View().Serving)))
+	}
+}
+
+// learn updates the sender and tells whether its message is current.
+func (f *Fleet) learn(h *peerpb.Heartbeat) bool {
+	now := f.Clock.SinceBoot()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.members[h.Instance]
+	if k != nil && h.Incarnation < k.Incarnation {
+		return false
+	}
+	changed := k == nil || k.serving != h.Serving || k.leaving != h.Leaving || now-k.heard >= silence
+	if k == nil {
+		k = &known{}
+		f.members[h.Instance] = k
+	}
+	k.Member = Member{
+		Instance: h.Instance, Incarnation: h.Incarnation, Zone: h.Zone, CallerAddress: h.CallerAddress,
+		GossipAddress: h.GossipAddress, Capacity: h.Capacity,
+	}
+	k.heard, k.serving, k.leaving, k.rate = now, h.Serving, h.Leaving, float64(h.Rate)
+	if changed {
+		f.decide(now)
+	}
+	return true
+}
+
+// step decides who serves and sends the heartbeats that are due.
+func (f *Fleet) step() {
+	now := f.Clock.SinceBoot()
+	f.mu.Lock()
+	f.decide(now)
+	serving := f.View().Serving
+	announce := serving != f.announced
+	f.announced = serving
+	// An instance that was named to callers lately tells what it still admits.
+	busy := serving || f.Rate() >= lingeringRate
+	var toServing, toOthers []string
+	for _, k := range f.members {
+		interval, wanted := f.interval(k, busy, now)
+		if !announce && (!wanted || now-k.sent < interval-tick/2) {
+			continue
+		}
+		k.sent = now
+		if k.serving {
+			toServing = append(toServing, k.GossipAddress)
+		} else {
+			toOthers = append(toOthers, k.GossipAddress)
+		}
+	}
+	f.mu.Unlock()
+	f.sendAll(toServing, busy)
+	f.sendAll(toOthers, false)
+}
+
+// interval returns the time between heartbeats to k, and whether there are any:
+// serving instances send to all, standbys to the serving instances of their zone.
+func (f *Fleet) interval(k *known, busy bool, now time.Duration) (time.Duration, bool) {
+	near := k.Zone == f.Self.Zone
+	switch {
+	case !busy && (!near || !k.serving):
+		return 0, false
+	case now-k.heard >= silence || (!near && !k.serving):
+		return farInterval, true
+	case busy && k.serving:
+		return servingInterval, true
+	default:
+		return standbyInterval, true
+	}
+}
+
+func (f *Fleet) sendAll(addresses []string, full bool) {
+	if len(addresses) == 0 {
+		return
+	}
+	data := f.encode(f.heartbeat(full))
+	for _, address := range addresses {
+		f.Transport.Send(address, data)
+	}
+}
+
+// heartbeat builds a heartbeat, with the state of the exchanges if full.
+func (f *Fleet) heartbeat(full bool) *peerpb.Heartbeat {
+	h := &peerpb.Heartbeat{
+		Instance: f.Self.Instance, Incarnation: f.Self.Incarnation, Zone: f.Self.Zone,
+		CallerAddress: f.Self.CallerAddress, GossipAddress: f.Self.GossipAddress, Capacity: f.Self.Capacity,
+		Serving: f.View().Serving, Leaving: f.leaving.Load(), Rate: float32(f.Rate()),
+	}
+	if full {
+		for _, x := range f.Exchanges {
+			x.Fill(h)
+		}
+	}
+	return h
+}
+
+func (f *Fleet) encode(h *peerpb.Heartbeat) []byte {
+	data, err := proto.Marshal(h)
+	if err != nil {
+		// Only invalid UTF-8 fails, and all names were checked when they were read.
+		event.DatagramRejected.Log(f.Log).Err(err).Send()
+	}
+	return data
+}
+
+// sortByName orders members by instance name.
+func sortByName(members []Member) {
+	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Instance, b.Instance) })
+}
--- /dev/null
+++ b/pkg/placement/attempt.go
@@ -0,0 +1,109 @@
+package placement
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+)
+
+// attempt is one request's place at one target.
+type attempt struct {
+	balancer *Balancer
+	service  *service
+	target   *target
+	started  time.Duration
+	patience time.Duration
+	once     sync.Once
+}
+
+// Target returns the id of the target.
+func (a *attempt) Target() string { return a.target.entry.ID }
+
+// Address returns the IP:port of the target.
+func (a *attempt) Address() string { return a.target.entry.Address }
+
+// Patience is the time without a response after which an idempotent request
+// may go elsewhere.
+func (a *attempt) Patience() time.Duration { return a.patience }
+
+// Done reports the result. Calls after the first have no effect.
+func (a *attempt) Done(result proxy.Result, latency time.Duration, load proxy.Load) {
+	a.once.Do(func() { a.done(result, latency, load) })
+}
+
+func (a *attempt) done(result proxy.Result, latency time.Duration, load proxy.Load) {
+	now := a.balancer.clock.SinceBoot()
+	s, t := a.service, a.target
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.end(a.started)
+	if load.Known {
+		// The target counts this request as running until its response is out.
+		t.others, t.loadAt = max(0, float64(load.InFlight+load.Queued-1-len(t.open))), now
+	}
+	t.judge(result, now)
+	switch result {
+	case proxy.Answered:
+		s.observe(t, latency, now)
+	case proxy.TimedOut:
+		t.own.observe(float64(latency)/float64(max(s.usual, time.Millisecond)), now)
+	}
+	s.waiting.wakeFirst()
+}
+
+// judge takes the result as evidence.
+func (t *target) judge(result proxy.Result, now time.Duration) {
+	if result != proxy.NotSent {
+		t.failedDials = 0
+	}
+	switch result {
+	case proxy.Answered:
+		t.own.add(successOdds, now)
+	case proxy.ServerError, proxy.Broken, proxy.TimedOut:
+		t.own.add(failureOdds, now)
+	case proxy.Shed:
+		if len(t.open) < t.entry.Slots {
+			t.own.add(shedOdds, now)
+		}
+		t.fullUntil = now + shedPause
+	case proxy.Misplaced:
+		t.blockedUntil = now + misplacedPause
+	case proxy.NotSent:
+		pause := min(unreachablePause<<min(t.failedDials, 3), maxUnreachablePause)
+		t.failedDials++
+		t.blockedUntil = now + pause
+	}
+}
+
+// rateLife is the time constant of the request rate.
+const rateLife = 2 * time.Second
+
+// rate is an exponentially weighted number of requests per second.
+type rate struct {
+	mu      sync.Mutex
+	value   float64
+	updated time.Duration
+}
+
+func (r *rate) add(now time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fade(now)
+	r.value += 1 / rateLife.Seconds()
+}
+
+func (r *rate) get(now time.Duration) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fade(now)
+	return r.value
+}
+
+func (r *rate) fade(now time.Duration) {
+	if now > r.updated {
+		r.value *= math.Exp(-float64(now-r.updated) / float64(rateLife))
+		r.updated = now
+	}
+}
--- /dev/null
+++ b/pkg/placement/service.go
@@ -0,0 +1,195 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/discovery"
+	"github.com/arbutuslink/arbutuslink/pkg/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+)
+
+// Costs of a choice, in units of the time that one request takes on one slot.
+const (
+	// awayCost and farCost keep requests at home targets while these have a
+	// free slot; a target in another zone also costs bytes between zones.
+	awayCost = 0.55
+	farCost  = 0.8
+	// failureCost weighs the probability of a failure for a request that may
+	// not be repeated, retryCost for one that may.
+	failureCost = 8.0
+	retryCost   = 1.5
+	// stallCost keeps requests from targets that stall.
+	stallCost = 3.0
+	// tieWidth is the difference in cost within which a choice is random.
+	tieWidth = 0.02
+)
+
+// queueFactor times the slots is the load up to which targets take requests;
+// what is above the slots waits there for about one request's time.
+const queueFactor = 1.5
+
+const (
+	// usualWeight is the weight of one latency in the usual latency of a service.
+	usualWeight = 0.03
+	// firstUsual is the usual latency before any is known.
+	firstUsual = 100 * time.Millisecond
+)
+
+// service is the state of one service at this instance.
+type service struct {
+	name string
+
+	mu      sync.Mutex
+	targets map[string]*target
+	// ordered holds the targets by id.
+	ordered []*target
+	// catalogue and view are the versions from which ordered was made.
+	catalogue, view uint64
+	usual           time.Duration
+	waiting         line
+	budget          budget
+	scratch         []candidate
+}
+
+type candidate struct {
+	target *target
+	cost   float64
+}
+
+func newService(name string, now time.Duration) *service {
+	return &service{name: name, targets: map[string]*target{}, usual: firstUsual, budget: newBudget(now)}
+}
+
+// update takes a new catalogue or set of serving instances. The caller holds mu.
+func (s *service) update(c *discovery.Catalogue, v *fleet.View, now time.Duration) {
+	if s.catalogue == c.Version && s.view == v.Version && len(s.ordered) > 0 {
+		return
+	}
+	s.catalogue, s.view = c.Version, v.Version
+	entries := c.Services[s.name]
+	s.ordered = s.ordered[:0]
+	keep := make(map[string]*target, len(entries))
+	for _, entry := range entries {
+		t := s.targets[entry.ID]
+		if t == nil || t.entry.Started != entry.Started || t.entry.Address != entry.Address {
+			t = newTarget(entry, now)
+		}
+		t.entry = entry
+		keep[entry.ID] = t
+		s.ordered = append(s.ordered, t)
+	}
+	s.targets = keep
+	s.assignHomes(v)
+}
+
+// assignHomes gives each target one serving instance of its zone that prefers
+// it, in turn, so that all have about the same number. Targets of a zone
+// without a serving instance are divided among all.
+func (s *service) assignHomes(v *fleet.View) {
+	byZone := map[string][]*target{}
+	for _, t := range s.ordered {
+		t.near = t.entry.Zone == v.Self.Zone
+		byZone[t.entry.Zone] = append(byZone[t.entry.Zone], t)
+	}
+	for zone, targets := range byZone {
+		owners := v.InZone(zone)
+		if len(owners) == 0 {
+			owners = v.Peers
+		}
+		for i, t := range targets {
+			t.home = len(owners) > 0 && owners[i%len(owners)].Instance == v.Self.Instance
+		}
+	}
+}
+
+// choose returns the target with the lowest cost, or nil when all usable ones
+// are full. none says that there is no usable target at all.
+func (s *service) choose(r proxy.Request, tried []string, now time.Duration) (chosen *target, none bool) {
+	if t := s.trial(r, tried, now); t != nil {
+		return t, false
+	}
+	s.scratch = s.scratch[:0]
+	none = true
+	for _, t := range s.ordered {
+		if !t.usable(now) || slices.Contains(tried, t.entry.ID) {
+			continue
+		}
+		none = false
+		if t.load(now) < queueFactor*float64(t.entry.Slots) {
+			s.scratch = append(s.scratch, candidate{t, s.cost(t, r, now)})
+		}
+	}
+	if len(s.scratch) == 0 {
+		return nil, none
+	}
+	best := slices.MinFunc(s.scratch, func(a, b candidate) int {
+		switch {
+		case a.cost < b.cost:
+			return -1
+		case a.cost > b.cost:
+			return 1
+		default:
+			return 0
+		}
+	})
+	ties := 0
+	for _, c := range s.scratch {
+		if c.cost > best.cost+tieWidth {
+			continue
+		}
+		ties++
+		if rand.IntN(ties) == 0 {
+			chosen = c.target
+		}
+	}
+	return chosen, false
+}
+
+// cost is what a request is expected to lose at the target.
+func (s *service) cost(t *target, r proxy.Request, now time.Duration) float64 {
+	cost := (t.load(now) + 1) / float64(t.entry.Slots) * t.pace(now)
+	switch {
+	case t.home:
+	case t.near:
+		cost += awayCost
+	default:
+		cost += farCost
+	}
+	weight := failureCost
+	if r.Idempotent {
+		weight = retryCost
+	}
+	cost += weight * (t.failing(now) - failureShare*0.047)
+	if t.stalled(now, s.usual) {
+		cost += stallCost
+	}
+	return cost
+}
+
+// trial returns a suspect target that is due for a try with an idempotent
+// request, or nil. Only home targets are tried, so that one instance does it.
+func (s *service) trial(r proxy.Request, tried []string, now time.Duration) *target {
+	if !r.Idempotent || len(tried) > 0 {
+		return nil
+	}
+	for _, t := range s.ordered {
+		if !t.home || !t.usable(now) || now-t.trialAt < trialInterval || t.odds(now) < suspectOdds {
+			continue
+		}
+		if t.load(now) >= float64(t.entry.Slots) || !s.budget.has(now) {
+			continue
+		}
+		t.trialAt = now
+		return t
+	}
+	return nil
+}
+
+// observe takes the latency of a good response.
+func (s *service) observe(t *target, latency, now time.Duration) {
+	t.own.observe(float64(latency)/float64(max(s.usual, time.Millisecond)), now)
+	s.usual += time.Duration(usualWeight * float64(latency-s.usual))
+}
--- /dev/null
+++ b/pkg/placement/target.go
@@ -0,0 +1,114 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/discovery"
+)
+
+const (
+	// loadLife is the time constant with which a reported load of others fades:
+	// about the duration of one request.
+	loadLife = 150 * time.Millisecond
+	// unreachablePause is how long a target without a connection is left alone;
+	// it doubles with each further failure up to maxUnreachablePause.
+	unreachablePause    = 400 * time.Millisecond
+	maxUnreachablePause = 3 * time.Second
+	// misplacedPause is how long a target is left alone after another one
+	// answered at its address; a listing corrects the address meanwhile.
+	misplacedPause = 3 * time.Second
+	// shedPause is the time after a "full" answer in which a target counts as full.
+	shedPause = 60 * time.Millisecond
+	// trialInterval is the time between two idempotent requests that try a
+	// suspect target.
+	trialInterval = 300 * time.Millisecond
+	// stallFactor times the usual latency is the age from which a request
+	// without an answer speaks against its target.
+	stallFactor = 3.0
+	// warmPace is the pace of a target that has just started.
+	warmPace = 1.6
+)
+
+// target is the state of one target at this instance. The mutex of its
+// service guards it.
+type target struct {
+	entry *discovery.Entry
+	own   evidence
+	// peer is the strongest evidence that others reported.
+	peer evidence
+
+	// open holds the start times of this instance's requests there.
+	open []time.Duration
+	// others is the load by other callers when loadAt was.
+	others float64
+	loadAt time.Duration
+
+	blockedUntil time.Duration
+	failedDials  int
+	fullUntil    time.Duration
+	trialAt      time.Duration
+	home         bool
+	near         bool
+}
+
+func newTarget(entry *discovery.Entry, now time.Duration) *target {
+	return &target{entry: entry, own: newEvidence(now), peer: newEvidence(now), trialAt: -trialInterval}
+}
+
+// usable tells whether the target may get requests at all.
+func (t *target) usable(now time.Duration) bool { return !t.entry.Draining && now >= t.blockedUntil }
+
+// odds is the strongest evidence against the target.
+func (t *target) odds(now time.Duration) float64 {
+	t.own.fade(now)
+	t.peer.fade(now)
+	return max(t.own.odds, t.peer.odds)
+}
+
+// failing is the probability that the target fails the next request.
+func (t *target) failing(now time.Duration) float64 {
+	e := evidence{odds: t.odds(now)}
+	return e.failing()
+}
+
+// pace is the factor by which the target is slower than its peers.
+func (t *target) pace(now time.Duration) float64 {
+	pace := max(t.own.pace(), t.peer.pace())
+	if t.own.slowness < 0 && t.peer.slowness <= 0 {
+		pace = t.own.pace()
+	}
+	if now < t.entry.WarmUntil {
+		pace = max(pace, warmPace)
+	}
+	return pace
+}
+
+// load is the number of requests at the target, by this instance and others.
+func (t *target) load(now time.Duration) float64 {
+	load := float64(len(t.open))
+	if age := now - t.loadAt; t.others > 0 && age < 4*loadLife {
+		load += t.others * (1 - float64(age)/float64(4*loadLife))
+	}
+	if now < t.fullUntil {
+		load = max(load, float64(2*t.entry.Slots))
+	}
+	return load
+}
+
+// stalled tells whether a request waits much longer than usual.
+func (t *target) stalled(now, usual time.Duration) bool {
+	return len(t.open) > 0 && usual > 0 && float64(now-t.open[0]) > stallFactor*float64(usual)
+}
+
+// begin notes a request that starts now.
+func (t *target) begin(now time.Duration) { t.open = append(t.open, now) }
+
+// end removes a request that started at the given time.
+func (t *target) end(started time.Duration) {
+	for i, s := range t.open {
+		if s == started {
+			t.open = append(t.open[:i], t.open[i+1:]...)
+			return
+		}
+	}
+}
--- a/pkg/proxy/admit.go
+++ b/pkg/proxy/admit.go
@@ -3,12 +3,15 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"net/url"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
@@ -53,9 +56,9 @@
 	return token, strings.HasPrefix(token, keyPrefix)
 }
 
-// findKey returns the key of a request. An Authorization header that carries
-// no key of arbutuslink is left to the target.
-func findKey(h *fasthttp.RequestHeader) (presentedKey, error) {
+// findKey returns the key of a request and its header. An Authorization header
+// that carries no key of arbutuslink is left to the target.
+func findKey(h *fasthttp.RequestHeader) (key, header string, err error) {
 	var bearer []string
 	for _, value := range h.PeekAll(fasthttp.HeaderAuthorization) {
 		if key, ok := bearerKey(value); ok {
@@ -65,69 +68,96 @@
 	values := h.PeekAll(keyHeader)
 	switch {
 	case len(values)+len(bearer) == 0:
-		return presentedKey{}, refusal.New(refusal.KeyMissing, nil)
+		return "", "", refusal.New(refusal.KeyMissing, nil)
 	case len(values)+len(bearer) > 1:
-		return presentedKey{}, refusal.New(refusal.KeyMisplaced, nil)
+		return "", "", refusal.New(refusal.KeyMisplaced, nil)
 	case len(values) == 1:
-		return presentedKey{string(values[0]), keyHeader}, nil
+		return string(values[0]), keyHeader, nil
 	default:
-		return presentedKey{bearer[0], fasthttp.HeaderAuthorization}, nil
+		return bearer[0], fasthttp.HeaderAuthorization, nil
 	}
 }
 
 // admit checks the request, its key, the batch and the route.
 func (c *call) admit() error {
 	source := &c.caller.Request.Header
-	key, err := findKey(source)
-	if err != nil {
+	key, header, err := c.p.dialect.FindKey(source)
+	var missing *refusal.Refusal
+	if err != nil && (!errors.As(err, &missing) || missing.Code != refusal.KeyMissing.Code) {
 		return err
 	}
-	c.key = key
+	c.key = presentedKey{key, header}
 	if !validTarget(source.RequestURI()) || len(source.Host()) == 0 {
 		return refusal.New(refusal.RequestInvalid, nil)
 	}
 	c.copyHeader()
-	if err := c.checkMisplaced(); err != nil {
-		return err
+	if c.key.value != "" {
+		if err := c.checkMisplaced(); err != nil {
+			return err
+		}
 	}
 	c.cleanHeader()
-	c.method, c.path = string(source.Method()), string(c.caller.Path())
+	c.host, c.method, c.path = string(source.Host()), string(source.Method()), string(c.caller.Path())
 	// An instance that is not fresh cannot tell whether a key or route exists.
 	if !c.p.Freshness.Fresh() {
 		return refusal.New(refusal.NotFresh, nil)
 	}
-	return c.authorize()
+	match, err := c.authorize()
+	if err != nil {
+		return err
+	}
+	c.request.Service = match.Route.Choose(rand.Float64())
+	return nil
 }
 
 // authorize checks key, team, batch and route against the current View and
-// fixes what they determine.
-func (c *call) authorize() error {
+// fixes what they determine, except for the service.
+func (c *call) authorize() (config.RouteMatch, error) {
 	c.view = c.p.Viewer.View()
 	snapshot := c.view.Config
-	_, team, ok := snapshot.Authenticate(c.key.value)
-	if !ok {
-		return refusal.New(refusal.KeyInvalid, nil)
-	}
-	if !snapshot.BatchActive(team, c.p.Clock.Now(), c.p.options.ClockError) {
-		return refusal.New(refusal.BatchExpired, nil)
+	match, found := snapshot.Match(c.host, c.method, c.path)
+	team := ""
+	if !found || !match.Route.Public {
+		var err error
+		if team, err = c.authenticate(snapshot); err != nil {
+			return match, err
+		}
 	}
-	match, ok := snapshot.Match(c.method, c.path)
-	if !ok {
-		return refusal.New(refusal.RouteUnknown, nil)
+	if !found {
+		return match, refusal.New(refusal.RouteUnknown, nil)
 	}
-	if !match.Open(team) {
-		return refusal.New(refusal.RouteClosed, nil)
+	if !match.Route.Public && !match.Open(team) {
+		return match, refusal.New(refusal.RouteClosed, nil)
 	}
+	terms := snapshot.Config.Teams[team]
 	c.request = Request{
-		Team: team, Batch: snapshot.Config.Teams[team].Batch, Route: match.ID,
-		Service: match.Route.Service, Idempotent: match.Route.Idempotent, Deadline: c.request.Deadline,
+		ID: c.requestID, Team: team, Batch: terms.Batch, Route: match.ID, Service: c.request.Service,
+		Idempotent: match.Route.Idempotent, Priority: match.Route.Priority, Objective: match.Route.Objective(),
+		Deadline: c.request.Deadline,
+	}
+	if terms.Priority != nil {
+		c.request.Priority = *terms.Priority
 	}
-	c.timeout = match.Route.Timeout()
-	c.attempts = 1
+	c.timeout = c.p.dialect.callerTimeout(&c.caller.Request.Header, match.Route.Timeout())
+	c.attempts, c.redirects = 1, match.Route.MaxRedirects
 	if match.Route.Idempotent {
 		c.attempts = max(1, match.Route.MaxAttempts)
 	}
-	return nil
+	return match, nil
+}
+
+func (c *call) authenticate(snapshot *config.Snapshot) (team string, err error) {
+	if c.key.header == "" {
+		return "", refusal.New(refusal.KeyMissing, nil)
+	}
+	_, team, ok := snapshot.Authenticate(c.key.value)
+	if !ok {
+		return "", refusal.New(refusal.KeyInvalid, nil)
+	}
+	if !snapshot.BatchActive(team, c.p.Clock.Now(), c.p.options.ClockError) {
+		return "", refusal.New(refusal.BatchExpired, nil)
+	}
+	return team, nil
 }
 
 // recheck repeats the checks of admission right before a write. The fence is
@@ -136,17 +166,18 @@
 	admitted := c.request
 	view := c.p.Viewer.View()
 	if view != c.view {
-		if err := c.authorize(); err != nil {
+		match, err := c.authorize()
+		if err != nil {
 			return err
 		}
 		now := c.request
 		c.request = admitted
-		if now.Team != admitted.Team || now.Route != admitted.Route || now.Service != admitted.Service ||
+		if now.Team != admitted.Team || now.Route != admitted.Route || !match.Route.Serves(admitted.Service) ||
 			now.Idempotent != admitted.Idempotent {
 			// Rate, claim and place were taken under other terms. The caller may repeat the request at once.
 			return refusal.After(refusal.NotFresh, time.Millisecond)
 		}
-	} else if !view.Config.BatchActive(admitted.Team, c.p.Clock.Now(), c.p.options.ClockError) {
+	} else if admitted.Team != "" && !view.Config.BatchActive(admitted.Team, c.p.Clock.Now(), c.p.options.ClockError) {
 		return refusal.New(refusal.BatchExpired, nil)
 	}
 	if c.p.Clock.SinceBoot() >= admitted.Deadline {
--- a/pkg/proxy/errors.go
+++ b/pkg/proxy/errors.go
@@ -1,5 +1,7 @@
 package proxy
 
+import "strconv"
+
 // ConnectError says that no connection to a target could be opened.
 type ConnectError struct {
 	Address string
@@ -48,6 +50,20 @@
 // Error describes the fault.
 func (*UnexpectedStatusError) Error() string { return "unexpected interim response" }
 
+// ForeignAnswerError says that the responses on a connection belong to other requests.
+type ForeignAnswerError struct{}
+
+// Error describes the fault.
+func (*ForeignAnswerError) Error() string { return "the response belongs to another request" }
+
+// UnusableAnswerError says that a complete response is not passed to the caller.
+type UnusableAnswerError struct{ Status int }
+
+// Error describes the fault.
+func (e *UnusableAnswerError) Error() string {
+	return "the target answered with status " + strconv.Itoa(e.Status)
+}
+
 // CallerGoneError says that the caller closed its connection.
 type CallerGoneError struct{}
 
--- a/pkg/proxy/fixture_test.go
+++ b/pkg/proxy/fixture_test.go
@@ -100,7 +100,7 @@
 func (r *rig) Enter(context.Context, Request) (func(), error) {
 	return func() {}, nil
 }
-func (r *rig) MayRetry(string) bool { return true }
+func (r *rig) MayRetry(Request) bool { return true }
 
 func (r *rig) Acquire(_ Request, tried []string) (Attempt, error) {
 	if len(tried) >= len(r.targets) {
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -22,6 +22,9 @@
 			return asRefusal(err, refusal.NoTarget)
 		}
 		c.tried = append(c.tried, attempt.Target())
+		if c.placed == 0 {
+			c.placed = c.p.Clock.SinceBoot()
+		}
 		conn, err := c.p.pool.get(attempt.Address(), c.maxIdle(), c.ioDeadline)
 		if err != nil {
 			attempt.Done(NotSent, 0, Load{})
@@ -44,10 +47,10 @@
 		if err == nil {
 			return nil
 		}
-		if !x.retryGranted && !c.mayRetry(err) {
+		if !x.retryGranted && !c.mayGoOn(&x, err) {
 			return err
 		}
-		c.caller.Response.ResetBody()
+		c.caller.Response.Reset()
 	}
 }
 
@@ -85,13 +88,25 @@
 
 func (c *call) timeLeft() bool { return time.Until(c.ioDeadline) > minRetryTime }
 
+// mayGoOn decides whether another target may get the request after x.
+func (c *call) mayGoOn(x *exchange, err error) bool {
+	if !x.notRun {
+		return c.mayRetry(err)
+	}
+	limit := c.attempts
+	if !c.request.Idempotent {
+		limit = 1 + c.redirects
+	}
+	return c.writes < limit && c.timeLeft() && c.p.Balancer.MayRetry(c.request)
+}
+
 // mayRetry decides on another attempt after a failed one and spends the budget.
 func (c *call) mayRetry(err error) bool {
 	var gone *CallerGoneError
 	if !c.request.Idempotent || c.writes >= c.attempts || !c.timeLeft() || errors.As(err, &gone) {
 		return false
 	}
-	return c.p.Balancer.MayRetry(c.request.Route)
+	return c.p.Balancer.MayRetry(c.request)
 }
 
 // exchange is one request written to one connection and its response.
@@ -101,8 +116,14 @@
 	attempt Attempt
 	// retryGranted is set when the exchange was given up and the budget paid.
 	retryGranted bool
-	began        time.Duration
-	load         Load
+	// ranBefore is call.mayHaveRun before this exchange wrote.
+	ranBefore bool
+	// notRun is set when the target proved that it did not run the request.
+	notRun bool
+	// halfWritten is set when the response began before the request was written.
+	halfWritten bool
+	began       time.Duration
+	answer      Answer
 }
 
 // run performs the exchange. It closes the connection unless the exchange was
@@ -118,26 +139,63 @@
 	case err != nil:
 		x.p.pool.discard(x.conn)
 		return x.fail(err)
+	case x.halfWritten || x.unframed(response):
+		x.p.pool.discard(x.conn)
 	case x.conn.reader.Buffered() > 0 || response.Header.ConnectionClose():
 		x.p.pool.retire(x.conn)
 	default:
 		x.p.pool.put(x.conn)
 	}
-	if response.StatusCode() == fasthttp.StatusServiceUnavailable && string(response.Header.Peek(shedHeader)) == "true" {
-		x.done(Shed)
-		return refusal.New(refusal.TargetShed, nil)
+	return x.conclude(response)
+}
+
+// conclude takes a complete response as the result of the request, or returns
+// the reason why it is none.
+func (x *exchange) conclude(response *fasthttp.Response) error {
+	switch x.answer.Verdict {
+	case Refused, Misdirected:
+		return x.concludeNotRun()
+	case Unusable:
+		x.done(Broken)
+		return refusal.New(refusal.TargetFailed, &UnusableAnswerError{Status: response.StatusCode()})
 	}
-	result := Answered
 	if response.StatusCode() >= fasthttp.StatusInternalServerError {
-		result = ServerError
+		x.done(ServerError)
+		if x.p.dialect.RetryServerErrors && x.mayRetry(nil) {
+			x.retryGranted = true
+			return refusal.New(refusal.TargetFailed, &UnusableAnswerError{Status: response.StatusCode()})
+		}
+	} else {
+		x.done(Answered)
 	}
-	x.done(result)
-	cleanResponse(&response.Header)
+	x.p.dialect.cleanResponse(&response.Header)
 	response.Header.SetNoDefaultContentType(true)
-	response.Header.Set(requestIDHeader, x.requestID)
+	response.Header.Set(x.p.dialect.RequestIDHeader, x.requestID)
 	return nil
 }
 
+// concludeNotRun ends an exchange whose target did not run the request.
+func (x *exchange) concludeNotRun() error {
+	if x.p.dialect.ProvenNotRun {
+		x.notRun, x.mayHaveRun = true, x.ranBefore
+		x.call.notRun++
+	}
+	if x.answer.Verdict == Misdirected {
+		x.done(Misplaced)
+		return refusal.New(refusal.NoTarget, nil)
+	}
+	x.done(Shed)
+	if x.notRun {
+		return refusal.New(refusal.Overloaded, nil)
+	}
+	return refusal.New(refusal.TargetShed, nil)
+}
+
+// unframed tells whether the end of the connection ended the response's body.
+func (x *exchange) unframed(response *fasthttp.Response) bool {
+	return response.Header.ContentLength() == contentLengthIdentity && !response.SkipBody
+}
+
 // fail reports a failed exchange and returns the refusal for it.
 func (x *exchange) fail(err error) error {
 	var timeout interface{ Timeout() bool }
@@ -161,7 +219,8 @@
 
 func (x *exchange) done(result Result) {
 	latency := x.p.Clock.SinceBoot() - x.began
-	x.attempt.Done(result, latency, x.load)
+	x.attempt.Done(result, latency, x.answer.Load)
+	x.trail = append(x.trail, Trail{Target: x.attempt.Target(), Result: result, Latency: latency})
 	if x.p.Reporter != nil {
 		x.p.Reporter.Report(x.request.Service, result, latency)
 	}
--- a/pkg/proxy/header.go
+++ b/pkg/proxy/header.go
@@ -9,8 +9,6 @@
 	"strings"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
 const (
@@ -33,8 +31,8 @@
 }
 
 // requestID returns the caller's request id, or a new one.
-func requestID(h *fasthttp.RequestHeader) string {
-	if id := h.Peek(requestIDHeader); len(id) > 0 && len(id) <= maxRequestID {
+func (p *Proxy) requestID(h *fasthttp.RequestHeader) string {
+	if id := h.Peek(p.dialect.RequestIDHeader); len(id) > 0 && len(id) <= maxRequestID {
 		return string(id)
 	}
 	var raw [16]byte
@@ -48,7 +46,9 @@
 	h := &c.header
 	c.caller.Request.Header.CopyTo(h)
 	h.SetNoDefaultContentType(true)
-	h.Del(c.key.header)
+	if c.key.header != "" {
+		h.Del(c.key.header)
+	}
 }
 
 // cleanHeader removes the headers that concern the caller's connection.
@@ -69,8 +69,11 @@
 		h.Del(name)
 	}
 	h.ResetConnectionClose()
-	// X-Deadline-Ms follows the shared header in each attempt.
-	h.Del(deadlineHeader)
+	// These follow the shared header in each attempt.
+	h.Del(c.p.dialect.DeadlineHeader)
+	if c.p.dialect.TargetHeader != "" {
+		h.Del(c.p.dialect.TargetHeader)
+	}
 }
 
 // delListed deletes the headers that a Connection header names. Host and
@@ -88,8 +91,12 @@
 // prepare serialises the header that all attempts share.
 func (c *call) prepare() {
 	h, body := &c.header, c.caller.Request.Body()
-	h.Set(teamHeader, c.request.Team)
-	h.Set(requestIDHeader, c.requestID)
+	if c.request.Team != "" {
+		h.Set(c.p.dialect.TeamHeader, c.request.Team)
+	} else {
+		h.Del(c.p.dialect.TeamHeader)
+	}
+	h.Set(c.p.dialect.RequestIDHeader, c.requestID)
 	if len(body) > 0 || len(h.Peek(fasthttp.HeaderContentLength)) > 0 {
 		h.SetContentLength(len(body))
 	}
@@ -97,10 +104,14 @@
 	c.head = bytes.TrimSuffix(c.head, []byte("\r\n"))
 }
 
-// appendDeadline appends X-Deadline-Ms and ends the header.
-func appendDeadline(dst []byte, milliseconds int64) []byte {
-	dst = append(dst, deadlineHeader+": "...)
+// appendAttempt appends the headers of one attempt and ends the header.
+func (d *Dialect) appendAttempt(dst []byte, target string, milliseconds int64) []byte {
+	dst = append(append(dst, d.DeadlineHeader...), ": "...)
 	dst = strconv.AppendInt(dst, milliseconds, 10)
+	if d.TargetHeader != "" {
+		dst = append(append(dst, "\r\n"...), d.TargetHeader...)
+		dst = append(append(dst, ": "...), target...)
+	}
 	return append(dst, "\r\n\r\n"...)
 }
 
@@ -133,7 +144,7 @@
 
 // cleanResponse removes what is not meant for the caller. A target cannot
 // speak for arbutuslink, so its refusal headers go as well.
-func cleanResponse(h *fasthttp.ResponseHeader) {
+func (d *Dialect) cleanResponse(h *fasthttp.ResponseHeader) {
 	// An empty protocol is written as HTTP/1.1. A target's HTTP/1.0 would make
 	// callers treat their own connection as closing.
 	h.SetProtocol(nil)
@@ -153,7 +164,7 @@
 		h.Del(name)
 	}
 	h.ResetConnectionClose()
-	for _, name := range [...]string{loadHeader, drainingHeader, refusal.CodeHeader, refusal.OutcomeHeader} {
+	for _, name := range d.OwnHeaders {
 		h.Del(name)
 	}
 }
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -5,7 +5,7 @@
 // hedge writes the request to a second target. It returns nil when there is no
 // budget or no target for it; the first attempt then goes on alone.
 func (x *exchange) hedge(now time.Time) *exchange {
-	if !x.timeLeft() || !x.p.Balancer.MayRetry(x.request.Route) {
+	if !x.timeLeft() || !x.p.Balancer.MayRetry(x.request) {
 		return nil
 	}
 	attempt, err := x.p.Balancer.Acquire(x.request, x.tried)
--- a/pkg/proxy/key.go
+++ b/pkg/proxy/key.go
@@ -4,9 +4,9 @@
 
 // PresentedKey returns the caller's key of a request, or an empty string.
 func PresentedKey(h *fasthttp.RequestHeader) string {
-	key, err := findKey(h)
+	key, _, err := findKey(h)
 	if err != nil {
 		return ""
 	}
-	return key.value
+	return key
 }
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -33,6 +33,8 @@
 	Claims    Claims
 	// Reporter may be nil.
 	Reporter Reporter
+	// Recorder may be nil.
+	Recorder Recorder
 	// Log may be nil.
 	Log *zerolog.Logger
 }
@@ -70,6 +72,8 @@
 	CallerTimeout, CallerIdleTimeout time.Duration
 	// MaxHeaderBytes bounds the header of a request and of a response; default 16 KiB.
 	MaxHeaderBytes int
+	// Dialect is the wire format; nil takes that of docs/target-protocol.md.
+	Dialect *Dialect
 	// MaxRequestBody and MaxResponseBody bound bodies in bytes; defaults 4 MiB and 32 MiB.
 	MaxRequestBody  int
 	MaxResponseBody int
@@ -93,6 +97,9 @@
 	setDefault(&o.MaxHeaderBytes, 16<<10)
 	setDefault(&o.MaxRequestBody, 4<<20)
 	setDefault(&o.MaxResponseBody, 32<<20)
+	if o.Dialect == nil {
+		o.Dialect = ownDialect()
+	}
 	return o
 }
 
@@ -100,6 +107,7 @@
 type Proxy struct {
 	Ports
 	options  Options
+	dialect  *Dialect
 	pool     *connPool
 	calls    sync.Pool
 	open     atomic.Int64
@@ -113,7 +121,7 @@
 		nop := zerolog.Nop()
 		ports.Log = &nop
 	}
-	p := &Proxy{Ports: ports, options: options, pool: newConnPool(ports.Clock, options)}
+	p := &Proxy{Ports: ports, options: options, dialect: options.Dialect, pool: newConnPool(ports.Clock, options)}
 	p.calls.New = func() any { return &call{scratch: &scratch{}} }
 	return p
 }
@@ -124,20 +132,29 @@
 	caller    *fasthttp.RequestCtx
 	view      *control.View
 	key       presentedKey
+	host      string
 	path      string
 	method    string
 	request   Request
 	requestID string
 	timeout   time.Duration
 	attempts  int
+	redirects int
 	started   time.Duration
 	// ioDeadline is the deadline for connections, which use Go's own clock.
 	ioDeadline time.Time
-	// wrote is set once a byte of the request may have reached a target.
-	wrote bool
-	// tried lists the targets of all attempts; writes counts those that wrote.
+	// mayHaveRun is set once a target may have run the request.
+	mayHaveRun bool
+	// tried lists the targets of all attempts; writes counts those that wrote,
+	// notRun those of them that proved that they did not run the request.
 	tried  []string
 	writes int
+	notRun int
+	// refused and cause describe the refusal that the caller got.
+	refused refusal.Code
+	cause   error
+	// placed is the time at which the first attempt began.
+	placed time.Duration
 	// release takes the claim back; nil without a claim.
 	release func(context.Context)
 	*scratch
@@ -146,15 +163,17 @@
 // scratch is the memory that a call hands on to the next one.
 type scratch struct {
 	header fasthttp.RequestHeader
-	// head is the serialised header without X-Deadline-Ms and the final CRLF.
+	// head is the serialised header without the headers of one attempt and the final CRLF.
 	head []byte
 	// wire is head, completed for one attempt, with a short body appended.
-	wire []byte
+	wire  []byte
+	trail []Trail
 }
 
 func (c *call) reset() {
 	kept := c.scratch
 	kept.header.Reset()
+	kept.trail = kept.trail[:0]
 	*c = call{scratch: kept}
 }
 
@@ -169,7 +188,7 @@
 	}()
 	c.p, c.caller = p, ctx
 	if err := c.serve(); err != nil {
-		if c.release != nil && !c.wrote {
+		if c.release != nil && !c.mayHaveRun {
 			// Before the response, so that a repeated request is not a duplicate.
 			c.release(context.Background())
 		}
@@ -178,6 +197,26 @@
 	if p.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	c.record()
+}
+
+// record reports the request to the recorder.
+func (c *call) record() {
+	if c.p.Recorder == nil {
+		return
+	}
+	record := Record{
+		Request: c.request, Status: c.caller.Response.StatusCode(), Refusal: c.refused, Cause: c.cause,
+		Elapsed: c.p.Clock.SinceBoot() - c.started, Trail: c.trail,
+	}
+	record.Request.ID = c.requestID
+	if c.view != nil {
+		record.ConfigVersion = c.view.Config.Version
+	}
+	if c.placed > 0 {
+		record.Queued = c.placed - c.started
+	}
+	c.p.Recorder.Record(record)
 }
 
 // serve runs the steps of the data path in their fixed order. It returns nil
@@ -185,7 +224,7 @@
 func (c *call) serve() error {
 	p := c.p
 	c.started = p.Clock.SinceBoot()
-	c.requestID = requestID(&c.caller.Request.Header)
+	c.requestID = p.requestID(&c.caller.Request.Header)
 	if err := c.admit(); err != nil {
 		return err
 	}
--- a/pkg/proxy/refuse.go
+++ b/pkg/proxy/refuse.go
@@ -29,15 +29,16 @@
 		r = refusal.New(refusal.TargetFailed, err)
 	}
 	answer := *r
-	if c.wrote {
+	if c.mayHaveRun {
 		answer.Outcome = refusal.Unknown
 	}
-	if answer.Outcome == refusal.Unknown && c.wrote && !c.request.Idempotent {
+	if answer.Outcome == refusal.Unknown && c.mayHaveRun && !c.request.Idempotent {
 		event.OutcomeUnknown.Log(c.p.Log).Str("request_id", c.requestID).Str("route", c.request.Route).
 			Str("team", c.request.Team).Str("code", string(answer.Code)).AnErr("cause", answer.Cause).Send()
 	}
-	WriteRefusal(c.caller, &answer)
-	c.caller.Response.Header.Set(requestIDHeader, c.requestID)
+	c.refused, c.cause = answer.Code, answer.Cause
+	c.p.dialect.WriteRefusal(c.caller, &answer)
+	c.caller.Response.Header.Set(c.p.dialect.RequestIDHeader, c.requestID)
 }
 
 // WriteRefusal makes r the response of ctx.
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -19,7 +19,7 @@
 func (p *Proxy) NewServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler:                      handler,
-		ErrorHandler:                 inputError,
+		ErrorHandler:                 p.inputError,
 		ReadBufferSize:               p.options.MaxHeaderBytes,
 		MaxRequestBodySize:           p.options.MaxRequestBody,
 		DisablePreParseMultipartForm: true,
@@ -43,24 +43,27 @@
 func (silentLogger) Printf(string, ...any) {}
 
 // inputError answers a request that could not be read.
-func inputError(ctx *fasthttp.RequestCtx, err error) {
+func (p *Proxy) inputError(ctx *fasthttp.RequestCtx, err error) {
 	kind := refusal.RequestInvalid
 	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
 		kind = refusal.RequestTooLarge
 	}
-	WriteRefusal(ctx, refusal.New(kind, err))
+	p.dialect.WriteRefusal(ctx, refusal.New(kind, err))
 }
 
 // Open returns the number of requests in progress.
 func (p *Proxy) Open() int64 { return p.open.Load() }
 
+// StartDrain asks callers to leave: responses carry Connection: close.
+func (p *Proxy) StartDrain() { p.draining.Store(true) }
+
 // Drain starts the end of service and returns when all requests have ended, or
 // with the error of ctx. Requests that still arrive are served, and their
 // responses carry Connection: close. Responses are flushed after the handler
 // has ended, so call fasthttp.Server.ShutdownWithContext next, which waits for
 // the connections.
 func (p *Proxy) Drain(ctx context.Context) error {
-	p.draining.Store(true)
+	p.StartDrain()
 	p.pool.close()
 	for p.open.Load() > 0 {
 		if err := p.Clock.Sleep(ctx, drainPoll); err != nil {
--- /dev/null
+++ b/pkg/usage/usage.go
@@ -0,0 +1,259 @@
+// Package usage keeps each team within its rate and burst over all serving
+// instances. Every instance counts what it admits and tells the others; each
+// then keeps the same token bucket from all counts. Between two messages it
+// assumes that the others go on at their last rate, and corrects itself with
+// the next message. An instance that falls silent is charged an equal share of
+// the rate, so that both sides of a cut stay within it.
+package usage
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/arbutuslink/arbutuslink/pkg/refusal"
+)
+
+const (
+	// quietAfter is the silence after which a peer's last rate no longer counts:
+	// three lost heartbeats.
+	quietAfter = 800 * time.Millisecond
+	// forgetAfter is the silence after which a peer counts as ended, if most
+	// others are heard. Cuts of the platform last up to 12 s; a longer one is
+	// covered by the excess that the platform allows.
+	forgetAfter = 12 * time.Second
+	// startLevel is the part of the burst that a new process holds: the counts
+	// from before its start are not known.
+	startLevel = 0.25
+	// recent is the age up to which a changed count is repeated in heartbeats,
+	// in case one is lost.
+	recent = 1200 * time.Millisecond
+	// rateSmoothing weighs the newest interval in a peer's rate.
+	rateSmoothing = 0.5
+)
+
+// Limiter implements proxy.Limiter and fleet.Exchange. It is safe for
+// concurrent use.
+type Limiter struct {
+	clock  clock.Clock
+	viewer control.Viewer
+	// serving returns the number of serving instances, this one included.
+	serving func() int
+	// full says that a new process may hold a whole burst: the fleet is new.
+	full bool
+
+	mu    sync.Mutex
+	teams map[string]*team
+	peers map[string]*peer
+}
+
+// team is the bucket of one team. level may be negative: the others admitted
+// more than was assumed.
+type team struct {
+	level    float64
+	updated  time.Duration
+	admitted uint64
+	changed  time.Duration
+	peers    map[string]*count
+}
+
+// count is what one peer said about a team.
+type count struct {
+	admitted uint64
+	rate     float64
+	// assumed was taken from the level since the last message.
+	assumed float64
+	at      time.Duration
+}
+
+type peer struct {
+	incarnation uint64
+	heard       time.Duration
+}
+
+// New returns a limiter. full says that the whole fleet starts for the first time.
+func New(c clock.Clock, viewer control.Viewer, serving func() int, full bool) *Limiter {
+	return &Limiter{
+		clock: c, viewer: viewer, serving: serving, full: full, teams: map[string]*team{}, peers: map[string]*peer{},
+	}
+}
+
+// Take spends one token of the team without waiting. Errors are
+// *refusal.Refusal (rate_exceeded) with the time until the next token.
+func (l *Limiter) Take(_ context.Context, name string) error {
+	terms, ok := l.viewer.View().Config.Config.Teams[name]
+	if !ok || terms.Unlimited {
+		return nil
+	}
+	now := l.clock.SinceBoot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.team(name, terms, now)
+	l.refill(t, terms, now)
+	if t.level < 1 {
+		return refusal.After(refusal.RateExceeded, l.wait(t, terms))
+	}
+	t.level--
+	t.admitted++
+	t.changed = now
+	return nil
+}
+
+// Level returns the tokens of a team, for dumps.
+func (l *Limiter) Level(name string) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.teams[name]; t != nil {
+		return t.level
+	}
+	return 0
+}
+
+// minimumWait bounds Retry-After from below, so that refused callers do not
+// return at once.
+const minimumWait = 100 * time.Millisecond
+
+func (l *Limiter) wait(t *team, terms config.Team) time.Duration {
+	missing := (1 - t.level) / max(terms.RatePerSecond, 0.1)
+	return max(minimumWait, time.Duration(missing*float64(time.Second)))
+}
+
+func (l *Limiter) team(name string, terms config.Team, now time.Duration) *team {
+	t := l.teams[name]
+	if t == nil {
+		t = &team{level: float64(terms.Burst), updated: now, peers: map[string]*count{}}
+		if !l.full {
+			t.level *= startLevel
+		}
+		l.teams[name] = t
+	}
+	return t
+}
+
+// refill adds what the team earned since the last look and takes what the
+// others are assumed to have admitted.
+func (l *Limiter) refill(t *team, terms config.Team, now time.Duration) {
+	elapsed := (now - t.updated).Seconds()
+	t.updated = now
+	t.level += elapsed * terms.RatePerSecond
+	share := terms.RatePerSecond / float64(max(1, l.serving(), len(l.peers)+1))
+	for name, p := range l.peers {
+		quiet := now - p.heard
+		c := t.peers[name]
+		taken := 0.0
+		switch {
+		case quiet >= quietAfter:
+			taken = share * elapsed
+		case c != nil:
+			taken = c.rate * elapsed
+		}
+		if c != nil {
+			c.assumed += taken
+		}
+		t.level -= taken
+	}
+	t.level = min(t.level, float64(terms.Burst))
+	// A debt of one burst is enough to stop a team; more would only delay its return.
+	t.level = max(t.level, -float64(terms.Burst))
+}
+
+// Fill adds the counts that changed lately.
+func (l *Limiter) Fill(h *peerpb.Heartbeat) {
+	now := l.clock.SinceBoot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, t := range l.teams {
+		if t.admitted > 0 && now-t.changed < recent {
+			h.Teams = append(h.Teams, &peerpb.TeamUse{Team: name, Admitted: t.admitted})
+		}
+	}
+}
+
+// Absorb takes the counts of an instance that admits requests.
+func (l *Limiter) Absorb(from string, h *peerpb.Heartbeat) {
+	now := l.clock.SinceBoot()
+	teams := l.viewer.View().Config.Config.Teams
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	p := l.peers[from]
+	if p == nil || p.incarnation != h.Incarnation {
+		p = &peer{incarnation: h.Incarnation}
+		l.peers[from] = p
+		for _, t := range l.teams {
+			delete(t.peers, from)
+		}
+	}
+	l.settle(teams, now)
+	p.heard = now
+	said := map[string]bool{}
+	for _, use := range h.Teams {
+		terms, ok := teams[use.Team]
+		if !ok || terms.Unlimited {
+			continue
+		}
+		said[use.Team] = true
+		l.team(use.Team, terms, now).absorb(from, use.Admitted, now)
+	}
+	for name, t := range l.teams {
+		if c := t.peers[from]; c != nil && !said[name] {
+			t.absorb(from, c.admitted, now)
+		}
+	}
+	if h.Leaving || (!h.Serving && len(h.Teams) == 0) {
+		l.forget(from)
+	}
+	l.forgetEnded(now)
+}
+
+// settle brings all buckets up to date before rates change.
+func (l *Limiter) settle(terms map[string]config.Team, now time.Duration) {
+	for name, t := range l.teams {
+		if team, ok := terms[name]; ok {
+			l.refill(t, team, now)
+		}
+	}
+}
+
+// absorb corrects the level by what a peer really admitted.
+func (t *team) absorb(from string, admitted uint64, now time.Duration) {
+	c := t.peers[from]
+	if c == nil {
+		// What it admitted before this instance listened is past.
+		t.peers[from] = &count{admitted: admitted, at: now}
+		return
+	}
+	if elapsed := (now - c.at).Seconds(); elapsed > 0 && admitted >= c.admitted {
+		delta := float64(admitted - c.admitted)
+		t.level -= delta - c.assumed
+		c.rate += rateSmoothing * (delta/elapsed - c.rate)
+	}
+	c.admitted, c.assumed, c.at = admitted, 0, now
+}
+
+// forgetEnded drops peers that were silent for long, unless most are silent:
+// then this instance may be the one that is cut off.
+func (l *Limiter) forgetEnded(now time.Duration) {
+	var silent []string
+	for name, p := range l.peers {
+		if now-p.heard >= forgetAfter {
+			silent = append(silent, name)
+		}
+	}
+	if 2*len(silent) > len(l.peers) {
+		return
+	}
+	for _, name := range silent {
+		l.forget(name)
+	}
+}
+
+func (l *Limiter) forget(name string) {
+	delete(l.peers, name)
+	for _, t := range l.teams {
+		delete(t.peers, name)
+	}
+}
