Keep standbys ready by relayed listings; hold lapsed targets only after an outage

An instance that was cut off from the store kept targets that had left: any failed call held them, and relayed listings did not end that. Now only an outage of 2 s or more holds them, for 2.2 s after its last failure, and the reader of the store decides for those that it passes the listing to. They are ready again; serving instances of the zone pass listings and the configuration's version on, so that a test request needs no call. Cause 3: the set of serving instances changed with the load near a limit, and standbys lost sight of other zones.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -17,12 +17,15 @@
 )
 
 const (
-	// lapseHold is how long targets that vanish around an outage of the store
-	// stay in use: live ones are listed again within about 2 s of its return.
+	// lapseHold is how long targets that vanished during an outage of the store
+	// stay in use after it: live ones are listed again within about 2 s.
 	lapseHold = 2200 * time.Millisecond
-	// slowListing is the time of a listing from which the store counts as in
-	// trouble; the usual time is 4 ms.
-	slowListing = 400 * time.Millisecond
+	// lapseOutage is the shortest outage in which entries can lapse: two of the
+	// three missed reports, as the last one before it may be one interval old.
+	lapseOutage = 2 * time.Second
+	// retryInterval is the shortest time between two listings that fail, so that
+	// instances that wait for one do not hold the store down.
+	retryInterval = 400 * time.Millisecond
 	// listingLimit bounds one listing.
 	listingLimit = 900 * time.Millisecond
 )
@@ -78,8 +81,8 @@
 	log    *zerolog.Logger
 
 	current atomic.Pointer[Catalogue]
-	// troubledAt is the time since boot at which the store last failed, or 0.
-	troubledAt atomic.Int64
+	// attemptedAt is the time since boot of the last try to list.
+	attemptedAt atomic.Int64
 
 	// refreshing is held during a listing, so that callers share one.
 	refreshing sync.Mutex
@@ -92,6 +95,10 @@
 	changes []listedChange
 	// listedAt is the time since boot of the last listing by this instance.
 	listedAt time.Duration
+	// failingSince is the time since boot from which listings have failed, or 0;
+	// failedAt is that of the last failure, and settledAt the time from which
+	// missing targets count as gone.
+	failingSince, failedAt, settledAt time.Duration
 }
 
 // NewRegistry returns an empty registry.
@@ -104,18 +111,16 @@
 // Catalogue returns the newest catalogue.
 func (r *Registry) Catalogue() *Catalogue { return r.current.Load() }
 
-// NoteTrouble records that the store did not answer as it should.
-func (r *Registry) NoteTrouble() { r.troubledAt.Store(int64(r.clock.SinceBoot())) }
-
-// EnsureFresh lists the targets unless the catalogue is younger than maxAge.
-// Without an answer the old catalogue stays in use.
+// EnsureFresh lists the targets unless the catalogue is younger than maxAge or
+// a listing has just failed. Without an answer the old catalogue stays in use.
 func (r *Registry) EnsureFresh(ctx context.Context, maxAge time.Duration) {
 	if r.clock.SinceBoot()-r.Catalogue().ReadAt < maxAge {
 		return
 	}
 	r.refreshing.Lock()
 	defer r.refreshing.Unlock()
-	if r.clock.SinceBoot()-r.Catalogue().ReadAt >= maxAge {
+	now := r.clock.SinceBoot()
+	if now-r.Catalogue().ReadAt >= maxAge && now-time.Duration(r.attemptedAt.Load()) >= min(maxAge, retryInterval) {
 		// The failure is logged and kept in troubledAt.
 		_ = r.list(ctx)
 	}
@@ -132,16 +137,19 @@
 	ctx, cancel := context.WithTimeout(ctx, listingLimit)
 	defer cancel()
 	began := r.clock.SinceBoot()
+	r.attemptedAt.Store(int64(began))
 	listed, err := r.source.Targets(ctx)
 	now := r.clock.SinceBoot()
 	if err != nil {
-		r.NoteTrouble()
+		r.mu.Lock()
+		if r.failingSince == 0 {
+			r.failingSince = began
+		}
+		r.failedAt = now
+		r.mu.Unlock()
 		event.ListingFailed.Log(r.log).Err(err).Dur("age", now-r.Catalogue().ReadAt).Send()
 		return errors.Wrap(err, "list targets")
 	}
-	if now-began > slowListing {
-		r.NoteTrouble()
-	}
 	next := make(map[string]Target, len(listed))
 	for _, t := range listed {
 		next[t.ID] = t
@@ -149,12 +157,18 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listedAt = began
-	r.accept(next, began, now)
+	if r.failingSince != 0 && r.failedAt-r.failingSince >= lapseOutage {
+		// Counted from the last failure: a standby may not list again for long.
+		r.settledAt = r.failedAt + lapseHold
+	}
+	r.failingSince = 0
+	r.accept(next, began, now, now < r.settledAt)
 	return nil
 }
 
-// apply replaces the catalogue by a listing. The caller holds mu.
-func (r *Registry) apply(listed map[string]Target, readAt, now time.Duration) {
+// apply replaces the catalogue by a listing. unsettled says that entries of
+// live targets may have lapsed. The caller holds mu.
+func (r *Registry) apply(listed map[string]Target, readAt, now time.Duration, unsettled bool) {
 	old := r.Catalogue()
 	next := &Catalogue{Version: old.Version, ReadAt: readAt, Services: map[string][]*Entry{}, byID: map[string]*Entry{}}
 	changed := false
@@ -172,7 +186,7 @@
 		if next.byID[id] != nil {
 			continue
 		}
-		if kept := r.keep(entry, now); kept != nil {
+		if kept := keep(entry, now); unsettled && kept != nil {
 			next.add(kept)
 			continue
 		}
@@ -196,14 +210,13 @@
 	return entry
 }
 
-// keep returns the entry of a target that is no longer listed while it may
-// have lapsed during an outage, and nil once it counts as gone.
-func (r *Registry) keep(entry *Entry, now time.Duration) *Entry {
-	troubled := time.Duration(r.troubledAt.Load())
-	if troubled == 0 || now-troubled > lapseHold || entry.Draining {
+// keep returns the entry of a target that is no longer listed but may have
+// lapsed during an outage, and nil if it counts as gone.
+func keep(entry *Entry, now time.Duration) *Entry {
+	switch {
+	case entry.Draining, entry.missing != 0 && now-entry.missing > lapseHold:
 		return nil
-	}
-	if entry.missing != 0 {
+	case entry.missing != 0:
 		return entry
 	}
 	kept := *entry
--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -23,7 +23,7 @@
 
 // accept takes a listing, read by this instance or passed on by another. The
 // caller holds mu.
-func (r *Registry) accept(next map[string]Target, readAt, now time.Duration) {
+func (r *Registry) accept(next map[string]Target, readAt, now time.Duration, unsettled bool) {
 	if readAt <= r.Catalogue().ReadAt {
 		return
 	}
@@ -31,7 +31,7 @@
 		r.note(next, now)
 		r.raw, r.digest = next, digestOf(next)
 	}
-	r.apply(next, readAt, now)
+	r.apply(next, readAt, now, unsettled)
 }
 
 // note records the differences to the last listing.
@@ -58,15 +58,17 @@
 	return sum
 }
 
-// Fill adds the last listing of this instance to a heartbeat.
-func (r *Registry) Fill(h *peerpb.Heartbeat) {
+// Fill adds the last listing to a heartbeat: to serving instances only what
+// this instance read itself, to standbys also what others passed on.
+func (r *Registry) Fill(h *peerpb.Heartbeat, toServing bool) {
 	now := r.clock.SinceBoot()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if now-r.listedAt >= changeLife {
+	readAt := r.Catalogue().ReadAt
+	if now-readAt >= changeLife || (toServing && readAt != r.listedAt) {
 		return
 	}
-	h.Listing = &peerpb.Listing{Digest: r.digest, AgeMs: uint32((now - r.listedAt).Milliseconds())}
+	h.Listing = &peerpb.Listing{Digest: r.digest, AgeMs: uint32((now - readAt).Milliseconds()), Unsettled: now < r.settledAt}
 	for _, c := range r.changes {
 		switch {
 		case now-c.at >= changeLife:
@@ -101,7 +103,7 @@
 			return
 		}
 	}
-	r.accept(next, now-time.Duration(l.AgeMs)*time.Millisecond, now)
+	r.accept(next, now-time.Duration(l.AgeMs)*time.Millisecond, now, l.Unsettled)
 }
 
 func toMessage(t Target) *peerpb.ListedTarget {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -42,10 +42,13 @@
 	relayMaxAge = 1100 * time.Millisecond
 	// standbyMaxAge is the age of the listing and of the configuration at which
 	// a standby reads them again before it forwards a request.
-	standbyMaxAge = time.Second
+	standbyMaxAge = 1500 * time.Millisecond
 	// prepareLimit bounds the reads of an instance that is called to serve; after
 	// it, the instance serves with what it has.
 	prepareLimit = 500 * time.Millisecond
+	// lingeringRate is the rate in requests per second from which an instance
+	// that is no longer named follows the store.
+	lingeringRate = 0.2
 	// followTick is the time between two looks at whether a listing is due.
 	followTick = listInterval / 2
 	// callerIdle keeps callers' idle connections. Callers reuse one for up to
@@ -107,7 +110,7 @@
 	i.registry = discovery.NewRegistry(i.clock, o.Platform, o.Log)
 	i.follower = follow.New(i.clock, o.Platform, membership.Member{
 		Instance: s.Instance, Zone: s.AvailabilityZone, CallerAddress: s.CallerAddress,
-	}, o.Log, i.registry.NoteTrouble)
+	}, o.Log)
 	i.limiter = usage.New(i.clock, i.follower, func() int { return len(i.fleet.View().Peers) }, s.FirstStart)
 	i.balancer = placement.New(i.clock, i.registry, peers{i})
 	i.fleet = fleet.New(fleet.Options{
@@ -115,7 +118,7 @@
 			Instance: s.Instance, Incarnation: uint64(i.started.UnixMilli()), Zone: s.AvailabilityZone,
 			CallerAddress: s.CallerAddress, GossipAddress: s.GossipAddress, Capacity: s.Capacity(),
 		},
-		Clock: i.clock, Roster: o.Platform, Transport: i, Exchanges: []fleet.Exchange{i.limiter, i.balancer, i.registry},
+		Clock: i.clock, Roster: o.Platform, Transport: i, Exchanges: []fleet.Exchange{i.limiter, i.balancer, i.registry, i.follower},
 		FirstStart: s.FirstStart, Rate: i.balancer.Rate, Ready: i.ready, Log: o.Log,
 	})
 	i.proxy = proxy.New(proxy.Ports{
@@ -146,8 +149,11 @@
 	return !i.leaving.Load() && i.prepared.Load() && i.follower.Fresh() && i.registry.Catalogue().Version > 0
 }
 
-// serving tells whether callers are sent here.
-func (i *Instance) serving() bool { return !i.leaving.Load() && i.fleet.View().Serving }
+// takesCallers tells whether a request that comes here is served. That holds
+// for standbys, too, although callers are not sent to them.
+func (i *Instance) takesCallers() bool {
+	return !i.leaving.Load() && i.follower.Fresh() && i.registry.Catalogue().Version > 0
+}
 
 // Run serves until ctx ends, then shuts down gracefully. Errors: *ListenError.
 func (i *Instance) Run(ctx context.Context) error {
@@ -165,7 +171,7 @@
 	group.Go(func() error { return i.fleet.Run(groupCtx) })
 
 	callers := i.proxy.NewServer(i.serveCaller)
-	handler := i.Endpoints(i.serving, func(zone string) []string { return i.fleet.View().Addresses(zone) }, i.Settings.DirectoryTTL())
+	handler := i.Endpoints(i.takesCallers, func(zone string) []string { return i.fleet.View().Addresses(zone) }, i.Settings.DirectoryTTL())
 	endpoints := &fasthttp.Server{Handler: handler, NoDefaultServerHeader: true, NoDefaultDate: true, Logger: silentLogger{}}
 	group.Go(func() error { return errors.WithStack(callers.Serve(l.callers)) })
 	group.Go(func() error { return errors.WithStack(endpoints.Serve(l.ready)) })
@@ -242,7 +248,7 @@
 		case i.registry.Catalogue().Version == 0:
 			i.registry.EnsureFresh(ctx, firstListInterval)
 		}
-		if view.Called {
+		if view.Called || i.balancer.Rate() >= lingeringRate {
 			i.follower.Activate()
 		}
 		if err := i.clock.Sleep(ctx, followTick); err != nil {
--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -18,7 +18,11 @@
 		next.Peers = append(next.Peers, f.Self)
 	}
 	for _, k := range f.members {
-		if now-k.heard < silence && k.serving && !k.leaving {
+		limit := silence
+		if !old.Serving && k.Zone != f.Self.Zone {
+			limit = farSilence
+		}
+		if now-k.heard < limit && k.serving && !k.leaving {
 			next.Peers = append(next.Peers, k.Member)
 		}
 	}
@@ -69,6 +73,11 @@
 	}
 	slices.SortFunc(zone, rank)
 	position := slices.Index(zone, self)
+	if already {
+		// Fewer instances would reach this rate again; without a margin the last
+		// one would come and go.
+		rate *= stayFactor
+	}
 	if position >= wanted(size, rate) {
 		f.shortSince = 0
 		return false
@@ -82,6 +91,9 @@
 	return now-f.shortSince >= time.Duration(min(before, maxPromotionSteps))*promotionStep
 }
 
+// stayFactor times the rate decides whether a serving instance goes on.
+const stayFactor = 1.4
+
 // maxPromotionSteps bounds the wait of a standby for those before it.
 const maxPromotionSteps = 4
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -29,6 +29,9 @@
 	// silence is the time without a heartbeat after which an instance counts as
 	// dead: three lost heartbeats of the slower interval.
 	silence = 1600 * time.Millisecond
+	// farSilence is the same for a standby and the serving instances of other
+	// zones, which send to it each farInterval.
+	farSilence = 3 * farInterval
 	// promotionStep delays each further standby, so that the first in rank
 	// takes over alone.
 	promotionStep = 150 * time.Millisecond
@@ -47,6 +50,9 @@
 	// firstStartWait is the time for all instances of a new fleet to find each
 	// other; the platform starts them within 0.3 s.
 	firstStartWait = time.Second
+	// startWait is the same for a start beside a running fleet, or after the loss
+	// of all, which callers wait for.
+	startWait = 250 * time.Millisecond
 	// rosterPause is the longest wait between two tries to read the roster.
 	rosterPause = time.Second
 	// rosterLimit bounds one call.
@@ -55,8 +61,9 @@
 
 // Exchange is a component whose state travels in heartbeats.
 type Exchange interface {
-	// Fill adds to a heartbeat to a serving instance.
-	Fill(h *peerpb.Heartbeat)
+	// Fill adds to a heartbeat of a serving instance. toServing says that it goes
+	// to another one, and not to a standby.
+	Fill(h *peerpb.Heartbeat, toServing bool)
 	// Absorb takes what an instance says. from is its name, which stays the same
 	// over restarts; the incarnation changes.
 	Absorb(from string, h *peerpb.Heartbeat)
@@ -142,11 +149,13 @@
 		cancel()
 		if err == nil {
 			f.greet(listed)
+			// The others may start now, too; without a wait, each of the first would
+			// take itself for one of few.
+			wait := startWait
 			if f.FirstStart {
-				// The others start now, too; without a wait, each of the first would
-				// take itself for one of few.
-				_ = f.Clock.Sleep(ctx, firstStartWait)
+				wait = firstStartWait
 			}
+			_ = f.Clock.Sleep(ctx, wait)
 			f.joined.Store(true)
 			f.step()
 			event.Joined.Log(f.Log).Int("members", len(listed)).Send()
@@ -169,7 +178,7 @@
 		}
 	}
 	f.mu.Unlock()
-	hello := f.heartbeat(false)
+	hello := f.heartbeat(toStandby)
 	hello.Hello = true
 	data := f.encode(hello)
 	for _, m := range listed {
@@ -184,7 +193,7 @@
 func (f *Fleet) Leave(ctx context.Context) error {
 	f.leaving.Store(true)
 	f.step()
-	data := f.encode(f.heartbeat(false))
+	data := f.encode(f.heartbeat(toStandby))
 	f.mu.Lock()
 	for _, k := range f.members {
 		f.Transport.Send(k.GossipAddress, data)
@@ -210,7 +219,7 @@
 		x.Absorb(h.Instance, h)
 	}
 	if h.Hello {
-		f.Transport.Send(h.GossipAddress, f.encode(f.heartbeat(f.View().Serving)))
+		f.Transport.Send(h.GossipAddress, f.encode(f.heartbeat(toStandby)))
 	}
 }
 
@@ -263,8 +272,12 @@
 		}
 	}
 	f.mu.Unlock()
-	f.sendAll(toServing, busy)
-	f.sendAll(toOthers, false)
+	if busy {
+		f.sendAll(toServing, toPeer)
+	} else {
+		f.sendAll(toServing, bare)
+	}
+	f.sendAll(toOthers, toStandby)
 }
 
 // interval returns the time between heartbeats to k, and whether there are any:
@@ -283,26 +296,36 @@
 	}
 }
 
-func (f *Fleet) sendAll(addresses []string, full bool) {
+func (f *Fleet) sendAll(addresses []string, c content) {
 	if len(addresses) == 0 {
 		return
 	}
-	data := f.encode(f.heartbeat(full))
+	data := f.encode(f.heartbeat(c))
 	for _, address := range addresses {
 		f.Transport.Send(address, data)
 	}
 }
 
-// heartbeat builds a heartbeat, with the state of the exchanges if full.
-func (f *Fleet) heartbeat(full bool) *peerpb.Heartbeat {
+// content is what a heartbeat carries beside the sender itself.
+type content int
+
+const (
+	bare content = iota
+	// toStandby carries what a standby needs, toPeer all state of the exchanges.
+	toStandby
+	toPeer
+)
+
+// heartbeat builds a heartbeat. Standbys have no state to pass on.
+func (f *Fleet) heartbeat(c content) *peerpb.Heartbeat {
 	h := &peerpb.Heartbeat{
 		Instance: f.Self.Instance, Incarnation: f.Self.Incarnation, Zone: f.Self.Zone,
 		CallerAddress: f.Self.CallerAddress, GossipAddress: f.Self.GossipAddress, Capacity: f.Self.Capacity,
 		Serving: f.View().Serving, Leaving: f.leaving.Load(), Rate: float32(f.Rate()),
 	}
-	if full {
+	if c == toPeer || (c == toStandby && h.Serving) {
 		for _, x := range f.Exchanges {
-			x.Fill(h)
+			x.Fill(h, c == toPeer)
 		}
 	}
 	return h
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -17,6 +17,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/control"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
 
 const (
@@ -27,7 +28,9 @@
 	maxPause   = 800 * time.Millisecond
 	// standbyInterval is the time between two reads of a follower that is not
 	// active.
-	standbyInterval = 20 * time.Second
+	standbyInterval = 30 * time.Second
+	// unknownInterval is the same while no configuration is known.
+	unknownInterval = 2 * time.Second
 	// refreshLimit bounds a read that somebody waits for.
 	refreshLimit = 400 * time.Millisecond
 	// lingering is how long a follower goes on after it was last needed: callers
@@ -56,10 +59,9 @@
 // Follower owns the applied configuration. It implements control.Viewer and
 // control.Freshness.
 type Follower struct {
-	source    Source
-	clock     clock.Clock
-	log       *zerolog.Logger
-	onTrouble func()
+	source Source
+	clock  clock.Clock
+	log    *zerolog.Logger
 
 	view    atomic.Pointer[control.View]
 	applied atomic.Bool
@@ -68,6 +70,11 @@
 	// readAt is the time since boot of the last answer of the source.
 	readAt atomic.Int64
 	wake   chan struct{}
+	// confirmedAt is the time since boot at which a serving instance last said
+	// that it applies no newer version.
+	confirmedAt atomic.Int64
+	// reading is set while a read runs because of a newer version elsewhere.
+	reading atomic.Bool
 
 	// refreshing is held during a read by Refresh, so that callers share one.
 	refreshing sync.Mutex
@@ -75,10 +82,9 @@
 	applying sync.Mutex
 }
 
-// New returns a follower without a configuration. onTrouble is called whenever
-// the store does not answer.
-func New(c clock.Clock, source Source, self membership.Member, log *zerolog.Logger, onTrouble func()) *Follower {
-	f := &Follower{source: source, clock: c, log: log, onTrouble: onTrouble, wake: make(chan struct{}, 1)}
+// New returns a follower without a configuration.
+func New(c clock.Clock, source Source, self membership.Member, log *zerolog.Logger) *Follower {
+	f := &Follower{source: source, clock: c, log: log, wake: make(chan struct{}, 1)}
 	f.neededAt.Store(int64(-lingering))
 	f.view.Store(&control.View{Config: config.NewSnapshot(0, config.Empty()), Membership: &membership.Membership{}, Self: self})
 	return f
@@ -108,22 +114,46 @@
 	return f.clock.SinceBoot()-time.Duration(f.neededAt.Load()) < lingering
 }
 
-// EnsureFresh reads the configuration unless the follower waits for changes or
-// has read it within maxAge.
+// EnsureFresh reads the configuration unless the follower waits for changes, has
+// read it within maxAge, or was told within maxAge that there is no newer one.
 func (f *Follower) EnsureFresh(ctx context.Context, maxAge time.Duration) {
 	if f.active() || f.age() < maxAge {
 		return
 	}
 	f.refreshing.Lock()
 	defer f.refreshing.Unlock()
-	if f.age() < maxAge {
-		return
+	if f.age() >= maxAge {
+		f.read(ctx)
+	}
+}
+
+// Fill tells the applied version.
+func (f *Follower) Fill(h *peerpb.Heartbeat, _ bool) { h.ConfigVersion = f.View().Config.Version }
+
+// Absorb reads the configuration when a serving instance applies a newer one.
+func (f *Follower) Absorb(_ string, h *peerpb.Heartbeat) {
+	switch {
+	case !h.Serving || h.ConfigVersion == 0:
+	case h.ConfigVersion <= f.View().Config.Version:
+		f.confirmedAt.Store(int64(f.clock.SinceBoot()))
+	case !f.reading.Swap(true):
+		go func() {
+			defer f.reading.Store(false)
+			f.refreshing.Lock()
+			defer f.refreshing.Unlock()
+			if h.ConfigVersion > f.View().Config.Version {
+				f.read(context.Background())
+			}
+		}()
 	}
+}
+
+// read reads the configuration. The caller holds refreshing.
+func (f *Follower) read(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, refreshLimit)
 	defer cancel()
 	update, err := f.source.Await(ctx, 0)
 	if err != nil {
-		f.onTrouble()
 		event.PlatformUnavailable.Log(f.log).Err(err).Int64("config_version", f.View().Config.Version).Send()
 		return
 	}
@@ -131,7 +161,7 @@
 }
 
 func (f *Follower) age() time.Duration {
-	return f.clock.SinceBoot() - time.Duration(f.readAt.Load())
+	return f.clock.SinceBoot() - time.Duration(max(f.readAt.Load(), f.confirmedAt.Load()))
 }
 
 // Run follows the source until ctx ends.
@@ -148,7 +178,6 @@
 			return errors.WithStack(ctx.Err())
 		}
 		if err != nil {
-			f.onTrouble()
 			if available {
 				event.PlatformUnavailable.Log(f.log).Err(err).Int64("config_version", f.View().Config.Version).Send()
 			}
@@ -169,7 +198,11 @@
 
 // rest waits until the follower is activated or should read again.
 func (f *Follower) rest(ctx context.Context) {
-	timer := time.NewTimer(standbyInterval + rand.N(standbyInterval/4))
+	interval := standbyInterval
+	if !f.applied.Load() {
+		interval = unknownInterval
+	}
+	timer := time.NewTimer(interval + rand.N(interval/4))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -163,7 +163,10 @@
 func (s *service) patience() time.Duration { return time.Duration(patienceFactor * float64(s.usual)) }
 
 // Fill adds evidence against targets to a heartbeat.
-func (b *Balancer) Fill(h *peerpb.Heartbeat) {
+func (b *Balancer) Fill(h *peerpb.Heartbeat, toServing bool) {
+	if !toServing {
+		return
+	}
 	now := b.clock.SinceBoot()
 	for _, s := range b.all() {
 		s.mu.Lock()
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -197,7 +197,10 @@
 }
 
 // Fill adds the counts that changed lately.
-func (l *Limiter) Fill(h *peerpb.Heartbeat) {
+func (l *Limiter) Fill(h *peerpb.Heartbeat, toServing bool) {
+	if !toServing {
+		return
+	}
 	now := l.clock.SinceBoot()
 	l.mu.Lock()
 	defer l.mu.Unlock()
