--- a/pkg/placement/evidence.go
+++ b/pkg/placement/evidence.go
@@ -23,9 +23,10 @@
 	// suspectOdds is the odds from which a target is tried with idempotent
 	// requests; below it, its cost is close to that of others.
 	suspectOdds = -2.2
-	// oddsLife is the time constant with which evidence fades without requests.
-	// Failures last 5 to 20 s; a shorter life sends requests back too early.
-	oddsLife = 20 * time.Second
+	// oddsLife is the time constant with which evidence fades. Failures last 5 to
+	// 20 s, but with 8 or 20 s sound targets with a single failure stay unused so
+	// long that the others queue (docs/experiments.md).
+	oddsLife = 4 * time.Second
 	// failureShare is the part of its requests that a failing target fails.
 	failureShare = 0.6
 )
--- a/pkg/placement/target.go
+++ b/pkg/placement/target.go
@@ -21,7 +21,7 @@
 	shedPause = 60 * time.Millisecond
 	// trialInterval is the time between two idempotent requests that try a
 	// suspect target.
-	trialInterval = time.Second
+	trialInterval = 600 * time.Millisecond
 	// stallFactor times the usual latency is the age from which a request
 	// without an answer speaks against its target.
 	stallFactor = 3.0
