--- /dev/null
+++ b/pkg/settings/edge_test.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/document"
+)
+
+const edgeText = `{"instance":"e-1","availability_zone":"a","caller_address":"10.0.0.1:1","ready_address":"10.0.0.1:2",
+ "directory_address":"10.0.0.1:3","gossip_address":"10.0.0.1:4","metrics_address":"10.0.0.1:5","store_address":"10.0.0.9:6",
+ "processor_share":0.32,"cores":2,"first_start":true,"grace":"6s"}`
+
+func loadEdge(t *testing.T, text string) (*Edge, error) {
+	file := filepath.Join(t.TempDir(), "edge.json")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadEdge(file)
+}
+
+// Guards against settings that are read as something else, and against defaults
+// that a file cannot rely on.
+func TestLoadEdge(t *testing.T) {
+	is := is.New(t)
+	e, err := loadEdge(t, edgeText)
+	is.NoErr(err)
+	is.Equal(e.GracePeriod(), 6*time.Second)
+	is.Equal(e.Capacity(), uint32(640))
+	is.Equal(e.DirectoryTTL(), time.Second)
+	is.Equal(e.LogLevel, "info")
+}
+
+// Guards against wrong settings that are found only when they are used.
+func TestInvalidEdge(t *testing.T) {
+	cases := map[string][2]string{
+		"instance":          {`"e-1"`, `"E 1"`},
+		"availability_zone": {`"a"`, `""`},
+		"caller_address":    {`10.0.0.1:1`, `0.0.0.0:1`},
+		"ready_address":     {`10.0.0.1:2`, `host:2`},
+		"directory_address": {`"10.0.0.1:3"`, `""`},
+		"gossip_address":    {`10.0.0.1:4`, `10.0.0.1`},
+		"metrics_address":   {`10.0.0.1:5`, `x`},
+		"store_address":     {`10.0.0.9:6`, `store:6`},
+		"processor_share":   {`0.32`, `0`},
+		"cores":             {`"cores":2`, `"cores":0`},
+		"grace":             {`"6s"`, `"soon"`},
+	}
+	for field, edit := range cases {
+		t.Run(field, func(t *testing.T) {
+			is := is.New(t)
+			_, err := loadEdge(t, strings.Replace(edgeText, edit[0], edit[1], 1))
+			var invalid *document.InvalidError
+			is.True(errors.As(err, &invalid))
+			is.Equal(len(invalid.Fields), 1)
+			is.Equal(invalid.Fields[0].Path, "$."+field)
+		})
+	}
+	_, err := loadEdge(t, `{"unknown":1}`)
+	is.New(t).True(err != nil)
+}
+
+// Guards against settings of arbutus-edge that its page leaves out, or
+// describes with another default or range than the code has.
+func TestEdgeDocs(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile("../../docs/edge-settings.md")
+	is.NoErr(err)
+	documented := map[string][]string{}
+	for _, m := range docRow.FindAllStringSubmatch(string(data), -1) {
+		documented[m[1]] = []string{strings.TrimSpace(m[2]), strings.TrimSpace(m[3])}
+	}
+	names := 0
+	fields(reflect.ValueOf(DefaultEdge()).Elem(), "", func(path string, v reflect.Value) {
+		names++
+		row, ok := documented[path]
+		if !ok {
+			t.Errorf("docs/edge-settings.md lacks %s", path)
+			return
+		}
+		if want := fmt.Sprint(v.Interface()); want != "" && row[0] != want {
+			t.Errorf("%s: the default is %s, the docs say %q", path, want, row[0])
+		}
+	})
+	is.Equal(len(documented), names)
+	var invalid *document.InvalidError
+	is.True(errors.As((&Edge{MetricsAddress: "x"}).Validate(), &invalid))
+	for _, f := range invalid.Fields {
+		is.Equal(documented[strings.TrimPrefix(f.Path, "$.")][1], f.Allowed)
+	}
+}
