--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -112,7 +112,7 @@
 		Instance: s.Instance, Zone: s.AvailabilityZone, CallerAddress: s.CallerAddress,
 	}, o.Log)
 	i.limiter = usage.New(i.clock, i.follower, func() int { return len(i.fleet.View().Peers) }, s.FirstStart)
-	i.balancer = placement.New(i.clock, i.registry, peers{i})
+	i.balancer = placement.New(i.clock, i.registry, peers{i}, o.Log)
 	i.fleet = fleet.New(fleet.Options{
 		Self: fleet.Member{
 			Instance: s.Instance, Incarnation: uint64(i.started.UnixMilli()), Zone: s.AvailabilityZone,
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -78,7 +78,7 @@
 	line.Send()
 }
 
-// trailText names the attempts as target:result:microseconds.
+// trailText names the attempts as target:result:microseconds:reason.
 func trailText(trail []proxy.Trail) string {
 	var b strings.Builder
 	for i, t := range trail {
@@ -90,6 +90,8 @@
 		b.WriteString(t.Result.String())
 		b.WriteByte(':')
 		b.WriteString(strconv.FormatInt(t.Latency.Microseconds(), 10))
+		b.WriteByte(':')
+		b.WriteString(t.Reason)
 	}
 	return b.String()
 }
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -35,6 +35,8 @@
 	EvaluatorChanged = Event{504, "evaluator_changed", zerolog.InfoLevel, "the instance follows another health evaluator for a service"}
 	TargetListed     = Event{505, "target_listed", zerolog.InfoLevel, "the platform lists a target that is new or has changed"}
 	TargetGone       = Event{506, "target_gone", zerolog.InfoLevel, "the platform no longer lists a target; it gets no requests"}
+	TargetSuspected  = Event{507, "target_suspected", zerolog.InfoLevel, "failures at this instance speak against a target; it gets few requests until it answers again"}
+	TargetTrusted    = Event{508, "target_trusted", zerolog.InfoLevel, "a suspected target has answered and is no longer suspected"}
 
 	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
 	AnswerIncomplete = Event{601, "answer_incomplete", zerolog.WarnLevel, "a target's answer was cut short and not passed on"}
@@ -62,7 +64,7 @@
 		ServingChanged, JoinFailed, DatagramRejected,
 		ConfigApplied, ConfigDelivered, ConfigRejected,
 		LoanFailed,
-		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone,
+		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted,
 		OutcomeUnknown, AnswerIncomplete, RequestEnded,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
--- a/pkg/event/limit.go
+++ b/pkg/event/limit.go
@@ -12,22 +12,30 @@
 const (
 	maxRepeats   = 20
 	repeatPeriod = 10 * time.Second
+	// maxRequestLines per repeatPeriod is twelve times the usual load of a
+	// serving instance, which is about 25 requests per second.
+	maxRequestLines = 3000
+	// maxTargetLines per repeatPeriod tells every target of a large listing once.
+	maxTargetLines = 400
 )
 
-var requestLines = &zerolog.BurstSampler{Burst: maxRequestLines, Period: time.Second}
+// repeats returns how many lines of the event a repeatPeriod may have.
+func (e Event) repeats() uint32 {
+	switch e.ID {
+	case RequestEnded.ID:
+		return maxRequestLines
+	case TargetListed.ID, TargetGone.ID, TargetSuspected.ID, TargetTrusted.ID:
+		return maxTargetLines
+	default:
+		return maxRepeats
+	}
+}
 
 // samplers holds one sampler per event ID.
 var samplers sync.Map
 
-// maxRequestLines bounds the lines of RequestEnded per second. A serving
-// instance has about 25 requests per second.
-const maxRequestLines = 300
-
 func (e Event) allowed() bool {
-	if e.ID == RequestEnded.ID {
-		return requestLines.Sample(e.Level)
-	}
 
-	sampler, _ := samplers.LoadOrStore(e.ID, &zerolog.BurstSampler{Burst: maxRepeats, Period: repeatPeriod})
+	sampler, _ := samplers.LoadOrStore(e.ID, &zerolog.BurstSampler{Burst: e.repeats(), Period: repeatPeriod})
 	return sampler.(zerolog.Sampler).Sample(e.Level)
 }
--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -2,9 +2,12 @@
 
 import (
 	"math"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
 
@@ -15,6 +18,7 @@
 	target   *target
 	started  time.Duration
 	patience time.Duration
+	choice   choice
 	once     sync.Once
 }
 
@@ -28,6 +32,31 @@
 // may go elsewhere.
 func (a *attempt) Patience() time.Duration { return a.patience }
 
+// Reason names the inputs of the choice: whether the target was a home target,
+// a near or a far one, its load, the odds against it in hundredths, and the age
+// of the listing in ms.
+func (a *attempt) Reason() string {
+	where := "far"
+	switch {
+	case a.choice.home:
+		where = "home"
+	case a.choice.near:
+		where = "near"
+	}
+	text := append(make([]byte, 0, 48), where...)
+	text = strconv.AppendInt(append(text, ",load="...), int64(a.choice.load), 10)
+	text = strconv.AppendInt(append(text, ",odds="...), int64(100*a.choice.odds), 10)
+	text = strconv.AppendInt(append(text, ",listing="...), a.choice.listingAge.Milliseconds(), 10)
+	return string(text)
+}
+
+// choice is what was known of a target when it was chosen.
+type choice struct {
+	home, near bool
+	load, odds float64
+	listingAge time.Duration
+}
+
 // Done reports the result. Calls after the first have no effect.
 func (a *attempt) Done(result proxy.Result, latency time.Duration, load proxy.Load) {
 	a.once.Do(func() { a.done(result, latency, load) })
@@ -43,7 +72,11 @@
 		// The target counts this request as running until its response is out.
 		t.others, t.loadAt = max(0, float64(load.InFlight+load.Queued-1-len(t.open))), now
 	}
+	suspected := t.own.odds >= suspectOdds
 	t.judge(result, now)
+	if now := t.own.odds >= suspectOdds; now != suspected {
+		a.balancer.logChange(s, t, result, now)
+	}
 	switch result {
 	case proxy.Answered:
 		s.observe(t, latency, now)
@@ -53,6 +86,16 @@
 	s.waiting.wakeFirst()
 }
 
+// logChange tells that a target is suspected or trusted again.
+func (b *Balancer) logChange(s *service, t *target, result proxy.Result, suspected bool) {
+	what := event.TargetTrusted
+	if suspected {
+		what = event.TargetSuspected
+	}
+	what.Log(b.log).Str("target", t.entry.ID).Str("service", s.name).Stringer("result", result).
+		Float64("odds", t.own.odds).Float64("peer_odds", t.peer.odds).Send()
+}
+
 // judge takes the result as evidence.
 func (t *target) judge(result proxy.Result, now time.Duration) {
 	if result != proxy.NotSent {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/discovery"
@@ -55,6 +56,7 @@
 	clock   clock.Clock
 	targets Targets
 	peers   Peers
+	log     *zerolog.Logger
 	rate    rate
 
 	mu       sync.Mutex
@@ -62,13 +64,10 @@
 }
 
 // New returns a balancer without knowledge of any target.
-func New(c clock.Clock, targets Targets, peers Peers) *Balancer {
-	return &Balancer{clock: c, targets: targets, peers: peers, services: map[string]*service{}}
+func New(c clock.Clock, targets Targets, peers Peers, log *zerolog.Logger) *Balancer {
+	return &Balancer{clock: c, targets: targets, peers: peers, log: log, services: map[string]*service{}}
 }
 
-// SetPeers names the source of serving instances; call it before the first request.
-func (b *Balancer) SetPeers(p Peers) { b.peers = p }
-
 // Rate returns the requests per second of the last seconds.
 func (b *Balancer) Rate() float64 { return b.rate.get(b.clock.SinceBoot()) }
 
@@ -103,8 +102,11 @@
 			t, none := s.choose(r, tried, now)
 			if t != nil {
 				s.leave(w)
+				a := &attempt{balancer: b, service: s, target: t, started: now, patience: s.patience(), choice: choice{
+					home: t.home, near: t.near, load: t.load(now), odds: t.odds(now), listingAge: now - b.targets.Catalogue().ReadAt,
+				}}
 				t.begin(now)
-				return &attempt{balancer: b, service: s, target: t, started: now, patience: s.patience()}, nil
+				return a, nil
 			}
 			if none && len(s.ordered) == 0 {
 				s.leave(w)
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
@@ -17,6 +18,8 @@
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
+var nop = zerolog.Nop()
+
 // rig is a balancer of instance e1 in zone a with a catalogue that a test edits.
 type rig struct {
 	*Balancer
@@ -38,7 +41,7 @@
 		self, {Instance: "e2", Zone: "a"}, {Instance: "e3", Zone: "b"},
 	}}
 	r.list(count)
-	r.Balancer = New(r.clock, r, r)
+	r.Balancer = New(r.clock, r, r, &nop)
 	return r
 }
 
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -220,7 +220,11 @@
 func (x *exchange) done(result Result) {
 	latency := x.p.Clock.SinceBoot() - x.began
 	x.attempt.Done(result, latency, x.answer.Load)
-	x.trail = append(x.trail, Trail{Target: x.attempt.Target(), Result: result, Latency: latency})
+	step := Trail{Target: x.attempt.Target(), Result: result, Latency: latency}
+	if r, ok := x.attempt.(ReasonedAttempt); ok && x.p.Recorder != nil {
+		step.Reason = r.Reason()
+	}
+	x.trail = append(x.trail, step)
 	if x.p.Reporter != nil {
 		x.p.Reporter.Report(x.request.Service, result, latency)
 	}
--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -101,9 +101,19 @@
 	Patience() time.Duration
 }
 
+// ReasonedAttempt is implemented by attempts whose balancer can say why it
+// chose the target.
+type ReasonedAttempt interface {
+	Attempt
+	// Reason names the inputs of the choice, for logs.
+	Reason() string
+}
+
 // Trail is one attempt in the record of a request.
 type Trail struct {
-	Target  string
+	Target string
+	// Reason names the inputs of the choice of the target.
+	Reason  string
 	Result  Result
 	Latency time.Duration
 }
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -118,7 +119,7 @@
 	case t.share >= 1:
 		t.share--
 	default:
-		return refusal.After(refusal.RateExceeded, l.wait(t, terms))
+		return &refusal.Refusal{Kind: refusal.RateExceeded, RetryAfter: l.wait(t, terms), Cause: l.exceeded(t, terms)}
 	}
 	t.level--
 	t.admitted++
@@ -126,6 +127,35 @@
 	return nil
 }
 
+// ExceededError says how the limit of a team stood when a request was refused.
+type ExceededError struct {
+	// Rate is in requests per second, Level in tokens; below half of Burst an
+	// instance admits only its Share.
+	Rate, Level, Share float64
+	Burst              int
+	// Holders is the number of instances that may admit, Quiet of them are silent.
+	Holders, Quiet int
+}
+
+// Error names the figures.
+func (e *ExceededError) Error() string {
+	return fmt.Sprintf("level %.1f of burst %d, share %.1f, rate %g/s over %d instances, %d of them silent",
+		e.Level, e.Burst, e.Share, e.Rate, e.Holders, e.Quiet)
+}
+
+// exceeded describes a team's limit. The caller holds mu.
+func (l *Limiter) exceeded(t *team, terms config.Team) error {
+	e := &ExceededError{
+		Rate: terms.RatePerSecond, Level: t.level, Share: t.share, Burst: terms.Burst, Holders: int(l.holders()),
+	}
+	for _, p := range l.peers {
+		if p.quiet {
+			e.Quiet++
+		}
+	}
+	return e
+}
+
 // Level returns the tokens of a team, for dumps.
 func (l *Limiter) Level(name string) float64 {
 	l.mu.Lock()
