--- /dev/null
+++ b/pkg/proxy/fuzz_test.go
@@ -0,0 +1,87 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// FuzzTargetResponse guards against a target's bytes that crash the data path,
+// reach a caller as a malformed response, or stay behind for the next request.
+func FuzzTargetResponse(f *testing.F) {
+	for _, seed := range []string{
+		okText, "HTTP/1.1 200 OK\n\nunframed", "HTTP/1.1 200 OK\nContent-Length: 9\n\nshort", notRunText,
+		"HTTP/1.1 200 OK\nContent-Length: 2\n\nokHTTP/1.1 200 OK\nContent-Length: 5\n\nextra",
+		"HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n2\nok\n0\n\n", "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n2\nok",
+		"HTTP/1.1 200 OK\nTransfer-Encoding: chunked\nContent-Length: 2\n\n2\nok\n0\n\n",
+		"HTTP/1.1 200 OK\nContent-Length: -1\n\n", "HTTP/1.1 100 Continue\n\n" + okText, "HTTP/1.1 101 Switching\n\n", "nonsense\n\n",
+		"HTTP/1.1 200 OK\nX-Request-Id: other\nContent-Length: 2\n\nno", "HTTP/1.1 999 Odd\nContent-Length: 0\n\n",
+		"HTTP/1.1 200 OK\nContent-Length: 2\nContent-Length: 3\n\nok!", "\x00\x01\x02", "HTTP/1.0 200 OK\nConnection: close\n\nold",
+	} {
+		f.Add([]byte(strings.ReplaceAll(seed, "\n", "\r\n")))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		odd := newTarget(t, func(c net.Conn, _ *http.Request, n int) bool {
+			if n == 0 {
+				_, _ = c.Write(data)
+			}
+			return n > 0
+		})
+		good := newTarget(t, respond(okText))
+		r := newDialectRig(t, 0, odd.ln.Addr().String())
+		caller := r.dial(t)
+		if _, _, err := caller.try("POST", "/put", "x", r.keyLine()); err != nil {
+			t.Fatalf("the response to %q is malformed: %v", data, err)
+		}
+		r.targets = []string{good.ln.Addr().String()}
+		response, body, err := caller.try("POST", "/put", "x", r.keyLine())
+		if err != nil || response.StatusCode != http.StatusOK || body != "ok" {
+			t.Fatalf("the next response after %q: %v %q", data, err, body)
+		}
+	})
+}
+
+// FuzzCallerRequest guards against bytes of a caller that crash the data path,
+// and against a request smuggled inside another: each request that reaches a
+// target must have its own response.
+func FuzzCallerRequest(f *testing.F) {
+	const key = "X-Arbutus-Key: KEY\n"
+	for _, seed := range []string{
+		"GET /get HTTP/1.1\nHost: h\n" + key + "\n",
+		"POST /put HTTP/1.1\nHost: h\n" + key + "Content-Length: 2\n\nhi",
+		"POST /put HTTP/1.1\nHost: h\n" + key + "Content-Length: 3\nTransfer-Encoding: chunked\n\n0\n\nGET /get HTTP/1.1\nHost: h\n" + key + "\n",
+		"POST /put HTTP/1.1\nHost: h\n" + key + "Transfer-Encoding: chunked\nTransfer-Encoding: identity\n\n1\nx\n0\n\n",
+		"POST /put HTTP/1.1\nHost: h\n" + key + "Content-Length: 0\nContent-Length: 30\n\nGET /get HTTP/1.1\nHost: h\n" + key + "\n",
+		"POST /put HTTP/1.1\nHost: h\n" + key + "Content-Length : 4\n\nbody",
+		"POST /put HTTP/1.1\nHost: h\n" + key + "Transfer-Encoding:\x0bchunked\n\n0\n\n",
+		"GET /get HTTP/1.1\nHost: h\nX-A: b\n folded\n" + key + "\n", "GET http://h/get HTTP/1.1\n" + key + "\n",
+		"GET /get HTTP/1.1\nHost: h\nX: a\x00b\n" + key + "\n", "GET /get\x00 HTTP/1.1\nHost: h\n" + key + "\n", "\x16\x03\x01",
+	} {
+		f.Add([]byte(strings.ReplaceAll(seed, "\n", "\r\n")))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		target := newTarget(t, respond(okText))
+		r := newDialectRig(t, 0, target.ln.Addr().String())
+		conn := r.dial(t)
+		_, _ = io.WriteString(conn, strings.ReplaceAll(string(data), "KEY", r.key))
+		_ = conn.Conn.(*net.TCPConn).CloseWrite()
+		_ = conn.SetReadDeadline(time.Now().Add(2 * time.Second))
+		answers := int64(0)
+		for reader := bufio.NewReader(conn); ; answers++ {
+			response, err := http.ReadResponse(reader, nil)
+			if err != nil {
+				break
+			}
+			if _, err := io.Copy(io.Discard, response.Body); err != nil {
+				break
+			}
+		}
+		if ran := target.seen.Load(); ran > answers {
+			t.Fatalf("%d requests ran for %d responses", ran, answers)
+		}
+	})
+}
