Charge peers in one sum per team instead of one by one

Change: a team keeps the sum of what its peers are assumed to admit. One more serving instance per 40 requests/s instead of 25, so that fewer exchange.

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -37,7 +37,7 @@
 	promotionStep = 150 * time.Millisecond
 	// rateOneServes is the number of requests per second from which a zone gets
 	// one more serving instance.
-	rateOneServes = 25
+	rateOneServes = 40
 	// leastServing and servingShare bound the serving instances of a zone from
 	// below: a number, and one of so many known members.
 	leastServing = 3
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -76,15 +76,31 @@
 	admitted uint64
 	changed  time.Duration
 	peers    map[string]*count
+	// pace is the sum of the paces of peers.
+	pace float64
 }
 
 // count is what one peer said about a team.
 type count struct {
 	admitted uint64
-	rate     float64
-	// assumed was taken from the level since the last message.
-	assumed float64
-	at      time.Duration
+	at       time.Duration
+	// pace is what the peer is assumed to admit per second since the time since;
+	// assumed is what was taken from the level before that for it.
+	pace, assumed float64
+	since         time.Duration
+}
+
+// taken is what was taken from the level for the peer since its last message.
+func (c *count) taken(now time.Duration) float64 {
+	return c.assumed + c.pace*(now-c.since).Seconds()
+}
+
+// setPace changes what a peer is assumed to admit from now on. The level must
+// be up to date.
+func (t *team) setPace(c *count, pace float64, now time.Duration) {
+	c.assumed, c.since = c.taken(now), now
+	t.pace += pace - c.pace
+	c.pace = pace
 }
 
 type peer struct {
@@ -201,26 +217,12 @@
 	t.updated = now
 	t.level += elapsed * terms.RatePerSecond
 	share := terms.RatePerSecond / l.holders()
-	pace := share
+	own := share
 	if t.level < 0 {
-		pace *= debtPace
-	}
-	t.share = min(t.share+pace*elapsed, max(shareDepth, share*shareTime.Seconds()))
-	for name, p := range l.peers {
-		quiet := now - p.heard
-		c := t.peers[name]
-		taken := 0.0
-		switch {
-		case quiet >= quietAfter:
-			taken = share * elapsed
-		case c != nil:
-			taken = c.rate * elapsed
-		}
-		if c != nil {
-			c.assumed += taken
-		}
-		t.level -= taken
+		own *= debtPace
 	}
+	t.share = min(t.share+own*elapsed, max(shareDepth, share*shareTime.Seconds()))
+	t.level -= t.pace * elapsed
 	t.level = min(t.level, float64(terms.Burst))
 	// A debt of one burst is enough to stop a team; more would only delay its return.
 	t.level = max(t.level, -float64(terms.Burst))
@@ -251,11 +253,8 @@
 	if p == nil || p.incarnation != h.Incarnation {
 		p = &peer{incarnation: h.Incarnation}
 		l.peers[from] = p
-		for _, t := range l.teams {
-			delete(t.peers, from)
-		}
+		l.forgetCounts(from, now)
 	}
-	l.settle(teams, now)
 	p.heard, p.quiet = now, false
 	l.noteQuiet(now)
 	said := map[string]bool{}
@@ -265,44 +264,49 @@
 			continue
 		}
 		said[use.Team] = true
-		l.team(use.Team, terms, now).absorb(from, use.Admitted, now)
+		t := l.team(use.Team, terms, now)
+		l.refill(t, terms, now)
+		t.absorb(from, use.Admitted, now)
 	}
 	for name, t := range l.teams {
-		if c := t.peers[from]; c != nil && !said[name] {
+		if c := t.peers[from]; c != nil && !said[name] && c.pace > 0 {
+			l.refill(t, teams[name], now)
 			t.absorb(from, c.admitted, now)
 		}
 	}
 	if h.Leaving || (!h.Serving && len(h.Teams) == 0) {
-		l.forget(from)
+		l.forget(from, now)
 	}
 	l.forgetEnded(now)
 }
 
-// settle brings all buckets up to date before rates change.
-func (l *Limiter) settle(terms map[string]config.Team, now time.Duration) {
-	for name, t := range l.teams {
-		if team, ok := terms[name]; ok {
-			l.refill(t, team, now)
-		}
-	}
-}
-
-// absorb corrects the level by what a peer really admitted.
+// absorb corrects the level by what a peer really admitted. The level must be
+// up to date.
 func (t *team) absorb(from string, admitted uint64, now time.Duration) {
 	c := t.peers[from]
 	if c == nil {
 		// What it admitted before this instance listened is past.
-		t.peers[from] = &count{admitted: admitted, at: now}
+		t.peers[from] = &count{admitted: admitted, at: now, since: now}
 		return
 	}
+	pace := c.pace
 	if elapsed := (now - c.at).Seconds(); elapsed > 0 && admitted >= c.admitted {
 		delta := float64(admitted - c.admitted)
-		t.level -= delta - c.assumed
-		c.rate += rateSmoothing * (delta/elapsed - c.rate)
+		t.level -= delta - c.taken(now)
+		pace += rateSmoothing * (delta/elapsed - pace)
+		if delta == 0 && pace < leastPace {
+			pace = 0
+		}
 	}
+	t.setPace(c, pace, now)
 	c.admitted, c.assumed, c.at = admitted, 0, now
 }
 
+// leastPace is the assumed rate in requests per second below which a peer that
+// admitted nothing is assumed to admit nothing.
+const leastPace = 0.05
+
+
 // forgetEnded drops peers that were silent for long, unless most are silent:
 // then this instance may be the one that is cut off.
 func (l *Limiter) forgetEnded(now time.Duration) {
@@ -315,7 +319,7 @@
 	cut := 2*len(silent) > len(l.peers)
 	for _, name := range silent {
 		if !cut || now-l.peers[name].heard >= forgetCutAfter {
-			l.forget(name)
+			l.forget(name, now)
 		}
 	}
 }
@@ -323,20 +327,38 @@
 // noteQuiet takes the share of each peer that has fallen silent out of the
 // buckets: behind a cut it spends it by itself.
 func (l *Limiter) noteQuiet(now time.Duration) {
-	for _, p := range l.peers {
+	terms := l.viewer.View().Config.Config.Teams
+	for name, p := range l.peers {
 		if p.quiet || now-p.heard < quietAfter {
 			continue
 		}
 		p.quiet = true
-		for _, t := range l.teams {
+		for id, t := range l.teams {
+			l.refill(t, terms[id], now)
 			t.level -= max(0, t.level) / l.holders()
+			c := t.peers[name]
+			if c == nil {
+				c = &count{at: now, since: now}
+				t.peers[name] = c
+			}
+			t.setPace(c, terms[id].RatePerSecond/l.holders(), now)
 		}
 	}
 }
 
-func (l *Limiter) forget(name string) {
+func (l *Limiter) forget(name string, now time.Duration) {
 	delete(l.peers, name)
-	for _, t := range l.teams {
-		delete(t.peers, name)
+	l.forgetCounts(name, now)
+}
+
+// forgetCounts drops what a peer said about the teams.
+func (l *Limiter) forgetCounts(name string, now time.Duration) {
+	terms := l.viewer.View().Config.Config.Teams
+	for id, t := range l.teams {
+		if c := t.peers[name]; c != nil {
+			l.refill(t, terms[id], now)
+			t.setPace(c, 0, now)
+			delete(t.peers, name)
+		}
 	}
 }
