Pass changes on at once; bound what requests wait for the store; end on time

Change 1: changes of the list and of the configuration go out at once. Change 2: the end waits 0.2 s for background work. Cause 3 (read in the code): with a silent store, requests at standbys would wait up to 0.9 s for a listing, one after the other. Change 3: 0.2 s, and growing pauses after failures. Also: standbys read the configuration when they hear of it.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -23,9 +23,11 @@
 	// lapseOutage is the shortest outage in which entries can lapse: two of the
 	// three missed reports, as the last one before it may be one interval old.
 	lapseOutage = 2 * time.Second
-	// retryInterval is the shortest time between two listings that fail, so that
-	// instances that wait for one do not hold the store down.
-	retryInterval = 400 * time.Millisecond
+	// retryInterval is the time to the next listing after one that failed; it
+	// doubles with each further failure up to maxRetryInterval, so that waiting
+	// requests do not hold the store down, nor a silent store the requests.
+	retryInterval    = 400 * time.Millisecond
+	maxRetryInterval = 2 * time.Second
 	// listingLimit bounds one listing.
 	listingLimit = 900 * time.Millisecond
 )
@@ -80,9 +82,14 @@
 	source Source
 	log    *zerolog.Logger
 
+	// onChange is called after each change of the list, without a lock held.
+	onChange func()
+
 	current atomic.Pointer[Catalogue]
-	// attemptedAt is the time since boot of the last try to list.
-	attemptedAt atomic.Int64
+	// retryAt is the time since boot before which a failed listing is not tried again.
+	retryAt atomic.Int64
+	// behind is set while a passed-on listing does not add up.
+	behind atomic.Bool
 
 	// refreshing is held during a listing, so that callers share one.
 	refreshing sync.Mutex
@@ -99,11 +106,14 @@
 	// failedAt is that of the last failure, and settledAt the time from which
 	// missing targets count as gone.
 	failingSince, failedAt, settledAt time.Duration
+	// failures counts the listings that have failed since the last good one.
+	failures int
 }
 
-// NewRegistry returns an empty registry.
-func NewRegistry(c clock.Clock, source Source, log *zerolog.Logger) *Registry {
-	r := &Registry{clock: c, source: source, log: log, raw: map[string]Target{}, listedAt: -time.Hour}
+// NewRegistry returns an empty registry. onChange is called after each change
+// of the list.
+func NewRegistry(c clock.Clock, source Source, log *zerolog.Logger, onChange func()) *Registry {
+	r := &Registry{clock: c, source: source, log: log, onChange: onChange, raw: map[string]Target{}, listedAt: -time.Hour}
 	r.current.Store(&Catalogue{ReadAt: -time.Hour, Services: map[string][]*Entry{}, byID: map[string]*Entry{}})
 	return r
 }
@@ -111,6 +121,10 @@
 // Catalogue returns the newest catalogue.
 func (r *Registry) Catalogue() *Catalogue { return r.current.Load() }
 
+// Behind tells whether another instance has passed on a listing that this one
+// cannot follow without a listing of its own.
+func (r *Registry) Behind() bool { return r.behind.Load() }
+
 // EnsureFresh lists the targets unless the catalogue is younger than maxAge or
 // a listing has just failed. Without an answer the old catalogue stays in use.
 func (r *Registry) EnsureFresh(ctx context.Context, maxAge time.Duration) {
@@ -120,7 +134,7 @@
 	r.refreshing.Lock()
 	defer r.refreshing.Unlock()
 	now := r.clock.SinceBoot()
-	if now-r.Catalogue().ReadAt >= maxAge && now-time.Duration(r.attemptedAt.Load()) >= min(maxAge, retryInterval) {
+	if now-r.Catalogue().ReadAt >= maxAge && now >= time.Duration(r.retryAt.Load()) {
 		// The failure is logged and kept in troubledAt.
 		_ = r.list(ctx)
 	}
@@ -137,7 +151,6 @@
 	ctx, cancel := context.WithTimeout(ctx, listingLimit)
 	defer cancel()
 	began := r.clock.SinceBoot()
-	r.attemptedAt.Store(int64(began))
 	listed, err := r.source.Targets(ctx)
 	now := r.clock.SinceBoot()
 	if err != nil {
@@ -146,6 +159,8 @@
 			r.failingSince = began
 		}
 		r.failedAt = now
+		r.retryAt.Store(int64(now + min(retryInterval<<min(r.failures, 3), maxRetryInterval)))
+		r.failures++
 		r.mu.Unlock()
 		event.ListingFailed.Log(r.log).Err(err).Dur("age", now-r.Catalogue().ReadAt).Send()
 		return errors.Wrap(err, "list targets")
@@ -155,14 +170,18 @@
 		next[t.ID] = t
 	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.listedAt = began
+	r.behind.Store(false)
 	if r.failingSince != 0 && r.failedAt-r.failingSince >= lapseOutage {
 		// Counted from the last failure: a standby may not list again for long.
 		r.settledAt = r.failedAt + lapseHold
 	}
-	r.failingSince = 0
-	r.accept(next, began, now, now < r.settledAt)
+	r.failingSince, r.failures = 0, 0
+	changed := r.accept(next, began, now, now < r.settledAt)
+	r.mu.Unlock()
+	if changed {
+		r.onChange()
+	}
 	return nil
 }
 
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -30,7 +30,7 @@
 	c.Advance(time.Hour)
 	nop := zerolog.Nop()
 	s := &source{}
-	return NewRegistry(c, s, &nop), s, c
+	return NewRegistry(c, s, &nop, func() {}), s, c
 }
 
 func target(id string) Target {
@@ -91,7 +91,7 @@
 	is.NoErr(r.Refresh(context.Background()))
 	is.True(r.Catalogue().Find("t2") == nil)
 
-	cut := NewRegistry(c, &source{err: errors.New("cut off")}, r.log)
+	cut := NewRegistry(c, &source{err: errors.New("cut off")}, r.log, func() {})
 	pass := func() {
 		h := &peerpb.Heartbeat{}
 		r.Fill(h, true)
@@ -191,7 +191,8 @@
 func TestRelay(t *testing.T) {
 	is := is.New(t)
 	lister, s, c := newRegistry()
-	other := NewRegistry(c, &source{}, lister.log)
+	pushed := 0
+	other := NewRegistry(c, &source{}, lister.log, func() { pushed++ })
 	s.targets = []Target{target("t1"), target("t2")}
 	is.NoErr(lister.Refresh(context.Background()))
 	pass := func() {
@@ -209,10 +210,13 @@
 	pass()
 	is.True(other.Catalogue().Find("t1") == nil)
 	is.True(other.Catalogue().Find("t3") != nil)
+	is.Equal(pushed, 2) // a change goes on at once, and only a change
+	pass()
+	is.Equal(pushed, 2)
 	is.Equal(c.SinceBoot()-other.Catalogue().ReadAt, 100*time.Millisecond) // the age of the listing, not of the message
 
 	// A standby hears it from an instance that did not list itself.
-	standby := NewRegistry(c, &source{}, lister.log)
+	standby := NewRegistry(c, &source{}, lister.log, func() {})
 	h := &peerpb.Heartbeat{}
 	other.Fill(h, true)
 	is.True(h.Listing == nil)
--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -21,17 +21,19 @@
 	gone   bool
 }
 
-// accept takes a listing, read by this instance or passed on by another. The
-// caller holds mu.
-func (r *Registry) accept(next map[string]Target, readAt, now time.Duration, unsettled bool) {
+// accept takes a listing, read by this instance or passed on by another, and
+// tells whether the list has changed. The caller holds mu.
+func (r *Registry) accept(next map[string]Target, readAt, now time.Duration, unsettled bool) (changed bool) {
 	if readAt <= r.Catalogue().ReadAt {
-		return
+		return false
 	}
 	if !maps.Equal(next, r.raw) {
+		changed = true
 		r.note(next, now)
 		r.raw, r.digest = next, digestOf(next)
 	}
 	r.apply(next, readAt, now, unsettled)
+	return changed
 }
 
 // note records the differences to the last listing.
@@ -87,7 +89,12 @@
 	if l == nil {
 		return
 	}
-	now := r.clock.SinceBoot()
+	if r.absorb(l, r.clock.SinceBoot()) {
+		r.onChange()
+	}
+}
+
+func (r *Registry) absorb(l *peerpb.Listing, now time.Duration) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	next := r.raw
@@ -100,10 +107,11 @@
 			delete(next, id)
 		}
 		if digestOf(next) != l.Digest {
-			return
+			r.behind.Store(true)
+			return false
 		}
 	}
-	r.accept(next, now-time.Duration(l.AgeMs)*time.Millisecond, now, l.Unsettled)
+	return r.accept(next, now-time.Duration(l.AgeMs)*time.Millisecond, now, l.Unsettled)
 }
 
 func toMessage(t Target) *peerpb.ListedTarget {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -32,8 +32,8 @@
 	// the 2 s in which a drain must take effect.
 	listInterval = 500 * time.Millisecond
 	// firstListInterval is the time between two listings of a standby that has
-	// not seen any target yet.
-	firstListInterval = 3 * time.Second
+	// not seen any target yet, and the time in which it waits to hear of some.
+	firstListInterval = 4 * time.Second
 	// listers is the number of serving instances that list the targets and pass
 	// changes on; a second one covers the loss of the first.
 	listers = 2
@@ -49,6 +49,11 @@
 	// lingeringRate is the rate in requests per second from which an instance
 	// that is no longer named follows the store.
 	lingeringRate = 0.2
+	// requestReadLimit bounds what a request waits for a read of the store.
+	requestReadLimit = 200 * time.Millisecond
+	// stopWait is how long the end of the process waits for background work: a
+	// call to the store may last for 25 s.
+	stopWait = 200 * time.Millisecond
 	// followTick is the time between two looks at whether a listing is due.
 	followTick = listInterval / 2
 	// callerIdle keeps callers' idle connections. Callers reuse one for up to
@@ -107,10 +112,10 @@
 func New(o Options) *Instance {
 	i := &Instance{Options: o, clock: clock.System{}, started: time.Now(), recorder: newRecorder(o.Log)}
 	s := o.Settings
-	i.registry = discovery.NewRegistry(i.clock, o.Platform, o.Log)
+	i.registry = discovery.NewRegistry(i.clock, o.Platform, o.Log, func() { i.fleet.Push() })
 	i.follower = follow.New(i.clock, o.Platform, membership.Member{
 		Instance: s.Instance, Zone: s.AvailabilityZone, CallerAddress: s.CallerAddress,
-	}, o.Log)
+	}, o.Log, func() { i.fleet.Push() })
 	i.limiter = usage.New(i.clock, i.follower, func() int { return len(i.fleet.View().Peers) }, s.FirstStart)
 	i.balancer = placement.New(i.clock, i.registry, peers{i}, o.Log)
 	i.fleet = fleet.New(fleet.Options{
@@ -189,8 +194,23 @@
 	stop()
 	_ = i.socket.Close()
 	l.close()
-	if err := group.Wait(); err != nil && ctx.Err() == nil {
-		return err
+	return i.wait(ctx, group)
+}
+
+// wait waits for background work to end, but not for long after a shutdown.
+func (i *Instance) wait(ctx context.Context, group *errgroup.Group) error {
+	if ctx.Err() == nil {
+		return group.Wait()
+	}
+	ended := make(chan struct{})
+	go func() {
+		// The reason of the end is the shutdown.
+		_ = group.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(stopWait):
 	}
 	return nil
 }
@@ -199,8 +219,10 @@
 // the store all the time, reads it before it forwards one.
 func (i *Instance) serveCaller(ctx *fasthttp.RequestCtx) {
 	if !i.fleet.View().Called {
-		i.follower.EnsureFresh(context.Background(), standbyMaxAge)
-		i.registry.EnsureFresh(context.Background(), standbyMaxAge)
+		limited, cancel := context.WithTimeout(context.Background(), requestReadLimit)
+		i.follower.EnsureFresh(limited, standbyMaxAge)
+		i.registry.EnsureFresh(limited, standbyMaxAge)
+		cancel()
 	}
 	i.proxy.Handle(ctx)
 }
@@ -245,7 +267,7 @@
 			i.registry.EnsureFresh(ctx, listInterval)
 		case view.Called:
 			i.registry.EnsureFresh(ctx, relayMaxAge)
-		case i.registry.Catalogue().Version == 0:
+		case i.registry.Catalogue().Version == 0 && (i.registry.Behind() || time.Since(i.started) > firstListInterval):
 			i.registry.EnsureFresh(ctx, firstListInterval)
 		}
 		if view.Called || i.balancer.Rate() >= lingeringRate {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -93,8 +93,9 @@
 	leaving atomic.Bool
 	// joined is set once the roster was read, or could not be read for a while.
 	joined atomic.Bool
-	// changed has an element when View.Called has changed.
-	changed chan struct{}
+	// changed has an element when View.Called has changed, push when heartbeats
+	// should go out at once.
+	changed, push chan struct{}
 
 	mu      sync.Mutex
 	members map[string]*known
@@ -106,7 +107,7 @@
 
 // New returns a fleet that knows only this instance.
 func New(o Options) *Fleet {
-	f := &Fleet{Options: o, members: map[string]*known{}, changed: make(chan struct{}, 1)}
+	f := &Fleet{Options: o, members: map[string]*known{}, changed: make(chan struct{}, 1), push: make(chan struct{}, 1)}
 	f.view.Store(&View{Self: o.Self})
 	return f
 }
@@ -120,14 +121,30 @@
 // Recheck decides again who serves, after Ready has changed.
 func (f *Fleet) Recheck() { f.step() }
 
+// Push lets the next heartbeats go out at once, to pass on a change.
+func (f *Fleet) Push() {
+	select {
+	case f.push <- struct{}{}:
+	default:
+	}
+}
+
 // Run joins the fleet and sends heartbeats until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	go f.join(ctx)
-	for {
-		f.step()
+	for pushed := false; ; {
+		f.sendDue(pushed)
 		// A random part keeps the instances from sending in step.
-		if err := f.Clock.Sleep(ctx, tick-rand.N(tick/8)); err != nil {
-			return errors.WithStack(err)
+		timer := time.NewTimer(tick - rand.N(tick/8))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return errors.WithStack(ctx.Err())
+		case <-f.push:
+			timer.Stop()
+			pushed = true
+		case <-timer.C:
+			pushed = false
 		}
 	}
 }
@@ -249,7 +266,10 @@
 }
 
 // step decides who serves and sends the heartbeats that are due.
-func (f *Fleet) step() {
+func (f *Fleet) step() { f.sendDue(false) }
+
+// sendDue is step; with all, a serving instance sends to all that it sends to.
+func (f *Fleet) sendDue(all bool) {
 	now := f.Clock.SinceBoot()
 	f.mu.Lock()
 	f.decide(now)
@@ -261,7 +281,8 @@
 	var toServing, toOthers []string
 	for _, k := range f.members {
 		interval, wanted := f.interval(k, busy, now)
-		if !announce && (!wanted || now-k.sent < interval-tick/2) {
+		due := wanted && (now-k.sent >= interval-tick/2 || (all && busy && interval != farInterval))
+		if !announce && !due {
 			continue
 		}
 		k.sent = now
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -30,9 +30,12 @@
 	// active.
 	standbyInterval = 30 * time.Second
 	// unknownInterval is the same while no configuration is known.
-	unknownInterval = 2 * time.Second
+	unknownInterval = 4 * time.Second
 	// refreshLimit bounds a read that somebody waits for.
 	refreshLimit = 400 * time.Millisecond
+	// failedReadPause is the time after a failed read in which no request waits
+	// for another one.
+	failedReadPause = 2 * time.Second
 	// lingering is how long a follower goes on after it was last needed: callers
 	// may still know its address.
 	lingering = 10 * time.Second
@@ -59,9 +62,10 @@
 // Follower owns the applied configuration. It implements control.Viewer and
 // control.Freshness.
 type Follower struct {
-	source Source
-	clock  clock.Clock
-	log    *zerolog.Logger
+	source  Source
+	clock   clock.Clock
+	log     *zerolog.Logger
+	onApply func()
 
 	view    atomic.Pointer[control.View]
 	applied atomic.Bool
@@ -73,6 +77,9 @@
 	// confirmedAt is the time since boot at which a serving instance last said
 	// that it applies no newer version.
 	confirmedAt atomic.Int64
+	// retryAt is the time since boot before which a failed read is not repeated
+	// for a request.
+	retryAt atomic.Int64
 	// reading is set while a read runs because of a newer version elsewhere.
 	reading atomic.Bool
 
@@ -82,9 +89,10 @@
 	applying sync.Mutex
 }
 
-// New returns a follower without a configuration.
-func New(c clock.Clock, source Source, self membership.Member, log *zerolog.Logger) *Follower {
-	f := &Follower{source: source, clock: c, log: log, wake: make(chan struct{}, 1)}
+// New returns a follower without a configuration. onApply is called after each
+// configuration that is applied.
+func New(c clock.Clock, source Source, self membership.Member, log *zerolog.Logger, onApply func()) *Follower {
+	f := &Follower{source: source, clock: c, log: log, onApply: onApply, wake: make(chan struct{}, 1)}
 	f.neededAt.Store(int64(-lingering))
 	f.view.Store(&control.View{Config: config.NewSnapshot(0, config.Empty()), Membership: &membership.Membership{}, Self: self})
 	return f
@@ -122,7 +130,7 @@
 	}
 	f.refreshing.Lock()
 	defer f.refreshing.Unlock()
-	if f.age() >= maxAge {
+	if f.age() >= maxAge && f.clock.SinceBoot() >= time.Duration(f.retryAt.Load()) {
 		f.read(ctx)
 	}
 }
@@ -154,6 +162,7 @@
 	defer cancel()
 	update, err := f.source.Await(ctx, 0)
 	if err != nil {
+		f.retryAt.Store(int64(f.clock.SinceBoot() + failedReadPause))
 		event.PlatformUnavailable.Log(f.log).Err(err).Int64("config_version", f.View().Config.Version).Send()
 		return
 	}
@@ -169,7 +178,8 @@
 	var cursor int64
 	pause, available := firstPause, true
 	for {
-		if cursor != 0 && !f.active() {
+		// A standby hears of the first configuration from serving instances.
+		if !f.active() {
 			f.rest(ctx)
 			cursor = 0
 		}
@@ -227,5 +237,6 @@
 		f.view.Store(&next)
 		f.applied.Store(true)
 		event.ConfigApplied.Log(f.log).Int64("version", update.Version).Int64("previous_version", old.Config.Version).Send()
+		f.onApply()
 	}
 }
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -13,6 +13,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
 
 // script delivers updates in order and then waits.
@@ -46,7 +47,7 @@
 // play runs a follower through a script and returns the versions it applied.
 func play(t *testing.T, updates ...any) *Follower {
 	nop := zerolog.Nop()
-	f := New(clock.System{}, &script{updates: updates}, membership.Member{}, &nop)
+	f := New(clock.System{}, &script{updates: updates}, membership.Member{}, &nop, func() {})
 	f.Activate()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	t.Cleanup(cancel)
@@ -90,10 +91,34 @@
 // Guards against an instance without a configuration that takes requests.
 func TestNotFreshWithoutConfig(t *testing.T) {
 	nop := zerolog.Nop()
-	f := New(clock.System{}, &script{}, membership.Member{}, &nop)
+	f := New(clock.System{}, &script{}, membership.Member{}, &nop, func() {})
 	is.New(t).True(!f.Fresh())
 }
 
+// Guards against standbys that all read the store at their start, and against
+// one that misses a newer version.
+func TestStandbyFollowsServing(t *testing.T) {
+	is := is.New(t)
+	nop := zerolog.Nop()
+	s := &script{updates: []any{version(3), version(4)}}
+	f := New(clock.System{}, s, membership.Member{}, &nop, func() {})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+	time.Sleep(30 * time.Millisecond)
+	is.True(!f.Fresh())
+	f.Absorb("e1", &peerpb.Heartbeat{Serving: true, ConfigVersion: 3})
+	eventually(t, "version 3 is not applied", func() bool { return f.View().Config.Version == 3 })
+	f.Absorb("e1", &peerpb.Heartbeat{Serving: true, ConfigVersion: 3})
+	f.Absorb("e2", &peerpb.Heartbeat{ConfigVersion: 9})
+	f.Absorb("e1", &peerpb.Heartbeat{Serving: true, ConfigVersion: 4})
+	eventually(t, "version 4 is not applied", func() bool { return f.View().Config.Version == 4 })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.reads, 2)
+}
+
 // Guards against a standby that serves a request with a configuration that it
 // read long ago.
 func TestEnsureFreshReadsOnce(t *testing.T) {
@@ -102,7 +127,7 @@
 	c.Advance(time.Hour)
 	nop := zerolog.Nop()
 	s := &script{updates: []any{version(3), version(4)}}
-	f := New(c, s, membership.Member{}, &nop)
+	f := New(c, s, membership.Member{}, &nop, func() {})
 	f.EnsureFresh(context.Background(), time.Second)
 	f.EnsureFresh(context.Background(), time.Second)
 	is.Equal(s.reads, 1)
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -306,7 +306,6 @@
 // admitted nothing is assumed to admit nothing.
 const leastPace = 0.05
 
-
 // forgetEnded drops peers that were silent for long, unless most are silent:
 // then this instance may be the one that is cut off.
 func (l *Limiter) forgetEnded(now time.Duration) {
