--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -144,6 +144,7 @@
 	case !h.Serving || h.ConfigVersion == 0:
 	case h.ConfigVersion <= f.View().Config.Version:
 		f.confirmedAt.Store(int64(f.clock.SinceBoot()))
+	case f.clock.SinceBoot() < time.Duration(f.retryAt.Load()):
 	case !f.reading.Swap(true):
 		go func() {
 			defer f.reading.Store(false)
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -119,6 +119,31 @@
 	is.Equal(s.reads, 2)
 }
 
+// Guards against a standby that calls the store with each heartbeat while the
+// store turns it away: in inc-7d3b 17 instances did so twice a second.
+func TestStandbyWaitsAfterFailedRead(t *testing.T) {
+	is := is.New(t)
+	c := clock.NewManual(time.Unix(0, 0))
+	c.Advance(time.Hour)
+	nop := zerolog.Nop()
+	s := &script{}
+	for range 100 {
+		s.updates = append(s.updates, errors.New("turned away"))
+	}
+	f := New(c, s, membership.Member{}, &nop, func() {})
+	reads := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.reads
+	}
+	for range 20 {
+		f.Absorb("e1", &peerpb.Heartbeat{Serving: true, ConfigVersion: 3})
+		eventually(t, "the read does not end", func() bool { return !f.reading.Load() })
+		c.Advance(250 * time.Millisecond)
+	}
+	is.True(reads() <= 3) // 5 s
+}
+
 // Guards against a standby that serves a request with a configuration that it
 // read long ago.
 func TestEnsureFreshReadsOnce(t *testing.T) {
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -42,11 +42,12 @@
 	// admitted than the team had.
 	debtPace = 0.7
 	// startLevel is the part of the burst that a new process holds: the counts
-	// from before its start are not known.
-	startLevel = 0.25
+	// from before its start are not known. It is above sharedPart, so that teams
+	// within their rate are not refused after a start of all.
+	startLevel = 0.6
 	// recent is the age up to which a changed count is repeated in heartbeats,
-	// in case one is lost.
-	recent = 1200 * time.Millisecond
+	// in case one is lost: two heartbeats.
+	recent = 600 * time.Millisecond
 	// rateSmoothing weighs the newest interval in a peer's rate.
 	rateSmoothing = 0.5
 )
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -161,6 +161,15 @@
 	is.True(again.most() <= bound())
 }
 
+// Guards against teams within their rate that are refused after a start of all:
+// in inc-98e8 109 requests were.
+func TestRestartServesTeamsWithinRate(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(12, false)
+	c.run(5*time.Second, testRate/1.6, all)
+	is.Equal(c.refused, 0)
+}
+
 // Guards against a team that stays refused after the loss of many instances.
 func TestSurvivorsServeAfterLoss(t *testing.T) {
 	is := is.New(t)
