--- /dev/null
+++ b/pkg/edge/record_test.go
@@ -0,0 +1,41 @@
+package edge
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+	"github.com/arbutuslink/arbutuslink/pkg/refusal"
+)
+
+// Guards against a request's line that lacks what an engineer needs to get from
+// its id to the cause.
+func TestRecord(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := zerolog.New(&out)
+	newRecorder(&log).Record(proxy.Record{
+		Request:       proxy.Request{ID: "r-1", Team: "red", Route: "shop /pay/", Service: "s1"},
+		ConfigVersion: 7, Status: 504, Refusal: refusal.TargetTimeout.Code, Cause: &proxy.AttemptTimeoutError{},
+		Elapsed: 1200 * time.Millisecond, Queued: 3 * time.Millisecond,
+		Trail: []proxy.Trail{
+			{Target: "i-1", Result: proxy.Shed, Latency: 2 * time.Millisecond, Reason: "home"},
+			{Target: "i-2", Result: proxy.TimedOut, Latency: time.Second, Reason: "far"},
+		},
+	})
+	var line map[string]any
+	is.NoErr(json.Unmarshal(out.Bytes(), &line))
+	want := map[string]any{
+		"event": 602.0, "request_id": "r-1", "team": "red", "config_version": 7.0, "status": 504.0, "refusal": "target_timeout",
+		"elapsed_us": 1200000.0, "queued_us": 3000.0, "trail": "i-1:shed:2000:home i-2:timed_out:1000000:far", "idempotent": false,
+	}
+	for field, value := range want {
+		is.Equal(line[field], value)
+	}
+	is.True(line["cause"] != "")
+}
