--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -23,6 +23,7 @@
 	minProbeIntervalMS = 100
 	maxProbeIntervalMS = 60_000
 	maxAttemptsLimit   = 10
+	maxPriority        = 1000
 )
 
 var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
@@ -137,6 +138,7 @@
 	_, ok := c.Batches[t.Batch]
 	v.check(ok, path, ".batch", t.Batch, "the id of a batch")
 	v.check(t.RatePerSecond >= 0 && t.RatePerSecond <= maxRatePerSecond, path, ".rate_per_second", t.RatePerSecond, "0 to 1000000")
+	v.check(t.Priority == nil || (*t.Priority >= 0 && *t.Priority <= maxPriority), path, ".priority", t.Priority, "0 to 1000, or absent")
 	v.check(t.Burst >= 1 && t.Burst <= maxBurst, path, ".burst", t.Burst, "1 to 1000000")
 }
 
@@ -185,6 +187,10 @@
 	v.check(r.TimeoutMS >= 1 && r.TimeoutMS <= maxTimeoutMS, path, ".timeout_ms", r.TimeoutMS, "1 to 600000")
 	v.check(r.MaxAttempts >= 1 && r.MaxAttempts <= maxAttemptsLimit, path, ".max_attempts", r.MaxAttempts, "1 to 10")
 	v.check(r.Idempotent || r.MaxAttempts == 1, path, ".max_attempts", r.MaxAttempts, "1 on a route that is not idempotent")
+	v.check(r.Priority >= 0 && r.Priority <= maxPriority, path, ".priority", r.Priority, "0 to 1000")
+	v.check(r.ObjectiveMS >= 0 && r.ObjectiveMS <= maxTimeoutMS, path, ".objective_ms", r.ObjectiveMS, "0 to 600000")
+	v.check(r.MaxRedirects >= 0 && r.MaxRedirects < maxAttemptsLimit && (r.MaxRedirects == 0 || !r.Idempotent),
+		path, ".max_redirects", r.MaxRedirects, "0 to 9, 0 on an idempotent route")
 	v.check(!r.Deduplicate || !r.Idempotent, path, ".deduplicate", r.Deduplicate, "false on an idempotent route")
 }
 
--- a/pkg/ctl/docs_test.go
+++ b/pkg/ctl/docs_test.go
@@ -129,7 +129,8 @@
 			visit(path+".ID", v.Elem())
 		case v.Kind() == reflect.Struct && v != reflect.TypeFor[time.Time]():
 			for i := range v.NumField() {
-				visit(strings.TrimPrefix(path+"."+v.Field(i).Tag.Get("json"), "."), v.Field(i).Type)
+				name, _, _ := strings.Cut(v.Field(i).Tag.Get("json"), ",")
+				visit(strings.TrimPrefix(path+"."+name, "."), v.Field(i).Type)
 			}
 		default:
 			count++
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -13,7 +13,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
 
-// Names of metrics and tags; docs/metrics.md describes them.
+// Names of metrics and tags; docs/edge-metrics.md describes them.
 const (
 	metricRequests = "edge_requests"
 	metricAttempts = "edge_attempts"
--- a/pkg/edge/record_test.go
+++ b/pkg/edge/record_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"os"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,3 +41,15 @@
 	}
 	is.True(line["cause"] != "")
 }
+
+// Guards against metrics that the page leaves out.
+func TestMetricsPage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../docs/edge-metrics.md")
+	is.NoErr(err)
+	names := []string{metricRequests, metricAttempts, metricLatency}
+	for _, name := range names {
+		is.True(strings.Contains(string(page), "| `arbutus_"+name+"` |"))
+	}
+	is.Equal(strings.Count(string(page), "| `arbutus_"), len(names))
+}
