--- a/pkg/config/route_test.go
+++ b/pkg/config/route_test.go
@@ -10,7 +10,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/document"
 )
 
-func sample() *Config {
+func splitSample() *Config {
 	c := Empty()
 	c.Batches["b"] = Batch{Share: 1, Expires: time.Unix(4_000_000_000, 0)}
 	c.Teams["t"] = Team{Batch: "b", RatePerSecond: 1, Burst: 1}
@@ -29,7 +29,7 @@
 // route for all hosts that hides one for the request's host.
 func TestHosts(t *testing.T) {
 	is := is.New(t)
-	c := sample()
+	c := splitSample()
 	is.NoErr(c.Validate()) // the same prefix on two hosts is no overlap
 	s := NewSnapshot(1, c)
 	match, ok := s.Match("one.example", "GET", "/a/1")
@@ -43,7 +43,7 @@
 // Guards against shares that do not follow the weights.
 func TestChoose(t *testing.T) {
 	is := is.New(t)
-	route := sample().Routes["one"]
+	route := splitSample().Routes["one"]
 	counts := map[string]int{}
 	for i := range 1000 {
 		counts[route.Choose(float64(i)/1000)]++
@@ -56,7 +56,7 @@
 // against a prefix of one that is.
 func TestKeysIssuedElsewhere(t *testing.T) {
 	is := is.New(t)
-	s := NewSnapshot(1, sample())
+	s := NewSnapshot(1, splitSample())
 	_, team, ok := s.Authenticate("issued elsewhere")
 	is.True(ok)
 	is.Equal(team, "t")
@@ -81,7 +81,7 @@
 	for path, change := range cases {
 		t.Run(path, func(t *testing.T) {
 			is := is.New(t)
-			c := sample()
+			c := splitSample()
 			change(c)
 			var invalid *document.InvalidError
 			is.True(errors.As(c.Validate(), &invalid))
