Accept an instance that restarts with a lower incarnation

Cause (read in the code): incarnations are made from the time of day; after a jump back a restarted instance was ignored by all others until its old time was reached. Change: a lower incarnation counts once the known one is silent. Test: TestRestartAfterClockStep, which failed before.

--- a/pkg/edge/main.go
+++ b/pkg/edge/main.go
@@ -20,7 +20,7 @@
 Example:
   arbutus-edge --settings /etc/arbutuslink/boot.toml
 
-SIGTERM and SIGINT start a graceful shutdown, SIGHUP reads the log level again. docs/settings.md lists the settings.`
+SIGTERM and SIGINT start a graceful shutdown, SIGHUP reads the log level again. docs/edge-settings.md lists the settings.`
 
 // Builder makes the parts of an instance that depend on the platform.
 type Builder func(s *settings.Edge, log *zerolog.Logger) Options
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -246,7 +246,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	k := f.members[h.Instance]
-	if k != nil && h.Incarnation < k.Incarnation {
+	// A lower incarnation is an old datagram, unless the known one is silent: the
+	// time of day, from which incarnations are made, may have jumped back.
+	if k != nil && h.Incarnation < k.Incarnation && now-k.heard < silence {
 		return false
 	}
 	changed := k == nil || k.serving != h.Serving || k.leaving != h.Leaving || now-k.heard >= silence
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -271,6 +272,26 @@
 	}
 }
 
+// Guards against a restarted instance that the others ignore because its time
+// of day has jumped back, so that its incarnation is lower than before.
+func TestRestartAfterClockStep(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(12)
+	w.run(3 * time.Second)
+	name := w.serving("a")[0]
+	w.nodes[name].down = true
+	w.run(3 * time.Second)
+	back := w.add(name, "a", 0)
+	var joins sync.WaitGroup
+	joins.Go(func() { back.join(context.Background()) })
+	waitJoined(w, &joins)
+	w.run(3 * time.Second)
+	is.True(back.View().Serving)
+	for _, other := range w.serving("a") {
+		is.True(slices.ContainsFunc(w.nodes[other].View().Peers, func(m Member) bool { return m.Instance == name }))
+	}
+}
+
 // Guards against datagrams that stop an instance.
 func TestUnreadableDatagrams(t *testing.T) {
 	w := newWorld(3)
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -83,7 +83,8 @@
 	// reading is set while a read runs because of a newer version elsewhere.
 	reading atomic.Bool
 
-	// refreshing is held during a read by Refresh, so that callers share one.
+	// refreshing is held during a read that somebody waits for or a newer version
+	// elsewhere has caused, so that there is one at a time.
 	refreshing sync.Mutex
 	// applying is held while a configuration is compared and published.
 	applying sync.Mutex
