--- a/pkg/control/core.go
+++ b/pkg/control/core.go
@@ -51,6 +51,8 @@
 
 	view    atomic.Pointer[View]
 	serving atomic.Bool
+	// snapshot is an immutable copy of applied for readers on other goroutines.
+	snapshot atomic.Pointer[documents]
 
 	// The incarnation of self is the unique id of the process followed by the
 	// number of rejoins, so that incarnations of the same process can be
@@ -154,6 +156,8 @@
 	if c.applied.previous.Version > 0 {
 		previous = c.applied.previous
 	}
+	applied := c.applied
+	c.snapshot.Store(&applied)
 	c.view.Store(&View{
 		Head: c.applied.row, Config: c.applied.config, Membership: c.applied.membership, PreviousMembership: previous,
 		Self: c.self, Member: c.phase == phaseMember || c.phase == phaseLeaving, DeliveredAt: c.deliveredAt,
--- a/pkg/control/loop.go
+++ b/pkg/control/loop.go
@@ -110,9 +110,10 @@
 }
 
 // HandleFetch returns the head row and those documents that the requester
-// lacks. Errors: *StoppedError, *NoAnswerError, *MalformedError.
-func (l *Loop) HandleFetch(ctx context.Context, req *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
-	d, err := l.documents(ctx)
+// lacks. It does not wait for the control goroutine. Errors: *StoppedError,
+// *MalformedError.
+func (l *Loop) HandleFetch(_ context.Context, req *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+	d, err := l.documents()
 	if err != nil {
 		return nil, err
 	}
@@ -138,10 +139,14 @@
 	}
 }
 
-func (l *Loop) documents(ctx context.Context) (documents, error) {
-	var d documents
-	err := l.do(ctx, func() { d = l.core.applied })
-	return d, err
+// documents returns the documents that were last published. Errors: *StoppedError.
+func (l *Loop) documents() (documents, error) {
+	select {
+	case <-l.stopped:
+		return documents{}, errors.WithStack(&StoppedError{})
+	default:
+		return *l.core.snapshot.Load(), nil
+	}
 }
 
 // Leave removes this instance from the membership and waits until the removal
--- a/pkg/control/propose.go
+++ b/pkg/control/propose.go
@@ -28,7 +28,7 @@
 // (see OutcomeUnknown), *config.InvalidError, *StoppedError, *NoAnswerError.
 func (l *Loop) ProposeConfig(ctx context.Context, expected int64, change ChangeFunc, meta head.Metadata) (int64, error) {
 	for {
-		base, err := l.documents(ctx)
+		base, err := l.documents()
 		if err != nil {
 			return 0, err
 		}
