Answer requests that have arrived before a stop closes their connection

Cause: fasthttp's shutdown closes each connection that its goroutine counts as idle, also when the kernel has received a request on it that the goroutine has not read yet. Shown by a run in which each read is delayed by 150 ms after its data has arrived: the kept connection is reset, each time. Ruled out: new connections (fasthttp leaves them open for 5 s) and open requests (Drain waits).

Change: CallerServer ends the wait of idle connections by a read deadline, looks at what the kernel holds, and serves that. Connections without a request end without bytes, where a first request that never came got a refusal.

--- a/pkg/edge/shutdown.go
+++ b/pkg/edge/shutdown.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
 
 const (
@@ -28,7 +28,7 @@
 // shutdown takes the instance out of service without interrupting requests. The
 // instance is no longer ready and no longer listed in the directory, but it still
 // serves callers that know its address, and then waits for open requests to end.
-func (i *Instance) shutdown(callers *fasthttp.Server) {
+func (i *Instance) shutdown(callers *proxy.CallerServer) {
 	grace := i.Settings.GracePeriod()
 	event.Draining.Log(i.Log).Dur("grace", grace).Int64("open_requests", i.proxy.Open()).Send()
 	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
@@ -43,7 +43,7 @@
 	// Responses are flushed after their handlers have returned.
 	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClosing()
-	_ = callers.ShutdownWithContext(closing)
+	_ = callers.Shutdown(closing)
 	if err != nil {
 		event.StopTimedOut.Log(i.Log).Int64("open_requests", i.proxy.Open()).Send()
 		return
--- a/pkg/entry/shutdown.go
+++ b/pkg/entry/shutdown.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
 
 // lifecycle records whether the instance is shutting down.
@@ -23,7 +24,7 @@
 // answers already given, waits for open requests, and leaves the membership.
 // Responses carry Connection: close from the start: a request that arrives while
 // the instance closes an idle connection would get no response.
-func (i *Instance) shutdown(callers, operators *fasthttp.Server) {
+func (i *Instance) shutdown(callers *proxy.CallerServer, operators *fasthttp.Server) {
 	event.Draining.Log(&i.log).Send()
 	i.lifecycle.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.Timings.ShutdownTimeout())
@@ -33,7 +34,7 @@
 	_ = i.clock.Sleep(ctx, i.settings.Timings.DirectoryLifetime())
 	err := i.proxy.Drain(ctx)
 	if err == nil {
-		err = callers.ShutdownWithContext(ctx)
+		err = callers.Shutdown(ctx)
 	}
 	if err != nil {
 		event.StopTimedOut.Log(&i.log).Int64("open_requests", i.proxy.Open()).Send()
--- /dev/null
+++ b/pkg/proxy/callers_test.go
@@ -0,0 +1,104 @@
+package proxy
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// lateListener delays each read of its connections after data has arrived, as a
+// busy machine does that schedules the reader late.
+type lateListener struct{ net.Listener }
+
+const lateReadDelay = 150 * time.Millisecond
+
+func (l lateListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &lateConn{conn}, err
+}
+
+type lateConn struct{ net.Conn }
+
+func (c *lateConn) NetConn() net.Conn { return c.Conn }
+
+func (c *lateConn) Read(b []byte) (int, error) {
+	for peek(c.Conn) == nothingReceived {
+		if err := c.SetReadDeadline(time.Now().Add(time.Millisecond)); err != nil {
+			return 0, err
+		}
+		if n, err := c.Conn.Read(b[:0]); err != nil || n > 0 {
+			return n, err
+		}
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(lateReadDelay)
+	if err := c.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
+
+// Guards against a graceful stop that closes a kept connection on which a request
+// has already arrived, and cuts that request off without an answer.
+func TestShutdownAnswersRequestsThatArrived(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, respond(okText))
+	r := newTestProxy(t, Options{}, target.ln.Addr().String())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := r.proxy.NewServer(r.proxy.Handle)
+	go func() { _ = server.Serve(lateListener{ln}) }()
+	r.address = ln.Addr().String()
+	kept, fresh := r.dial(t), r.dial(t)
+	response, _ := kept.send(http.MethodGet, "/get", "", r.keyLine())
+	is.Equal(response.StatusCode, http.StatusOK)
+
+	r.proxy.StartDrain()
+	kept.start(http.MethodGet, "/get", "", r.keyLine())
+	fresh.start(http.MethodGet, "/get", "", r.keyLine())
+	time.Sleep(lateReadDelay / 3) // the requests have arrived but are not read yet
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		stopped <- server.Shutdown(ctx)
+	}()
+	for name, c := range map[string]*caller{"kept": kept, "fresh": fresh} {
+		response, err := http.ReadResponse(c.r, nil)
+		if err != nil {
+			t.Errorf("%s connection: %v", name, err)
+			continue
+		}
+		is.Equal(response.StatusCode, http.StatusOK)
+		is.True(response.Close)
+	}
+	is.NoErr(<-stopped)
+}
+
+// Guards against a stop that waits for idle connections, and against an answer on
+// a connection without a request.
+func TestShutdownClosesIdleConnections(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, respond(okText))
+	r := newTestProxy(t, Options{}, target.ln.Addr().String())
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := r.proxy.NewServer(r.proxy.Handle)
+	go func() { _ = server.Serve(ln) }()
+	r.address = ln.Addr().String()
+	kept, fresh := r.dial(t), r.dial(t)
+	_, _ = kept.send(http.MethodGet, "/get", "", r.keyLine())
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	is.NoErr(server.Shutdown(ctx))
+	is.True(time.Since(began) < time.Second)
+	for _, c := range []*caller{kept, fresh} {
+		n, err := c.r.Read(make([]byte, 1))
+		is.True(n == 0 && err != nil)
+	}
+}
--- a/pkg/proxy/fixture_test.go
+++ b/pkg/proxy/fixture_test.go
@@ -13,8 +13,6 @@
 	"testing"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
@@ -155,7 +153,7 @@
 	return r
 }
 
-func listen(t testing.TB, server *fasthttp.Server) string {
+func listen(t testing.TB, server interface{ Serve(net.Listener) error }) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/pkg/proxy/peek.go
+++ b/pkg/proxy/peek.go
@@ -20,7 +20,11 @@
 // without consuming data. It uses Control because Read fails once a read deadline
 // has passed. A connection without a file descriptor counts as nothingReceived.
 func peek(conn net.Conn) receiveState {
-	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok {
+	for {
+		wrapped, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
 		conn = wrapped.NetConn()
 	}
 	sc, ok := conn.(syscall.Conn)
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -14,11 +14,11 @@
 // drainPollInterval is the time between checks of the number of open requests.
 const drainPollInterval = 5 * time.Millisecond
 
-// NewServer returns a fasthttp server with the limits of p for handler, usually
-// p.Handle behind the router of the callers' listener. Input that cannot be
-// parsed gets a refusal as the response.
-func (p *Proxy) NewServer(handler fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{
+// NewServer returns a server with the limits of p for handler, usually p.Handle
+// behind the router of the callers' listener. Input that cannot be parsed gets a
+// refusal as the response.
+func (p *Proxy) NewServer(handler fasthttp.RequestHandler) *CallerServer {
+	return newCallerServer(&fasthttp.Server{
 		Handler:                      handler,
 		ErrorHandler:                 p.refuseUnreadable,
 		ReadBufferSize:               p.options.MaxHeaderBytes,
@@ -35,7 +35,7 @@
 		// logged, because their text may contain the input.
 		Logger:                daemon.SilentLogger{},
 		SecureErrorLogMessage: true,
-	}
+	})
 }
 
 // refuseUnreadable responds to a request that could not be read.
@@ -57,7 +57,7 @@
 // Drain starts the graceful shutdown and returns when all requests have ended, or
 // with an error when ctx ends. Requests that still arrive are served, and their
 // responses carry Connection: close. The server flushes a response after the
-// handler has returned, so call fasthttp.Server.ShutdownWithContext next, which
+// handler has returned, so call CallerServer.Shutdown next, which
 // waits for the connections.
 func (p *Proxy) Drain(ctx context.Context) error {
 	p.StartDrain()
