Keep targets in use from one request per second and target on

Ruled out: owners that are cut off from their targets (the store's entries stay, the targets are cut from those machines and do not count).

--- a/pkg/placement/floor.go
+++ b/pkg/placement/floor.go
@@ -38,7 +38,7 @@
 	// instance does not keep all of its targets in use. Each target in use costs a
 	// request when it begins to fail, two or three in a minute; with fewer requests,
 	// these alone would be most of the tenth from which the floor applies.
-	minRateInUse = 1.5
+	minRateInUse = 1.0
 	// suspectCreditPerRequest bounds the fraction of the requests that are sent to
 	// doubtful targets to keep these in use, so that the failures there stay below the
 	// tenth from which the floor applies.
