Bound the memory for bodies by one budget, and stream what is larger

A chunk extension without end was read until the deadline. The smallest instances have 184 MB and are killed above that. Ruled out: headers, interim responses, trailers and surplus bytes, which the 16 KiB reader bounds.

Change: pkg/bytebudget, a sixth of the memory (setting memory_mb).

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -69,7 +69,9 @@
 	// requests, addresses returns the addresses for a caller in a zone, and ttl is how
 	// long the caller may use them.
 	Endpoints func(ready func() bool, addresses func(zone string) []string, ttl time.Duration) fasthttp.RequestHandler
-	Log       *zerolog.Logger
+	// Memory is the memory in bytes that the process may use.
+	Memory int64
+	Log    *zerolog.Logger
 }
 
 // Instance is one instance of the fleet.
@@ -124,6 +126,7 @@
 	}, proxy.Options{
 		Dialect: o.Dialect, ConnectTimeout: connectTimeout, NonIdempotentMaxIdle: maxReuseIdle, IdleTimeout: targetIdleTimeout,
 		PollInterval: pollInterval, CallerIdleTimeout: callerIdleTimeout, MaxRequestBody: maxBodyBytes,
+		BodyBudget: settings.BodyBudget(o.Memory),
 	})
 	return i
 }
--- a/pkg/edge/main.go
+++ b/pkg/edge/main.go
@@ -5,11 +5,13 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/arbutuslink/arbutuslink/pkg/bytebudget"
 	"github.com/arbutuslink/arbutuslink/pkg/daemon"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/hangup"
@@ -45,7 +47,15 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	go reload(ctx, hangup.Received(), file, &log)
-	if err := New(build(s, &log)).Run(ctx); err != nil {
+	machine, err := bytebudget.MachineMemory()
+	if err != nil {
+		log.Error().Err(err).Msg("the machine's memory is unknown")
+		return daemon.ExitFailed
+	}
+	options := build(s, &log)
+	options.Memory = s.Memory(machine)
+	debug.SetMemoryLimit(settings.SoftMemoryLimit(options.Memory))
+	if err := New(options).Run(ctx); err != nil {
 		log.Error().Err(err).Msg("the instance failed")
 		return daemon.ExitFailed
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 
+	"github.com/arbutuslink/arbutuslink/pkg/bytebudget"
 	"github.com/arbutuslink/arbutuslink/pkg/daemon"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/metrics"
@@ -22,17 +24,19 @@
 
 // dump is the state of an instance for diagnosis by people. It contains no keys.
 type dump struct {
-	Instance      string                  `json:"instance"`
-	Started       time.Time               `json:"started"`
-	ConfigVersion int64                   `json:"config_version"`
-	Ready         bool                    `json:"ready"`
-	Leaving       bool                    `json:"leaving"`
-	OpenRequests  int64                   `json:"open_requests"`
-	Rate          float64                 `json:"requests_per_second"`
-	ListingAgeMS  int64                   `json:"listing_age_ms"`
-	Fleet         *fleet.View             `json:"fleet"`
-	Teams         map[string]float64      `json:"team_tokens"`
-	Targets       []placement.TargetState `json:"targets"`
+	Instance      string             `json:"instance"`
+	Started       time.Time          `json:"started"`
+	ConfigVersion int64              `json:"config_version"`
+	Ready         bool               `json:"ready"`
+	Leaving       bool               `json:"leaving"`
+	OpenRequests  int64              `json:"open_requests"`
+	Rate          float64            `json:"requests_per_second"`
+	ListingAgeMS  int64              `json:"listing_age_ms"`
+	Fleet         *fleet.View        `json:"fleet"`
+	Teams         map[string]float64 `json:"team_tokens"`
+	// BodyBudget is the memory for bodies.
+	BodyBudget bytebudget.State        `json:"body_budget"`
+	Targets    []placement.TargetState `json:"targets"`
 }
 
 func (i *Instance) dump() *dump {
@@ -40,7 +44,7 @@
 		Instance: i.Settings.Instance, Started: i.started, ConfigVersion: i.follower.View().Config.Version,
 		Ready: i.ready(), Leaving: i.leaving.Load(), OpenRequests: i.proxy.Open(), Rate: i.balancer.Rate(),
 		ListingAgeMS: (i.clock.SinceBoot() - i.registry.Catalogue().ReadAt).Milliseconds(),
-		Fleet:        i.fleet.View(), Teams: map[string]float64{}, Targets: i.balancer.Dump(),
+		Fleet:        i.fleet.View(), Teams: map[string]float64{}, Targets: i.balancer.Dump(), BodyBudget: i.proxy.Budget(),
 	}
 	for team := range i.follower.View().Config.Config.Teams {
 		d.Teams[team] = i.limiter.Level(team)
@@ -53,6 +57,7 @@
 	scope, scrape, closer := metrics.New(i.Settings.Instance, i.Settings.AvailabilityZone)
 	defer func() { _ = closer.Close() }()
 	i.recorder.setScope(scope)
+	go i.reportBudget(ctx, scope)
 	server := &fasthttp.Server{Logger: daemon.SilentLogger{}, NoDefaultServerHeader: true, Handler: func(c *fasthttp.RequestCtx) {
 		switch string(c.Path()) {
 		case metricsPath:
@@ -70,6 +75,27 @@
 	return errors.WithStack(server.Serve(listener))
 }
 
+// budgetReportInterval is the time between two updates of the budget's gauges.
+const budgetReportInterval = time.Second
+
+// reportBudget updates the gauges of the memory for bodies until ctx ends.
+func (i *Instance) reportBudget(ctx context.Context, scope tally.Scope) {
+	gauge := func(state string) tally.Gauge {
+		return scope.Tagged(map[string]string{tagState: state}).Gauge(metricBudget)
+	}
+	limit, used, peak, refused := gauge("limit"), gauge("used"), gauge("peak"), scope.Gauge(metricBudgetRefused)
+	for {
+		state := i.proxy.Budget()
+		limit.Update(float64(state.Limit))
+		used.Update(float64(state.Used))
+		peak.Update(float64(state.Peak))
+		refused.Update(float64(state.Refused))
+		if i.clock.Sleep(ctx, budgetReportInterval) != nil {
+			return
+		}
+	}
+}
+
 func (i *Instance) serveDump(c *fasthttp.RequestCtx) {
 	body, err := json.MarshalIndent(i.dump(), "", "  ")
 	if err != nil {
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -19,10 +19,14 @@
 	metricAttempts = "edge_attempts"
 	metricLatency  = "edge_request_seconds"
 
+	metricBudget        = "edge_body_budget_bytes"
+	metricBudgetRefused = "edge_body_budget_refused"
+
 	tagStatus  = "status"
 	tagCode    = "code"
 	tagService = "service"
 	tagResult  = "result"
+	tagState   = "state"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram.
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -43,6 +43,8 @@
 
 	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
 	AnswerIncomplete = Event{601, "answer_incomplete", zerolog.WarnLevel, "a target's answer was cut short and not passed on"}
+	CallerTooSlow    = Event{603, "caller_too_slow", zerolog.WarnLevel, "a caller left or did not read a large response in time; the exchange with the target was ended"}
+	BudgetExhausted  = Event{604, "budget_exhausted", zerolog.WarnLevel, "the memory for bodies is in use; requests with large bodies are refused and large responses are passed on without a first part in memory"}
 	RequestEnded     = Event{602, "request_ended", zerolog.InfoLevel, "a request was answered or refused; the line lists its attempts and the cause of a refusal"}
 
 	PlatformUnavailable = Event{700, "platform_unavailable", zerolog.WarnLevel, "the platform does not answer; requests are still served, but changes are delayed until it answers again"}
@@ -68,7 +70,7 @@
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
-		OutcomeUnknown, AnswerIncomplete, RequestEnded,
+		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
 	}
--- a/pkg/lab/upstreamsim/faults.go
+++ b/pkg/lab/upstreamsim/faults.go
@@ -1,6 +1,7 @@
 package upstreamsim
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -25,6 +26,7 @@
 	garbage
 	earlyResponse
 	connectionClose
+	endless
 )
 
 // pickFault returns the fault of one request; draw is a random number, uniform
@@ -33,7 +35,7 @@
 	fractions := []float64{
 		fail - 1: m.Fail, hang - 1: m.Hang, loseResponse - 1: m.LoseResponse, truncate - 1: m.Truncate, resetDuringResponse - 1: m.ResetDuringResponse,
 		trailingBytes - 1: m.TrailingBytes, duplicate - 1: m.DuplicateResponse, lateDuplicate - 1: m.LateDuplicate, noContentLength - 1: m.NoContentLength, garbage - 1: m.Garbage,
-		earlyResponse - 1: m.EarlyResponse, connectionClose - 1: m.Close,
+		earlyResponse - 1: m.EarlyResponse, connectionClose - 1: m.Close, endless - 1: m.Endless,
 	}
 	for i, fraction := range fractions {
 		if draw < fraction {
@@ -51,6 +53,9 @@
 // the connection stays open for further requests.
 func (s *Server) writeResponse(c net.Conn, id string, status int, injected fault) bool {
 	body := Body(id)
+	if s.BodyBytes > 0 {
+		body = bytes.Repeat([]byte("b"), s.BodyBytes)
+	}
 	if status != http.StatusOK {
 		body = []byte("failed")
 	}
@@ -88,6 +93,12 @@
 	case garbage:
 		_, _ = c.Write([]byte("\x00\x01 no response\r\n\r\n"))
 		return false
+	case endless:
+		s.mu.Lock()
+		form := s.faults.Form
+		s.mu.Unlock()
+		writeEndless(c, form, head, withLength(""))
+		return false
 	case connectionClose:
 		_, _ = c.Write(withLength("Connection: close\r\n"))
 		return false
@@ -96,3 +107,39 @@
 		return err == nil
 	}
 }
+
+// maxEndlessTime bounds an endless response to a caller that never closes.
+const maxEndlessTime = 10 * time.Second
+
+// writeEndless writes a response of the form until the caller closes the connection.
+// head is the header without its end, complete a whole response.
+func writeEndless(c net.Conn, form EndlessForm, head string, complete []byte) {
+	start, repeated := head, ""
+	switch form {
+	case EndlessHeaders:
+		repeated = "X-More: 0123456789\r\n"
+	case EndlessHeaderLine:
+		start, repeated = head+"X-More: ", "0123456789"
+	case EndlessInterim:
+		start, repeated = "", "HTTP/1.1 103 x\r\nX-More: 1\r\n\r\n"
+	case EndlessChunks:
+		start, repeated = head+"Transfer-Encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n"
+	case EndlessChunkExtension:
+		start, repeated = head+"Transfer-Encoding: chunked\r\n\r\n10;", "extension"
+	case EndlessChunkSize:
+		start, repeated = head+"Transfer-Encoding: chunked\r\n\r\n", "0000000000"
+	case EndlessTrailers:
+		start, repeated = head+"Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: 0123456789\r\n"
+	case EndlessBody:
+		start, repeated = head+"\r\n", "0123456789"
+	case EndlessSurplus:
+		start, repeated = string(complete), "0123456789"
+	default:
+		start, repeated = head+"Content-Length: 1000000000000\r\n\r\n", "0123456789"
+	}
+	block := bytes.Repeat([]byte(repeated), 64<<10/len(repeated))
+	_ = c.SetWriteDeadline(time.Now().Add(maxEndlessTime))
+	for _, err := c.Write([]byte(start)); err == nil; {
+		_, err = c.Write(block)
+	}
+}
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -53,8 +53,30 @@
 	EarlyResponse float64
 	// Close responds with Connection: close.
 	Close float64
+	// Endless sends bytes in the given form until the caller closes the connection.
+	Endless float64
+	Form    EndlessForm
 }
 
+// EndlessForm is what an endless response consists of.
+type EndlessForm int
+
+// Forms of endless responses.
+const (
+	EndlessHeaders EndlessForm = iota
+	EndlessHeaderLine
+	EndlessInterim
+	EndlessChunks
+	EndlessChunkExtension
+	EndlessChunkSize
+	EndlessTrailers
+	EndlessBody
+	EndlessSurplus
+	HugeContentLength
+	// EndlessFormCount is the number of forms.
+	EndlessFormCount
+)
+
 // Options configure a target.
 type Options struct {
 	// ID is the id of the target in the platform's list of targets.
@@ -63,6 +85,8 @@
 	Service, Zone string
 	// Address is IP:port; empty selects a free port of 127.0.0.1.
 	Address string
+	// BodyBytes is the size of a response's body; 0 takes that of Body.
+	BodyBytes int
 	// Slots is the number of requests that execute at once. Up to twice as many
 	// wait in a queue; further requests are answered with 503.
 	Slots int
--- a/pkg/proxy/callers.go
+++ b/pkg/proxy/callers.go
@@ -130,6 +130,9 @@
 	net.Conn
 	openedAt    time.Time
 	readTimeout time.Duration
+	// readAllowance is the number of bytes that may still arrive for a part of a body,
+	// or 0 without a bound. Only the goroutine that reads uses it.
+	readAllowance int
 
 	// mu guards the fields below. It is never held during a read.
 	mu sync.Mutex
@@ -170,7 +173,7 @@
 		}
 		c.mu.Unlock()
 		if !idle {
-			return n, err
+			return n, c.checkAllowance(n, err)
 		}
 		if arrived && ended {
 			if err := c.SetReadDeadline(time.Now().Add(c.readTimeout)); err != nil {
@@ -190,3 +193,21 @@
 		}
 	}
 }
+
+// FramingError says that a caller sent far more bytes than the body that they frame.
+type FramingError struct{}
+
+// Error describes the failure.
+func (*FramingError) Error() string { return "the body's framing is larger than the body" }
+
+// checkAllowance counts n bytes that were read with err.
+func (c *callerConn) checkAllowance(n int, err error) error {
+	if c.readAllowance == 0 || err != nil {
+		return err
+	}
+	if c.readAllowance -= n; c.readAllowance <= 0 {
+		c.readAllowance = 1
+		return errors.WithStack(&FramingError{})
+	}
+	return nil
+}
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"io"
 	"net"
 	"time"
 
@@ -119,50 +118,6 @@
 	}
 }
 
-// readBody reads the body of a response. fasthttp on its own would accept a body
-// that is delimited by the end of the connection, which may be truncated.
-func (x *exchange) readBody(response *fasthttp.Response) error {
-	h, r := &response.Header, x.conn.reader
-	status, length := response.StatusCode(), response.Header.ContentLength()
-	if x.method == fasthttp.MethodHead {
-		response.SkipBody = true
-		return nil
-	}
-	if status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
-		return nil
-	}
-	if length == contentLengthIdentity {
-		return x.readCloseDelimited(response)
-	}
-	if err := response.ReadBody(r, x.p.options.MaxResponseBody); err != nil {
-		return newExchangeError(ReadingBody, err)
-	}
-	if length == contentLengthChunked {
-		if err := h.ReadTrailer(r); err != nil {
-			return newExchangeError(ReadingBody, err)
-		}
-	}
-	return nil
-}
-
-// readCloseDelimited reads a body up to the end of the connection, if the dialect
-// permits it. An orderly close completes the body; a reset or a timeout does not.
-func (x *exchange) readCloseDelimited(response *fasthttp.Response) error {
-	if !x.p.dialect.CloseDelimitedBodies {
-		return newExchangeError(ReadingBody, &CloseDelimitedBodyError{})
-	}
-	limit := int64(x.p.options.MaxResponseBody)
-	body, err := io.ReadAll(io.LimitReader(x.conn.reader, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = fasthttp.ErrBodyTooLarge
-	}
-	if err != nil {
-		return newExchangeError(ReadingBody, err)
-	}
-	response.SetBodyRaw(body)
-	return nil
-}
-
 // Values of fasthttp's ContentLength for responses without a Content-Length header.
 const (
 	contentLengthChunked  = -1
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -135,11 +136,21 @@
 	beganAt time.Duration
 	// responseInfo is what the header of the response says.
 	responseInfo ResponseInfo
+	// rest is what is left of the body of a large response after held, the part in
+	// memory, which releaseHeld gives back. Without rest, the response is complete.
+	rest        io.Reader
+	held        []byte
+	releaseHeld func()
+	// result is reported when the response is complete. ended says that the exchange
+	// makes the connection unusable, closing that the target closes it.
+	result         Result
+	ended, closing bool
 }
 
 // run performs the exchange and reports the result to the balancer. It returns
 // the connection to the pool only if the exchange was complete and the
-// connection can be used again; otherwise it closes it.
+// connection can be used again; otherwise it closes it. A large response is not
+// complete yet; responseStream ends its exchange.
 func (x *exchange) run() error {
 	x.beganAt = x.p.Clock.SinceBoot()
 	err := x.write()
@@ -147,22 +158,32 @@
 		err = x.read()
 	}
 	response := &x.caller.Response
-	switch {
-	case err != nil:
+	if err != nil {
 		x.p.pool.discard(x.conn)
 		return x.reportFailure(err)
-	case x.respondedEarly || x.closeDelimited(response):
+	}
+	x.ended = x.respondedEarly || x.closeDelimited(response)
+	x.closing = response.Header.ConnectionClose()
+	if x.rest == nil {
+		x.releaseConn()
+	}
+	return x.handleResponse(response)
+}
+
+// releaseConn returns the connection of a complete exchange to the pool, or closes it.
+func (x *exchange) releaseConn() {
+	switch {
+	case x.ended:
 		x.p.pool.discard(x.conn)
-	case x.conn.reader.Buffered() > 0 || response.Header.ConnectionClose():
+	case x.closing || x.conn.reader.Buffered() > 0:
 		x.p.pool.retire(x.conn)
 	default:
 		x.p.pool.put(x.conn)
 	}
-	return x.handleResponse(response)
 }
 
-// handleResponse makes a complete response the caller's response, or returns the
-// reason why it must not be passed on.
+// handleResponse makes a response the caller's response, or returns the reason why it
+// must not be passed on.
 func (x *exchange) handleResponse(response *fasthttp.Response) error {
 	switch x.responseInfo.Verdict {
 	case RejectedByTarget, Misdirected:
@@ -171,21 +192,40 @@
 		x.reportResult(Broken)
 		return refusal.New(refusal.TargetFailed, &UnusableResponseError{Status: response.StatusCode()})
 	}
+	x.result = Answered
 	if response.StatusCode() >= fasthttp.StatusInternalServerError {
-		x.reportResult(ServerError)
+		x.result = ServerError
 		if x.p.dialect.RetryServerErrors && x.takeRetry(nil) {
+			x.abandonRest()
+			x.reportResult(x.result)
 			x.retryGranted = true
 			return refusal.New(refusal.TargetFailed, &UnusableResponseError{Status: response.StatusCode()})
 		}
-	} else {
-		x.reportResult(Answered)
 	}
-	x.p.dialect.cleanResponse(&response.Header)
-	response.Header.SetNoDefaultContentType(true)
-	response.Header.Set(x.p.dialect.RequestIDHeader, x.requestID)
+	if x.rest != nil {
+		x.stream(response)
+		return nil
+	}
+	x.reportResult(x.result)
+	x.p.cleanResponse(response, x.requestID)
 	return nil
 }
 
+// abandonRest ends an exchange whose response has not been read whole, if so.
+func (x *exchange) abandonRest() {
+	if x.rest != nil {
+		x.releaseHeld()
+		x.p.pool.discard(x.conn)
+	}
+}
+
+// cleanResponse makes the header of a target's response one for the caller.
+func (p *Proxy) cleanResponse(response *fasthttp.Response, requestID string) {
+	p.dialect.cleanResponse(&response.Header)
+	response.Header.SetNoDefaultContentType(true)
+	response.Header.Set(p.dialect.RequestIDHeader, requestID)
+}
+
 // handleNotRun ends an exchange whose target says that it did not run the
 // request, and returns the refusal for it. Only a dialect with ProvenNotRun
 // takes this as a proof.
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -22,6 +22,10 @@
 	reader *bufio.Reader
 	// idleSince is the time of the last return to the pool, as time since boot.
 	idleSince time.Duration
+	// check, checkInterval and readDeadline apply to reads while watch is in effect.
+	check         func() error
+	checkInterval time.Duration
+	readDeadline  time.Time
 }
 
 // closeIdle closes a connection whose last exchange was complete. Nothing is
@@ -104,10 +108,11 @@
 
 func (p *connPool) attachReader(conn *targetConn) {
 	conn.reader = p.readers.Get().(*bufio.Reader)
-	conn.reader.Reset(conn.Conn)
+	conn.reader.Reset(conn)
 }
 
 func (p *connPool) detachReader(conn *targetConn) {
+	conn.unwatch()
 	conn.reader.Reset(nil)
 	p.readers.Put(conn.reader)
 	conn.reader = nil
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
+	"github.com/arbutuslink/arbutuslink/pkg/bytebudget"
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
@@ -80,6 +81,9 @@
 	// MaxRequestBody and MaxResponseBody bound bodies in bytes; defaults 4 MiB and 32 MiB.
 	MaxRequestBody  int
 	MaxResponseBody int
+	// BodyBudget is the memory in bytes for the bodies of all requests and responses
+	// beyond 64 KiB each; default 64 MiB. A request body must fit into it.
+	BodyBudget int64
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -100,6 +104,7 @@
 	setDefault(&o.MaxHeaderBytes, 16<<10)
 	setDefault(&o.MaxRequestBody, 4<<20)
 	setDefault(&o.MaxResponseBody, 32<<20)
+	setDefault(&o.BodyBudget, 64<<20)
 	if o.Dialect == nil {
 		o.Dialect = defaultDialect()
 	}
@@ -112,6 +117,7 @@
 	options      Options
 	dialect      *Dialect
 	pool         *connPool
+	budget       *bytebudget.Budget
 	callPool     sync.Pool
 	openRequests atomic.Int64
 	draining     atomic.Bool
@@ -124,7 +130,7 @@
 		nop := zerolog.Nop()
 		ports.Log = &nop
 	}
-	p := &Proxy{Ports: ports, options: options, dialect: options.Dialect, pool: newConnPool(ports.Clock, options)}
+	p := &Proxy{Ports: ports, options: options, dialect: options.Dialect, pool: newConnPool(ports.Clock, options), budget: bytebudget.New(options.BodyBudget)}
 	p.callPool.New = func() any { return &call{buffers: &buffers{}} }
 	return p
 }
@@ -168,6 +174,13 @@
 	refusalCause error
 	// firstAttemptAt is the start of the first attempt, as time since boot; 0 before it.
 	firstAttemptAt time.Duration
+	// status is the status of the response, set when the handler ends. streaming says
+	// that a responseStream ends the call, closeCaller that the caller's connection
+	// must close.
+	status                 int
+	streaming, closeCaller bool
+	// reserved is the number of bytes of the budget that the call holds.
+	reserved int64
 	// releaseClaim deletes the request's claim; nil without a claim that can be deleted.
 	releaseClaim func(context.Context)
 	*buffers
@@ -183,6 +196,8 @@
 	// sendBuffer is the complete header of one attempt, followed by the body if
 	// that is short.
 	sendBuffer []byte
+	// body holds the caller's body if that is small.
+	body []byte
 	// attemptRecords becomes Record.Attempts.
 	attemptRecords []AttemptRecord
 }
@@ -197,12 +212,7 @@
 // Handle is the fasthttp.RequestHandler of the data path.
 func (p *Proxy) Handle(ctx *fasthttp.RequestCtx) {
 	p.openRequests.Add(1)
-	defer p.openRequests.Add(-1)
 	c := p.callPool.Get().(*call)
-	defer func() {
-		c.reset()
-		p.callPool.Put(c)
-	}()
 	c.p, c.caller = p, ctx
 	if err := c.serve(); err != nil {
 		if c.releaseClaim != nil && !c.mayHaveRun {
@@ -212,10 +222,23 @@
 		}
 		c.refuse(err)
 	}
-	if p.draining.Load() {
+	if c.closeCaller || p.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	c.status = ctx.Response.StatusCode()
+	if !c.streaming {
+		c.finish()
+	}
+}
+
+// finish ends the call after its response is complete, or can no longer become so.
+func (c *call) finish() {
 	c.record()
+	c.p.budget.Release(c.reserved)
+	p := c.p
+	c.reset()
+	p.callPool.Put(c)
+	p.openRequests.Add(-1)
 }
 
 // record passes the Record of the request to the Recorder.
@@ -224,7 +247,7 @@
 		return
 	}
 	record := Record{
-		Request: c.request, Status: c.caller.Response.StatusCode(), Refusal: c.refusalCode, Cause: c.refusalCause,
+		Request: c.request, Status: c.status, Refusal: c.refusalCode, Cause: c.refusalCause,
 		Elapsed: c.p.Clock.SinceBoot() - c.startedAt, Attempts: c.attemptRecords,
 	}
 	record.Request.ID = c.requestID
@@ -237,6 +260,9 @@
 	c.p.Recorder.Record(record)
 }
 
+// Budget returns the use of the memory for bodies.
+func (p *Proxy) Budget() bytebudget.State { return p.budget.State() }
+
 // serve runs the steps of the data path in their fixed order: admission, rate
 // limit, idempotency key, queue and forwarding. It returns nil when the
 // caller's response is complete.
@@ -254,6 +280,9 @@
 	if err := p.Limiter.Take(ctx, c.request.Team); err != nil {
 		return asRefusal(err, refusal.RateUnavailable)
 	}
+	if err := c.receiveBody(); err != nil {
+		return err
+	}
 	if err := c.claim(ctx); err != nil {
 		return err
 	}
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -23,6 +23,7 @@
 		ErrorHandler:                 p.refuseUnreadable,
 		ReadBufferSize:               p.options.MaxHeaderBytes,
 		MaxRequestBodySize:           p.options.MaxRequestBody,
+		StreamRequestBody:            true, // receiveBody reads it within the budget
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true,
 		NoDefaultContentType:         true,
--- a/pkg/settings/edge.go
+++ b/pkg/settings/edge.go
@@ -34,6 +34,9 @@
 	Cores          int     `json:"cores"`
 	// LinkMbps is the bandwidth of the machine's network link in Mbit/s.
 	LinkMbps float64 `json:"link_mbps"`
+	// MemoryMB is the memory that the process may use, in MB (10^6 bytes); 0 takes what
+	// the machine reports.
+	MemoryMB int `json:"memory_mb"`
 	// FirstStart is true when the whole fleet starts for the first time.
 	FirstStart bool `json:"first_start"`
 	// Grace is the time between the request to stop the process and its kill, as a
@@ -73,6 +76,8 @@
 	minGrace          = time.Second
 	maxDirectoryTTLMS = 60_000
 	maxCores          = 1024
+	minMemoryMB       = 64
+	maxMemoryMB       = 1 << 20
 )
 
 // Validate checks every value. The error is an *document.InvalidError.
@@ -91,6 +96,8 @@
 	v.Check(e.ProcessorShare > 0 && e.ProcessorShare <= 1, "$.processor_share", e.ProcessorShare, "more than 0, at most 1")
 	v.checkRange("$.cores", e.Cores, 1, maxCores)
 	v.Check(e.LinkMbps > 0, "$.link_mbps", e.LinkMbps, "more than 0")
+	v.Check(e.MemoryMB == 0 || (e.MemoryMB >= minMemoryMB && e.MemoryMB <= maxMemoryMB), "$.memory_mb", e.MemoryMB,
+		fmt.Sprintf("0, or %d to %d", minMemoryMB, maxMemoryMB))
 	grace, err := time.ParseDuration(e.Grace)
 	v.Check(err == nil && grace >= minGrace, "$.grace", e.Grace, fmt.Sprintf("a duration of at least %s", minGrace))
 	v.checkRange("$.directory_ttl_ms", e.DirectoryTTLMS, 100, maxDirectoryTTLMS)
@@ -113,6 +120,30 @@
 // DirectoryTTL is DirectoryTTLMS as a duration.
 func (e *Edge) DirectoryTTL() time.Duration { return milliseconds(e.DirectoryTTLMS) }
 
+const (
+	// bodyBudgetDivisor times the budget for bodies is the memory of the process: the
+	// garbage collector may hold as much again, and a process at rest takes 20 MB.
+	bodyBudgetDivisor = 6
+	// softLimitPercent is the part of the memory from which the garbage collector works
+	// as hard as it can.
+	softLimitPercent = 40
+)
+
+// Memory returns the memory in bytes that the process may use, given the machine's.
+func (e *Edge) Memory(machine int64) int64 {
+	if e.MemoryMB > 0 {
+		return int64(e.MemoryMB) * 1e6
+	}
+	return machine
+}
+
+// BodyBudget returns the bytes that bodies of requests and responses may take of the
+// memory.
+func BodyBudget(memory int64) int64 { return memory / bodyBudgetDivisor }
+
+// SoftMemoryLimit returns the limit in bytes for the garbage collector.
+func SoftMemoryLimit(memory int64) int64 { return memory / 100 * softLimitPercent }
+
 const (
 	// requestProcessorTime is the planned processor time of an instance for one
 	// request, including its fraction of the heartbeats. On the enlarged
--- a/pkg/settings/edge_test.go
+++ b/pkg/settings/edge_test.go
@@ -17,7 +17,7 @@
 
 const edgeJSON = `{"instance":"e-1","availability_zone":"a","caller_address":"10.0.0.1:1","ready_address":"10.0.0.1:2",
  "directory_address":"10.0.0.1:3","gossip_address":"10.0.0.1:4","metrics_address":"10.0.0.1:5","store_address":"10.0.0.9:6",
- "processor_share":0.32,"cores":2,"first_start":true,"grace":"6s"}`
+ "processor_share":0.32,"cores":2,"memory_mb":184,"first_start":true,"grace":"6s"}`
 
 func loadEdge(t *testing.T, text string) (*Edge, error) {
 	file := filepath.Join(t.TempDir(), "edge.json")
@@ -37,6 +37,9 @@
 	is.Equal(e.Capacity(), uint32(213)) // 0.32 of each of 2 cores, 1.5 ms per request, half of it planned for
 	is.Equal(e.DirectoryTTL(), time.Second)
 	is.Equal(e.LogLevel, "info")
+	is.Equal(e.Memory(8e9), int64(184e6))
+	is.Equal(BodyBudget(e.Memory(8e9)), int64(184e6)/6)
+	is.Equal(DefaultEdge().Memory(8e9), int64(8e9))
 }
 
 // Guards against a capacity that ignores a slow link: 10 Mbit/s carry 125
@@ -63,6 +66,7 @@
 		"store_address":     {`10.0.0.9:6`, `store:6`},
 		"processor_share":   {`0.32`, `0`},
 		"cores":             {`"cores":2`, `"cores":0`},
+		"memory_mb":         {`"memory_mb":184`, `"memory_mb":8`},
 		"grace":             {`"6s"`, `"soon"`},
 	}
 	for field, edit := range cases {
