Retry a slow attempt only when another target has room

Cause: an idempotent request without a response after 3.5 typical latencies was given up, and then looked for another target; with none free it ended in a refusal, while the first target was still at work. Seen with one target and 64 responses of 30 MiB: 4 requests ended after 490 ms as overloaded. Ruled out: the budget (no reservation was refused) and the caller (it read at once).

Change: the balancer is asked for the other target first, without a wait; without one, the attempt goes on and the question is repeated each poll interval. TestNoRetryWithoutAnotherTarget failed before (503) and passes; all 64 large responses of TestMemoryIsBoundedByDesign are whole.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -111,11 +111,7 @@
 			t, noneUsable := s.choose(r, tried, now)
 			if t != nil {
 				s.dequeue(w)
-				a := &attempt{balancer: b, service: s, target: t, started: now, retryDelay: s.retryDelay(), last: !r.Idempotent || len(tried) > 0, choice: choice{
-					preferred: t.preferred, sameZone: t.sameZone, load: t.load(now), failProb: t.failProb(now), listingAge: now - b.targets.Catalogue().ReadAt,
-				}}
-				t.addOpen(now)
-				return a, nil
+				return b.newAttempt(s, t, r, tried, now), nil
 			}
 			if noneUsable && len(s.ordered) == 0 {
 				s.dequeue(w)
@@ -134,6 +130,33 @@
 	}
 }
 
+// AcquireNow is Acquire without a wait; it returns nil if no target can take the request
+// now.
+func (b *Balancer) AcquireNow(r proxy.Request, tried []string) proxy.Attempt {
+	s := b.service(r.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := b.clock.SinceBoot()
+	s.update(b.targets.Catalogue(), b.peers.View(), now)
+	if s.queue.mustWait(r.Priority) {
+		return nil
+	}
+	t, _ := s.choose(r, tried, now)
+	if t == nil {
+		return nil
+	}
+	return b.newAttempt(s, t, r, tried, now)
+}
+
+// newAttempt assigns the request to the target. The caller holds the service's mutex.
+func (b *Balancer) newAttempt(s *service, t *target, r proxy.Request, tried []string, now time.Duration) *attempt {
+	a := &attempt{balancer: b, service: s, target: t, started: now, retryDelay: s.retryDelay(), last: !r.Idempotent || len(tried) > 0, choice: choice{
+		preferred: t.preferred, sameZone: t.sameZone, load: t.load(now), failProb: t.failProb(now), listingAge: now - b.targets.Catalogue().ReadAt,
+	}}
+	t.addOpen(now)
+	return a
+}
+
 // dequeue removes a waiting request and wakes the first of the queue. w is nil
 // for a request that did not wait.
 func (s *service) dequeue(w *waiter) {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -166,11 +166,16 @@
 			mayStartAttempt = x.writeCount < x.maxAttempts
 		}
 		if mayStartAttempt && !now.Before(retryAt) {
+			if x.hasTimeForRetry() && !x.acquireNext() {
+				retryAt = now.Add(x.p.options.PollInterval)
+				continue
+			}
 			mayStartAttempt = false
 			if x.hasTimeForRetry() && x.p.Balancer.TakeRetry(x.request) {
 				x.retryGranted = true
 				return newExchangeError(AwaitingResponse, &AttemptTimeoutError{})
 			}
+			x.releaseNext()
 		}
 	}
 }
--- a/pkg/proxy/fixture_test.go
+++ b/pkg/proxy/fixture_test.go
@@ -111,6 +111,15 @@
 	return &attempt{r, r.targets[len(tried)]}, nil
 }
 
+// AcquireNow implements ImmediateBalancer.
+func (r *testProxy) AcquireNow(request Request, tried []string) Attempt {
+	a, err := r.Acquire(request, tried)
+	if err != nil {
+		return nil
+	}
+	return a
+}
+
 type attempt struct {
 	r       *testProxy
 	address string
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -19,7 +19,7 @@
 // no further attempt is permitted.
 func (c *call) forward() error {
 	for connects := 0; ; {
-		attempt, err := c.p.Balancer.Acquire(c.request, c.triedTargets)
+		attempt, err := c.acquire()
 		if err != nil {
 			return asRefusal(err, refusal.NoTarget)
 		}
@@ -56,6 +56,34 @@
 	}
 }
 
+// acquire returns the target of the next attempt.
+func (c *call) acquire() (Attempt, error) {
+	if next := c.nextAttempt; next != nil {
+		c.nextAttempt = nil
+		return next, nil
+	}
+	return c.p.Balancer.Acquire(c.request, c.triedTargets)
+}
+
+// acquireNext reports whether a retry would find a target, and takes it if the balancer
+// can tell. A request is not given up at a slow target for one that does not exist.
+func (c *call) acquireNext() bool {
+	balancer, ok := c.p.Balancer.(ImmediateBalancer)
+	if !ok {
+		return true
+	}
+	c.nextAttempt = balancer.AcquireNow(c.request, c.triedTargets)
+	return c.nextAttempt != nil
+}
+
+// releaseNext gives back what acquireNext took.
+func (c *call) releaseNext() {
+	if c.nextAttempt != nil {
+		c.nextAttempt.Done(Canceled, 0, Load{})
+		c.nextAttempt = nil
+	}
+}
+
 // maxIdleForNextWrite is the longest idle time of a connection that the next write
 // may use. Only the first write of an idempotent request may reuse any pooled connection: a
 // retry must not use another connection that became unresponsive together with
--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -113,6 +113,15 @@
 	RetryDelay() time.Duration
 }
 
+// ImmediateBalancer is implemented by balancers that know whether another target can
+// take a request at once.
+type ImmediateBalancer interface {
+	Balancer
+	// AcquireNow is Acquire without a wait. It returns nil if no target that is not in
+	// tried has free capacity.
+	AcquireNow(r Request, tried []string) Attempt
+}
+
 // AttemptWithReason is implemented by attempts whose balancer can say why it
 // chose the target.
 type AttemptWithReason interface {
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -166,7 +166,9 @@
 	// triedTargets lists the targets of all attempts. writeCount counts the
 	// attempts that wrote, provenNotRunCount those of them whose target proved
 	// that it did not run the request.
-	triedTargets      []string
+	triedTargets []string
+	// nextAttempt is the target that a retry got before the previous attempt ended.
+	nextAttempt       Attempt
 	writeCount        int
 	provenNotRunCount int
 	// refusalCode and refusalCause describe the refusal that the caller got.
--- a/pkg/proxy/retry_test.go
+++ b/pkg/proxy/retry_test.go
@@ -103,3 +103,18 @@
 	is.NoErr(r.proxy.Drain(context.Background()))
 	is.Equal(r.results, []Result{Canceled, Canceled})
 }
+
+// Guards against giving an idempotent request up at a slow target when there is no
+// other target to try: the caller got a refusal, and the target's work was lost.
+func TestNoRetryWithoutAnotherTarget(t *testing.T) {
+	is := is.New(t)
+	slow := newTarget(t, func(c net.Conn, r *http.Request, n int) bool {
+		time.Sleep(350 * time.Millisecond) // a third of the route's 600 ms is the time for an attempt
+		return respond(okText)(c, r, n)
+	})
+	r := newTestProxy(t, Options{}, slow.ln.Addr().String())
+	response, body := r.dial(t).send("GET", "/get", "", r.keyLine())
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(body, "ok")
+	is.Equal(slow.requestCount.Load(), int64(1))
+}
