Read configuration and targets again after a pause, before anything is served

After SIGCONT, requests that had waited in the kernel were handled before that loop ran; a store call that timed out during the pause kept the next read away for 2 s; heartbeats that had waited in the socket counted as just sent, so that old state was confirmed as new; and a request admitted before the pause was written after it without a look at the age. Ruled out: the feed's own confirmation, which counts from the start of the call.

Change: clock.PauseDetector, observed at each request, datagram and step of the fleet. After a gap of 600 ms, one read of the configuration and of the targets that began afterwards has to end before a request is admitted, and before an admitted one is written; with a failure, the rule for outages holds. Calls that span a pause do not start a back-off, and datagrams of the first 200 ms are dropped.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -37,6 +37,8 @@
 	maxRetryInterval     = 2 * time.Second
 	// listingTimeout bounds one listing call to the source.
 	listingTimeout = 900 * time.Millisecond
+	// maxTimeoutDelay is how late a timeout may be noticed by a process that runs.
+	maxTimeoutDelay = 300 * time.Millisecond
 )
 
 // Target is one target (upstream server) as its platform lists it.
@@ -107,6 +109,8 @@
 	// retryAt is the time since boot before which EnsureMaxAge does not repeat a
 	// failed listing.
 	retryAt atomic.Int64
+	// failedStart is the start, as time since boot, of the last listing that failed.
+	failedStart atomic.Int64
 	// outOfSync is set while the last listing from another instance could not be
 	// reconstructed: the changes in it did not lead to its digest.
 	outOfSync atomic.Bool
@@ -168,6 +172,15 @@
 	return r.listedAt
 }
 
+// CheckedAt returns the latest time since boot for which the targets are known, or it is
+// known that the store could not tell.
+func (r *Registry) CheckedAt() time.Duration {
+	return max(r.Catalogue().ReadAt, time.Duration(r.failedStart.Load()))
+}
+
+// RetryNow ends the wait after a failed listing.
+func (r *Registry) RetryNow() { r.retryAt.Store(0) }
+
 // OutOfSync reports whether another instance has passed on a listing that this one
 // could not reconstruct from the changes it received, so that it needs a listing
 // of its own unless a complete copy or a later heartbeat succeeds.
@@ -189,6 +202,20 @@
 	}
 }
 
+// EnsureCheckedSince lists the targets unless CheckedAt is at or after the given time
+// since boot.
+func (r *Registry) EnsureCheckedSince(ctx context.Context, at time.Duration) {
+	if r.CheckedAt() >= at {
+		return
+	}
+	r.refreshMu.Lock()
+	defer r.refreshMu.Unlock()
+	if r.CheckedAt() < at {
+		// list logs the failure and records it.
+		_ = r.list(ctx)
+	}
+}
+
 // Refresh lists the targets and updates the catalogue.
 func (r *Registry) Refresh(ctx context.Context) error {
 	r.refreshMu.Lock()
@@ -209,7 +236,12 @@
 			r.failingSince = startedAt
 		}
 		r.lastFailureAt = now
-		r.retryAt.Store(int64(now + min(initialRetryInterval<<min(r.consecutiveFailures, 3), maxRetryInterval)))
+		// A listing that took far longer than its timeout spans a pause of the process
+		// and says nothing about the source.
+		if now-startedAt < listingTimeout+maxTimeoutDelay {
+			r.retryAt.Store(int64(now + min(initialRetryInterval<<min(r.consecutiveFailures, 3), maxRetryInterval)))
+			r.failedStart.Store(int64(startedAt))
+		}
 		r.consecutiveFailures++
 		r.mu.Unlock()
 		event.ListingFailed.Log(r.log).Err(err).Dur("age", now-r.Catalogue().ReadAt).Send()
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -84,6 +84,7 @@
 	startedAt time.Duration
 	follower  *follow.Follower
 	registry  *discovery.Registry
+	freshness *freshness
 	fleet     *fleet.Fleet
 	limiter   *usage.Limiter
 	balancer  *placement.Balancer
@@ -109,6 +110,7 @@
 	i.follower = follow.New(i.clock, o.Platform, i.stateFetcher, fleet.NewCopySources(i.copyDelay), membership.Member{
 		Instance: s.Instance, Zone: s.AvailabilityZone, CallerAddress: s.CallerAddress,
 	}, o.Log, func(own bool) { i.fleet.Push(own) })
+	i.freshness = &freshness{pauses: clock.NewPauseDetector(i.clock, pauseThreshold), follower: i.follower, registry: i.registry, instance: i}
 	i.limiter = usage.New(i.clock, i.follower, func() int { return len(i.fleet.View().Peers) }, s.FirstStart)
 	i.balancer = placement.New(i.clock, i.registry, fleetViewer{i}, o.Log)
 	i.fleet = fleet.New(fleet.Options{
@@ -118,10 +120,10 @@
 			DiagnosticsAddress: s.MetricsAddress,
 		},
 		Clock: i.clock, Roster: o.Platform, Transport: i, StateExchangers: []fleet.StateExchanger{i.limiter, i.balancer, i.registry, i.follower},
-		FirstStart: s.FirstStart, Rate: i.balancer.Rate, Ready: i.ready, Log: o.Log,
+		FirstStart: s.FirstStart, Rate: i.balancer.Rate, Ready: i.ready, OnStep: func() { i.freshness.observe() }, Log: o.Log,
 	})
 	i.proxy = proxy.New(proxy.Ports{
-		Viewer: i.follower, ServeChecker: i.follower, Clock: i.clock, Limiter: i.limiter, Queue: noQueue{},
+		Viewer: i.follower, ServeChecker: i.freshness, Clock: i.clock, Limiter: i.limiter, Queue: noQueue{},
 		Balancer: i.balancer, Recorder: i.recorder, Log: o.Log,
 	}, proxy.Options{
 		Dialect: o.Dialect, ConnectTimeout: connectTimeout, NonIdempotentMaxIdle: maxReuseIdle, IdleTimeout: targetIdleTimeout,
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,12 +39,12 @@
 )
 
 // serveCaller handles one request of a caller. A standby, which does not follow the
-// store all the time, refreshes its configuration and listing first.
+// store all the time, refreshes its configuration and listing first, and so does every
+// instance after a pause.
 func (i *Instance) serveCaller(ctx *fasthttp.RequestCtx) {
-	if !i.fleet.View().Called {
+	if !i.freshness.observe() || !i.fleet.View().Called {
 		limited, cancel := context.WithTimeout(context.Background(), requestReadTimeout)
-		i.follower.EnsureMaxAge(limited, standbyMaxAge)
-		i.registry.EnsureMaxAge(limited, standbyMaxAge)
+		i.freshness.refresh(limited, standbyMaxAge)
 		cancel()
 	}
 	i.proxy.Handle(ctx)
@@ -75,10 +74,7 @@
 func (i *Instance) prepare(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
-	var reads sync.WaitGroup
-	reads.Go(func() { i.follower.EnsureMaxAge(ctx, standbyMaxAge) })
-	reads.Go(func() { i.registry.EnsureMaxAge(ctx, standbyMaxAge) })
-	reads.Wait()
+	i.freshness.refresh(ctx, standbyMaxAge)
 }
 
 // followStore keeps the configuration and the listing recent while this instance is
@@ -89,6 +85,9 @@
 func (i *Instance) followStore(ctx context.Context) error {
 	for {
 		view := i.fleet.View()
+		if !i.freshness.observe() && view.Called {
+			i.freshness.refresh(ctx, relayMaxAge)
+		}
 		switch {
 		case view.Called && i.isLister(view):
 			i.registry.EnsureMaxAge(ctx, listInterval)
--- a/pkg/edge/listen.go
+++ b/pkg/edge/listen.go
@@ -93,6 +93,8 @@
 			event.DatagramRejected.Log(i.Log).Err(err).Send()
 			continue
 		}
-		i.fleet.Receive(buffer[:n])
+		if !i.freshness.datagramsMayBeStale() {
+			i.fleet.Receive(buffer[:n])
+		}
 	}
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -91,7 +91,10 @@
 	// Ready reports whether this instance, when it should serve, is prepared to do
 	// so.
 	Ready func() bool
-	Log   *zerolog.Logger
+	// OnStep, if not nil, is called at each step, which follow each other within
+	// checkInterval while the process runs.
+	OnStep func()
+	Log    *zerolog.Logger
 }
 
 // Fleet tracks the other instances by their heartbeats and decides whether this
--- a/pkg/fleet/send.go
+++ b/pkg/fleet/send.go
@@ -46,6 +46,9 @@
 
 // stepWithPush is step that also sends heartbeats early to the members in scope.
 func (f *Fleet) stepWithPush(scope pushScope) {
+	if f.OnStep != nil {
+		f.OnStep()
+	}
 	now := f.Clock.SinceBoot()
 	f.mu.Lock()
 	f.updateView(now)
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -41,6 +41,8 @@
 	// failedReadBackoff is the time after a failed read of this kind before the next
 	// one, so that no request waits for another failure.
 	failedReadBackoff = 2 * time.Second
+	// maxTimeoutDelay is how late a timeout may be noticed by a process that runs.
+	maxTimeoutDelay = 300 * time.Millisecond
 	// activationTTL is how long a follower stays active after the last call of
 	// Activate: callers may still know the instance's address.
 	activationTTL = 5 * time.Second
@@ -95,6 +97,9 @@
 	// repeat a failed read.
 	retryAt atomic.Int64
 
+	// failedAt is the start, as time since boot, of the last read that failed.
+	failedAt atomic.Int64
+
 	// readMu is held by EnsureMaxAge during a read and by copyConfig, so that there is
 	// one read or copy at a time.
 	readMu sync.Mutex
@@ -172,6 +177,19 @@
 	}
 }
 
+// EnsureCheckedSince reads the configuration unless CheckedAt is at or after the given
+// time since boot.
+func (f *Follower) EnsureCheckedSince(ctx context.Context, at time.Duration) {
+	if f.CheckedAt() >= at {
+		return
+	}
+	f.readMu.Lock()
+	defer f.readMu.Unlock()
+	if f.CheckedAt() < at {
+		f.readConfig(ctx)
+	}
+}
+
 // readConfig reads the newest configuration from the source and applies it. The
 // caller holds readMu.
 func (f *Follower) readConfig(ctx context.Context) {
@@ -180,7 +198,12 @@
 	startedAt := f.clock.SinceBoot()
 	update, err := f.source.Await(ctx, 0)
 	if err != nil {
-		f.retryAt.Store(int64(f.clock.SinceBoot() + failedReadBackoff))
+		// A read that took far longer than its timeout spans a pause of the process and
+		// says nothing about the source.
+		if now := f.clock.SinceBoot(); now-startedAt < readTimeout+maxTimeoutDelay {
+			f.retryAt.Store(int64(now + failedReadBackoff))
+			f.failedAt.Store(int64(startedAt))
+		}
 		event.PlatformUnavailable.Log(f.log).Err(err).Int64("config_version", f.View().Config.Version).Send()
 		return
 	}
@@ -188,6 +211,15 @@
 	f.apply(update, fromStore)
 }
 
+// CheckedAt returns the latest time since boot for which it is known whether there was
+// a newer version, or that the source could not tell.
+func (f *Follower) CheckedAt() time.Duration {
+	return time.Duration(max(f.confirmedAt.Load(), f.failedAt.Load()))
+}
+
+// RetryNow ends the wait after a failed read.
+func (f *Follower) RetryNow() { f.retryAt.Store(0) }
+
 // configAge returns the time since the applied version was last confirmed to be the
 // newest.
 func (f *Follower) configAge() time.Duration {
