Contain panics to one message, and outlive a lack of file descriptors

Change: event.Contain around each request and datagram, the same in the drpc handler; a contained request gets 502 and its attempt is given back; event 104 has the stack. daemon.TolerantListener retries Accept after errors that pass, in both programs. TestPanicIsContained, TestPanicEndsOneDatagram and TestPanicEndsOneCall ended the test process before; TestAcceptOutlivesTemporaryErrors failed with the error.

--- a/pkg/edge/listen.go
+++ b/pkg/edge/listen.go
@@ -37,7 +37,7 @@
 			l.close()
 			return nil, errors.WithStack(&daemon.ListenError{Address: o.address, Cause: err})
 		}
-		*o.into = listener
+		*o.into = daemon.TolerantListener{Listener: listener}
 	}
 	address, err := netip.ParseAddrPort(s.GossipAddress)
 	if err == nil {
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -6,10 +6,11 @@
 // agreement and membership, 3xx configuration, 4xx rate limits, 5xx health of
 // targets, 6xx data path, 7xx platform, 8xx operators.
 var (
-	Started      = Event{100, "started", zerolog.InfoLevel, "the instance accepts callers"}
-	Draining     = Event{101, "draining", zerolog.InfoLevel, "a graceful shutdown has begun"}
-	Stopped      = Event{102, "stopped", zerolog.InfoLevel, "the instance has stopped and cut no request"}
-	StopTimedOut = Event{103, "stop_timed_out", zerolog.ErrorLevel, "requests were still open when the shutdown limit passed; raise shutdown_timeout_ms"}
+	Started        = Event{100, "started", zerolog.InfoLevel, "the instance accepts callers"}
+	Draining       = Event{101, "draining", zerolog.InfoLevel, "a graceful shutdown has begun"}
+	Stopped        = Event{102, "stopped", zerolog.InfoLevel, "the instance has stopped and cut no request"}
+	StopTimedOut   = Event{103, "stop_timed_out", zerolog.ErrorLevel, "requests were still open when the shutdown limit passed; raise shutdown_timeout_ms"}
+	PanicContained = Event{104, "panic_contained", zerolog.ErrorLevel, "the handling of one message failed in an unforeseen way; the process goes on; report the stack"}
 
 	Joined           = Event{200, "joined", zerolog.InfoLevel, "the instance is a member"}
 	MemberRemoved    = Event{201, "member_removed", zerolog.WarnLevel, "an unresponsive member was removed; check whether its process should run"}
@@ -65,7 +66,7 @@
 // All returns all events in ascending order of their IDs.
 func All() []Event {
 	return []Event{
-		Started, Draining, Stopped, StopTimedOut,
+		Started, Draining, Stopped, StopTimedOut, PanicContained,
 		Joined, MemberRemoved, FenceLost, FenceRegained, GuestStarted, MajorityReplaced, LeftMembership, RemovedSelf,
 		ServingChanged, JoinFailed, DatagramRejected,
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed,
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -253,6 +253,7 @@
 
 // Receive handles one datagram. Datagrams that cannot be decoded are dropped.
 func (f *Fleet) Receive(data []byte) {
+	defer event.Contain(f.Log, "datagram", nil)
 	h := &peerpb.Heartbeat{}
 	if err := proto.Unmarshal(data, h); err != nil {
 		event.DatagramRejected.Log(f.Log).Err(err).Int("bytes", len(data)).Send()
--- a/pkg/fleet/send_test.go
+++ b/pkg/fleet/send_test.go
@@ -74,3 +74,20 @@
 	peers, standbys = count(alsoPeers)
 	is.Equal([]int{peers, standbys}, []int{2*minServing - 1, 12 - minServing})
 }
+
+type panicking struct{ marker }
+
+func (panicking) Merge(string, *peerpb.Heartbeat) { panic("unforeseen") }
+
+// Guards against one datagram whose handling panics ending the process.
+func TestPanicEndsOneDatagram(t *testing.T) {
+	is := is.New(t)
+	tf := newTestFleet(2)
+	for _, n := range tf.instances {
+		n.StateExchangers = []StateExchanger{panicking{}}
+	}
+	tf.run(3 * time.Second)
+	for _, n := range tf.instances {
+		is.Equal(len(n.View().Peers), 2) // membership is recorded before the state
+	}
+}
--- a/pkg/lab/soak/faults.go
+++ b/pkg/lab/soak/faults.go
@@ -217,6 +217,8 @@
 		{"loses responses", upstreamsim.Faults{LoseResponse: 0.3}, 1},
 		{"truncates", upstreamsim.Faults{Truncate: 0.3, ResetDuringResponse: 0.3}, 1},
 		{"sends surplus bytes", upstreamsim.Faults{TrailingBytes: 0.3, DuplicateResponse: 0.2, LateDuplicate: 0.3}, 1},
+		{"sends headers without end", upstreamsim.Faults{Endless: 0.3, Form: upstreamsim.EndlessHeaders}, 1},
+		{"sends a chunk extension without end", upstreamsim.Faults{Endless: 0.3, Form: upstreamsim.EndlessChunkExtension}, 1},
 		{"responds without a length", upstreamsim.Faults{NoContentLength: 0.5, Close: 0.3}, 1},
 		{"responds with garbage or early", upstreamsim.Faults{Garbage: 0.2, EarlyResponse: 0.3}, 1},
 	}
--- a/pkg/peer/drpcpeer/drpcpeer_test.go
+++ b/pkg/peer/drpcpeer/drpcpeer_test.go
@@ -237,3 +237,21 @@
 	cancel()
 	is.NoErr(<-done)
 }
+
+// Guards against one call whose handler panics ending the process.
+func TestPanicEndsOneCall(t *testing.T) {
+	is := is.New(t)
+	address, client := start(t, peer.Handlers{
+		OnExchange: func(_ context.Context, req *peerpb.ExchangeRequest) (*peerpb.ExchangeReply, error) {
+			if req.Nonce == 0 {
+				panic("unforeseen")
+			}
+			return echo(context.Background(), req)
+		},
+	})
+	_, err := client.Exchange(t.Context(), address, &peerpb.ExchangeRequest{})
+	is.True(err != nil)
+	reply, err := client.Exchange(t.Context(), address, &peerpb.ExchangeRequest{Nonce: 7})
+	is.NoErr(err)
+	is.Equal(reply.Nonce, uint64(7))
+}
--- a/pkg/peer/drpcpeer/server.go
+++ b/pkg/peer/drpcpeer/server.go
@@ -5,9 +5,9 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
+	"github.com/arbutuslink/arbutuslink/pkg/daemon"
 	"github.com/arbutuslink/arbutuslink/pkg/peer"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 	"github.com/cockroachdb/errors"
@@ -59,8 +59,9 @@
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
+	accepting := daemon.TolerantListener{Listener: listener}
 	for {
-		raw, err := listener.Accept()
+		raw, err := accepting.Accept()
 		switch {
 		case err == nil:
 			connections.Go(func() {
@@ -70,20 +71,8 @@
 			})
 		case ctx.Err() != nil:
 			return nil
-		case !temporary(err):
-			return errors.WithStack(&ServeError{Cause: err})
 		default:
-			// For example, the process has no file descriptors left.
-			time.Sleep(acceptRetryDelay)
+			return errors.WithStack(&ServeError{Cause: err})
 		}
 	}
 }
-
-// acceptRetryDelay is the delay before the next Accept after a temporary error.
-const acceptRetryDelay = 100 * time.Millisecond
-
-// temporary reports whether an error of Accept can pass by itself.
-func temporary(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
-		errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ECONNABORTED)
-}
--- a/pkg/peer/drpcpeer/traffic.go
+++ b/pkg/peer/drpcpeer/traffic.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"storj.io/drpc"
 )
 
@@ -128,8 +131,23 @@
 	"/arbutuslink.peer.Peer/Reserve":  reserve,
 }
 
-// HandleRPC serves one call and counts its bytes.
-func (h *countingHandler) HandleRPC(stream drpc.Stream, rpc string) error {
+// PanicError reports that the handling of a call failed in an unforeseen way.
+type PanicError struct {
+	Cause any
+	Stack []byte
+}
+
+// Error names the cause and the place.
+func (e *PanicError) Error() string { return fmt.Sprintf("panic: %v\n%s", e.Cause, e.Stack) }
+
+// HandleRPC serves one call and counts its bytes. A panic ends the call only; the other
+// instance gets it as the error.
+func (h *countingHandler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = errors.WithStack(&PanicError{Cause: cause, Stack: debug.Stack()})
+		}
+	}()
 	k, known := kindOfRPC[rpc]
 	conn, ok := stream.Context().Value(connKey{}).(*countedConn)
 	if !known || !ok {
@@ -144,7 +162,7 @@
 		}
 		defer release()
 	}
-	err := h.Handler.HandleRPC(&countingStream{stream, conn, count}, rpc)
+	err = h.Handler.HandleRPC(&countingStream{stream, conn, count}, rpc)
 	conn.assignSent(count)
 	return err
 }
--- a/pkg/proxy/callers.go
+++ b/pkg/proxy/callers.go
@@ -9,6 +9,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/arbutuslink/arbutuslink/pkg/daemon"
 )
 
 const (
@@ -40,7 +42,7 @@
 
 // Serve accepts callers on ln until the server shuts down. It is called once.
 func (s *CallerServer) Serve(ln net.Listener) error {
-	tracked := &callerListener{Listener: ln, server: s}
+	tracked := &callerListener{Listener: daemon.TolerantListener{Listener: ln}, server: s}
 	s.mu.Lock()
 	s.listener = tracked
 	s.mu.Unlock()
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -23,6 +23,7 @@
 		if err != nil {
 			return asRefusal(err, refusal.NoTarget)
 		}
+		c.current = attempt
 		c.triedTargets = append(c.triedTargets, attempt.Target())
 		if c.firstAttemptAt == 0 {
 			c.firstAttemptAt = c.p.Clock.SinceBoot()
--- a/pkg/proxy/forward_test.go
+++ b/pkg/proxy/forward_test.go
@@ -302,3 +302,19 @@
 	is.True(<-done)
 	is.Equal(len(r.proxy.pool.idle), 0)
 }
+
+// Guards against one request whose handling panics ending the process, or leaving an
+// open request behind that delays a stop.
+func TestPanicIsContained(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, respond(okText))
+	r := newTestProxy(t, Options{}, target.ln.Addr().String())
+	r.take = func() error { panic("unforeseen") }
+	response, _ := r.dial(t).send("POST", "/put", "", r.keyLine())
+	is.Equal(response.StatusCode, http.StatusBadGateway)
+	is.True(response.Close)
+	r.take = func() error { return nil }
+	response, _ = r.dial(t).send("POST", "/put", "", r.keyLine())
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(r.proxy.Open(), int64(0))
+}
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/bytebudget"
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
@@ -167,6 +168,8 @@
 	// attempts that wrote, provenNotRunCount those of them whose target proved
 	// that it did not run the request.
 	triedTargets []string
+	// current is the attempt in progress.
+	current Attempt
 	// nextAttempt is the target that a retry got before the previous attempt ended.
 	nextAttempt       Attempt
 	writeCount        int
@@ -216,6 +219,7 @@
 	p.openRequests.Add(1)
 	c := p.callPool.Get().(*call)
 	c.p, c.caller = p, ctx
+	defer event.Contain(p.Log, "request", c.fail)
 	if err := c.serve(); err != nil {
 		if c.releaseClaim != nil && !c.mayHaveRun {
 			// The claim is deleted before the response is sent, so that a caller
@@ -233,6 +237,23 @@
 	}
 }
 
+// fail ends a call whose handling panicked. Its state may be in use still, so that it
+// is not kept for later calls.
+func (c *call) fail() {
+	if c.p == nil {
+		// The response was complete, and finish has ended the call.
+		return
+	}
+	c.mayHaveRun = c.mayHaveRun || c.writeCount > 0
+	if c.current != nil {
+		c.current.Done(Canceled, 0, Load{})
+	}
+	c.refuse(refusal.New(refusal.TargetFailed, nil))
+	c.caller.SetConnectionClose()
+	c.p.budget.Release(c.reserved)
+	c.p.openRequests.Add(-1)
+}
+
 // finish ends the call after its response is complete, or can no longer become so.
 func (c *call) finish() {
 	c.record()
--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -6,3 +6,4 @@
 for target in FuzzTargetResponse FuzzCallerRequest FuzzKeyNeverReachesTarget; do
   go test -run '^$' -fuzz "^$target\$" -fuzztime "${1:-10s}" ./pkg/proxy
 done
+go test -run "^$" -fuzz "^FuzzDatagram\$" -fuzztime "${1:-10s}" ./pkg/edge
