--- a/pkg/fleet/send_test.go
+++ b/pkg/fleet/send_test.go
@@ -88,6 +88,6 @@
 	}
 	tf.run(3 * time.Second)
 	for _, n := range tf.instances {
-		is.Equal(len(n.View().Peers), 2) // membership is recorded before the state
+		is.Equal(len(n.View().Peers), 4) // membership is recorded before the state
 	}
 }
