Give held response bodies their own reference to the budget

Ruled out: the memory limit and the stream of larger bodies (no other stack in the log).

Change: the closure holds the budget; the ends of streams are contained like requests, since fasthttp runs them outside of the handler.

--- a/pkg/proxy/response_body.go
+++ b/pkg/proxy/response_body.go
@@ -65,14 +65,16 @@
 	if length >= 0 {
 		size = min(length, maxBufferedBody)
 	}
+	// The body outlives the call, which is reused after it.
+	budget := x.p.budget
 	if x.p.reserve(size) {
 		held := append(make([]byte, 0, size), first...)
 		held, ended, err := readUpTo(body, held, size)
 		if err != nil {
-			x.p.budget.Release(int64(size))
+			budget.Release(int64(size))
 			return newExchangeError(ReadingBody, err)
 		}
-		release := func() { x.p.budget.Release(int64(size)) }
+		release := func() { budget.Release(int64(size)) }
 		if ended {
 			x.conn.unwatch()
 			response.SetBodyStream(&heldBody{Reader: bytes.NewReader(held), release: release}, len(held))
--- a/pkg/proxy/response_stream.go
+++ b/pkg/proxy/response_stream.go
@@ -56,6 +56,8 @@
 	}
 	s.closed = true
 	x := s.x
+	// fasthttp calls this outside of the handler, whose panics are contained.
+	defer event.Contain(x.p.Log, "end of a response", nil)
 	x.releaseHeld()
 	complete := errors.Is(s.err, io.EOF) || s.lengthReached()
 	switch {
