Tests for three guards that nothing noticed

scripts/guards found that nothing noticed the removal of: the look at what the kernel holds when a stop ends an idle connection (the test's listener set the deadline itself), the idempotency check of a repeat, and the bound of a non-idempotent request's further targets.

--- a/pkg/proxy/callers_test.go
+++ b/pkg/proxy/callers_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,26 +20,41 @@
 
 func (l lateListener) Accept() (net.Conn, error) {
 	conn, err := l.Listener.Accept()
-	return &lateConn{conn}, err
+	return &lateConn{Conn: conn}, err
 }
 
-type lateConn struct{ net.Conn }
+// lateConn reads like a connection whose reader is scheduled late: a deadline that
+// passes meanwhile ends the read although data has arrived.
+type lateConn struct {
+	net.Conn
+	mu       sync.Mutex
+	deadline time.Time
+}
 
 func (c *lateConn) NetConn() net.Conn { return c.Conn }
 
+func (c *lateConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return nil
+}
+
+func (c *lateConn) expired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.deadline.IsZero() && time.Now().After(c.deadline)
+}
+
 func (c *lateConn) Read(b []byte) (int, error) {
-	for peek(c.Conn) == nothingReceived {
-		if err := c.SetReadDeadline(time.Now().Add(time.Millisecond)); err != nil {
-			return 0, err
-		}
-		if n, err := c.Conn.Read(b[:0]); err != nil || n > 0 {
-			return n, err
-		}
+	for peek(c.Conn) == nothingReceived && !c.expired() {
 		time.Sleep(time.Millisecond)
 	}
-	time.Sleep(lateReadDelay)
-	if err := c.SetReadDeadline(time.Now().Add(time.Second)); err != nil {
-		return 0, err
+	if !c.expired() {
+		time.Sleep(lateReadDelay)
+	}
+	if c.expired() {
+		return 0, os.ErrDeadlineExceeded
 	}
 	return c.Conn.Read(b)
 }
--- a/pkg/proxy/forward_test.go
+++ b/pkg/proxy/forward_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -318,3 +319,27 @@
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.Equal(r.proxy.Open(), int64(0))
 }
+
+// Guards against a repeat of a non-idempotent request after a failed attempt, whatever
+// the number of attempts that its route permits.
+func TestNonIdempotentIsNeverRepeated(t *testing.T) {
+	is := is.New(t)
+	r := newTestProxy(t, Options{})
+	for _, idempotent := range []bool{false, true} {
+		c := &call{p: r.proxy, request: Request{Idempotent: idempotent}, maxAttempts: 3, writeCount: 1, ioDeadline: time.Now().Add(time.Minute)}
+		is.Equal(c.takeRetry(nil), idempotent)
+	}
+}
+
+// Guards against a non-idempotent request that goes to more targets than its route
+// permits, each of which proves that it did not run it.
+func TestFurtherTargetsAreBounded(t *testing.T) {
+	is := is.New(t)
+	for redirects := range 3 {
+		busy := newTarget(t, respond(notRunText))
+		r := newDialectTestProxy(t, redirects, slices.Repeat([]string{busy.ln.Addr().String()}, 6)...)
+		response, _ := r.dial(t).send("POST", "/put", "", r.keyLine())
+		is.True(response.StatusCode == http.StatusServiceUnavailable)
+		is.Equal(busy.requestCount.Load(), int64(1+redirects))
+	}
+}
