--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -27,7 +27,9 @@
 func (unavailablePlatform) Targets(context.Context) ([]discovery.Target, error) {
 	return nil, context.DeadlineExceeded
 }
+
 func (unavailablePlatform) Join(context.Context, fleet.Member) error { return context.DeadlineExceeded }
+
 func (unavailablePlatform) Members(context.Context) ([]fleet.Member, error) {
 	return nil, context.DeadlineExceeded
 }
--- a/pkg/placement/floor_test.go
+++ b/pkg/placement/floor_test.go
@@ -97,3 +97,27 @@
 	}
 	is.True(failed <= 6)
 }
+
+// Guards against so many requests at failing targets that these alone are the tenth from
+// which the platform's floor applies.
+func TestRequestsAtFailingTargetsAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(16) // eight of them belong to this instance
+	failing := map[string]bool{"a0": true, "a2": true, "a4": true, "a6": true, "a8": true, "a10": true}
+	sent, failed := 0, 0
+	for n := range 800 { // 40 s, measured from 10 s on
+		f.send(t, false, func(target string) proxy.Result {
+			if n >= 200 {
+				sent++
+			}
+			if !failing[target] {
+				return proxy.Answered
+			}
+			if n >= 200 {
+				failed++
+			}
+			return proxy.ServerError
+		})
+	}
+	is.True(float64(failed) <= suspectCreditPerRequest*float64(sent)+1)
+}
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -316,6 +316,9 @@
 		now := time.Duration(i) * 10 * time.Millisecond
 		b.earn(now)
 		for b.spend(now) {
+			if spent > 1000 {
+				t.Fatal("the budget is not spent")
+			}
 			spent++
 		}
 	}
--- a/pkg/proxy/response_body_test.go
+++ b/pkg/proxy/response_body_test.go
@@ -118,7 +118,7 @@
 	is.Equal(target.requestCount.Load(), int64(1))
 
 	c := r.dial(t)
-	_, _ = fmt.Fprintf(c, "POST /put HTTP/1.1\r\nHost: h\r\n%s\r\nContent-Length: 100\r\n\r\nshort", r.keyLine())
+	_, _ = fmt.Fprintf(c, "POST /put HTTP/1.1\r\nHost: h\r\n%s\r\nContent-Length: 40000\r\n\r\n%s", r.keyLine(), strings.Repeat("b", 20_000))
 	is.NoErr(c.Conn.(*net.TCPConn).CloseWrite())
 	_, _ = http.ReadResponse(c.r, nil)
 	is.Equal(target.requestCount.Load(), int64(1))
