--- a/pkg/placement/floor.go
+++ b/pkg/placement/floor.go
@@ -41,8 +41,10 @@
 	minRateInUse = 1.0
 	// suspectCreditPerRequest bounds the fraction of the requests that are sent to
 	// doubtful targets to keep these in use, so that the failures there stay below the
-	// tenth from which the floor applies.
-	suspectCreditPerRequest = 0.1
+	// tenth from which the floor applies. While a service is degraded, it applies in any
+	// case, and degradedCreditPerRequest is enough for half of the targets.
+	suspectCreditPerRequest  = 0.1
+	degradedCreditPerRequest = 0.2
 )
 
 // outOfUse returns the preferred target that should get the next request to keep
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -314,7 +314,11 @@
 		}
 	}
 	s.arrivals.add(now)
-	s.suspectCredit = min(s.suspectCredit+suspectCreditPerRequest, 1)
+	credit := suspectCreditPerRequest
+	if s.outcomes.degraded(now) {
+		credit = degradedCreditPerRequest
+	}
+	s.suspectCredit = min(s.suspectCredit+credit, 1)
 }
 
 // observeLatency updates the target's slowness and the service's typical latency
