--- a/pkg/proxy/callers_test.go
+++ b/pkg/proxy/callers_test.go
@@ -59,17 +59,25 @@
 	return c.Conn.Read(b)
 }
 
-// Guards against a graceful stop that closes a kept connection on which a request
-// has already arrived, and cuts that request off without an answer.
-func TestShutdownAnswersRequestsThatArrived(t *testing.T) {
-	is := is.New(t)
+// newStoppableProxy starts a proxy in front of one target, whose server the test stops.
+func newStoppableProxy(t *testing.T, wrap func(net.Listener) net.Listener) (*testProxy, *CallerServer) {
 	target := newTarget(t, respond(okText))
 	r := newTestProxy(t, Options{}, target.ln.Addr().String())
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
+	if err != nil {
+		t.Fatal(err)
+	}
 	server := r.proxy.NewServer(r.proxy.Handle)
-	go func() { _ = server.Serve(lateListener{ln}) }()
+	go func() { _ = server.Serve(wrap(ln)) }()
 	r.address = ln.Addr().String()
+	return r, server
+}
+
+// Guards against a graceful stop that closes a kept connection on which a request
+// has already arrived, and cuts that request off without an answer.
+func TestShutdownAnswersRequestsThatArrived(t *testing.T) {
+	is := is.New(t)
+	r, server := newStoppableProxy(t, func(ln net.Listener) net.Listener { return lateListener{ln} })
 	kept, fresh := r.dial(t), r.dial(t)
 	response, _ := kept.send(http.MethodGet, "/get", "", r.keyLine())
 	is.Equal(response.StatusCode, http.StatusOK)
@@ -100,13 +108,7 @@
 // a connection without a request.
 func TestShutdownClosesIdleConnections(t *testing.T) {
 	is := is.New(t)
-	target := newTarget(t, respond(okText))
-	r := newTestProxy(t, Options{}, target.ln.Addr().String())
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	server := r.proxy.NewServer(r.proxy.Handle)
-	go func() { _ = server.Serve(ln) }()
-	r.address = ln.Addr().String()
+	r, server := newStoppableProxy(t, func(ln net.Listener) net.Listener { return ln })
 	kept, fresh := r.dial(t), r.dial(t)
 	_, _ = kept.send(http.MethodGet, "/get", "", r.keyLine())
 	began := time.Now()
