Bound the time of a body in chunks as a whole

Cause: the deadline for a body without a length was set anew with each part, so that a caller with one byte at a time held its connection without end. Found in the read-through. Change: it counts from the start of the body. TestSlowBodyEnds failed before. Bodies with a length were bounded.

--- a/pkg/proxy/request_body.go
+++ b/pkg/proxy/request_body.go
@@ -57,7 +57,8 @@
 	if length > limit {
 		return c.abandonBody(refusal.New(refusal.RequestTooLarge, fasthttp.ErrBodyTooLarge))
 	}
-	if err := c.caller.Conn().SetReadDeadline(time.Now().Add(c.bodyTime(max(length, 0)))); err != nil {
+	began := time.Now()
+	if err := c.caller.Conn().SetReadDeadline(began.Add(c.bodyTime(max(length, 0)))); err != nil {
 		return c.abandonBody(refusal.New(refusal.RequestInvalid, err))
 	}
 	if length > unbudgetedBody && !c.reserve(length) {
@@ -83,7 +84,7 @@
 		body = body[:len(body)+n]
 		if length < 0 && err == nil {
 			// The time for a body without a length grows with what has arrived.
-			err = c.caller.Conn().SetReadDeadline(time.Now().Add(c.bodyTime(bodyStep)))
+			err = c.caller.Conn().SetReadDeadline(began.Add(c.bodyTime(len(body) + bodyStep)))
 		}
 		if errors.Is(err, io.EOF) || (length >= 0 && len(body) == length) {
 			break
--- a/pkg/proxy/response_body_test.go
+++ b/pkg/proxy/response_body_test.go
@@ -124,6 +124,27 @@
 	is.Equal(target.requestCount.Load(), int64(1))
 }
 
+// Guards against a caller that holds a connection by a body of one byte at a time.
+func TestSlowBodyEnds(t *testing.T) {
+	is := is.New(t)
+	target := newTarget(t, respond(okText))
+	r := newTestProxy(t, Options{CallerTimeout: 500 * time.Millisecond}, target.ln.Addr().String())
+	c := r.dial(t)
+	_, _ = fmt.Fprintf(c, "POST /put HTTP/1.1\r\nHost: h\r\n%s\r\nTransfer-Encoding: chunked\r\n\r\n", r.keyLine())
+	began := time.Now()
+	go func() {
+		for time.Since(began) < 3*time.Second {
+			if _, err := c.Write([]byte("1\r\nx\r\n")); err != nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	_, _ = http.ReadResponse(c.r, nil)
+	is.True(time.Since(began) < 1500*time.Millisecond)
+	is.Equal(target.requestCount.Load(), int64(0))
+}
+
 func waitUntil(t *testing.T, ok func() bool) {
 	t.Helper()
 	for range 200 {
