Give event 706 the threshold of the code

The event's meaning and docs/operators.md said half a second; the process counts as paused after 600 ms since the threshold was raised. Found in the read-through; text only.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -52,7 +52,7 @@
 	PlatformAvailable   = Event{701, "platform_available", zerolog.InfoLevel, "the platform answers again"}
 	ListingFailed       = Event{702, "listing_failed", zerolog.WarnLevel, "the targets could not be listed; the last listing stays in use"}
 	EntryRejected       = Event{703, "entry_rejected", zerolog.WarnLevel, "an entry of a target in the platform's store could not be read and is ignored; check who wrote it"}
-	ProcessPaused       = Event{706, "process_paused", zerolog.WarnLevel, "the process did not run for half a second or more; configuration and targets are read again before requests are served"}
+	ProcessPaused       = Event{706, "process_paused", zerolog.WarnLevel, "the process did not run for 600 ms or more; configuration and targets are read again before requests are served"}
 	SettingsReloaded    = Event{704, "settings_reloaded", zerolog.InfoLevel, "the settings file was read again"}
 	SettingsRejected    = Event{705, "settings_rejected", zerolog.WarnLevel, "the settings file could not be read again; the previous settings stay in use"}
 
