Show the request rates that targets name in logs and the dump

No line told whether the header arrives, what it says and who knows it. The adapter now reads it, the balancer keeps the last statement per target and logs changes (510, 511), and the dump has limit_per_second. No choice depends on it yet.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -42,6 +42,9 @@
 	FirstListing     = Event{509, "first_listing", zerolog.InfoLevel, "the targets were listed for the first time since the start; 505 and 506 name changes from now on"}
 	TargetTrusted    = Event{508, "target_trusted", zerolog.InfoLevel, "a suspected target has answered and is no longer suspected"}
 
+	TargetLimitNamed = Event{510, "target_limit_named", zerolog.InfoLevel, "a target accepts only the named requests per second from all instances together; look at the target"}
+	TargetLimitEnded = Event{511, "target_limit_ended", zerolog.InfoLevel, "a target accepts any request rate again"}
+
 	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
 	AnswerIncomplete = Event{601, "answer_incomplete", zerolog.WarnLevel, "a target's answer was cut short and not passed on"}
 	CallerTooSlow    = Event{603, "caller_too_slow", zerolog.WarnLevel, "a caller left or did not read a large response in time; the exchange with the target was ended"}
@@ -72,6 +75,7 @@
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
+		TargetLimitNamed, TargetLimitEnded,
 		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
--- a/pkg/event/limit.go
+++ b/pkg/event/limit.go
@@ -26,7 +26,7 @@
 	switch e.ID {
 	case RequestEnded.ID:
 		return maxRequestLines
-	case TargetListed.ID, TargetGone.ID, TargetSuspected.ID, TargetTrusted.ID:
+	case TargetListed.ID, TargetGone.ID, TargetSuspected.ID, TargetTrusted.ID, TargetLimitNamed.ID, TargetLimitEnded.ID:
 		return maxTargetLines
 	default:
 		return defaultMaxLines
--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -78,6 +78,7 @@
 		// The target's count includes this request until its response is sent.
 		t.otherLoad, t.otherLoadAt = max(0, float64(load.InFlight+load.Queued-1-len(t.openStarts))), now
 	}
+	a.balancer.observeRateLimit(s, t, load.RateLimit, now)
 	suspected := t.own.failProb >= suspectThreshold
 	t.recordResult(result, a.started, now)
 	if now := t.own.failProb >= suspectThreshold; now != suspected {
--- a/pkg/placement/dump.go
+++ b/pkg/placement/dump.go
@@ -20,6 +20,9 @@
 	PeerFailing float64 `json:"peer_failing"`
 	// Slowdown is the factor by which the target is slower than its peers.
 	Slowdown float64 `json:"pace"`
+	// Limit is the request rate in 1/s that the target accepts from all instances
+	// together; it is absent if the target accepts any rate.
+	Limit *float64 `json:"limit_per_second,omitempty"`
 	// BlockedMS is how long the target gets no requests from now on, in ms.
 	BlockedMS int64 `json:"blocked_ms"`
 }
@@ -32,11 +35,16 @@
 		s.mu.Lock()
 		for _, t := range s.ordered {
 			t.failProb(now)
-			states = append(states, TargetState{
+			state := TargetState{
 				Service: s.name, Target: t.entry.ID, Preferred: t.preferred, Draining: t.entry.Draining, Open: len(t.openStarts),
 				Load: t.load(now), Failing: t.own.failProb, PeerFailing: t.peer.failProb, Slowdown: t.slowdown(now),
 				BlockedMS: max(0, (t.blockedUntil-now)/time.Millisecond).Nanoseconds(),
-			})
+			}
+			if t.limit.limited {
+				perSecond := t.limit.perSecond
+				state.Limit = &perSecond
+			}
+			states = append(states, state)
 		}
 		s.mu.Unlock()
 	}
--- a/pkg/placement/target.go
+++ b/pkg/placement/target.go
@@ -75,6 +75,9 @@
 	otherLoad   float64
 	otherLoadAt time.Duration
 
+	// limit is the request rate that the target accepts.
+	limit rateLimit
+
 	// blockedUntil is the time since boot up to which the target gets no requests.
 	blockedUntil time.Duration
 	// failedDials counts the consecutive failures to connect.
--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -92,6 +92,19 @@
 	Queued   int
 	// Draining is set by a target that is shutting down.
 	Draining bool
+	// RateLimit is the request rate that the target accepts.
+	RateLimit RateLimit
+}
+
+// RateLimit is what a target's response states about the request rate that the target
+// accepts from all instances together.
+type RateLimit struct {
+	// Known is false without a statement of the target; the last one then stays in
+	// force.
+	Known bool
+	// Limited is false if the target accepts any rate.
+	Limited   bool
+	PerSecond float64
 }
 
 // Attempt is the assignment of a request to one target. Done must be called exactly once.
