--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -20,7 +20,7 @@
 // state applies a statement of the target that arrived at the given time. It reports
 // whether that changed the limit; an older statement than the last one does not.
 func (l *rateLimit) state(limited bool, perSecond float64, at time.Duration) (changed bool) {
-	if at < l.statedAt || (!limited && l.statedAt == 0) {
+	if at < l.statedAt {
 		return false
 	}
 	changed = limited != l.limited || perSecond != l.perSecond
