Keep the rate that a target names over all instances

Callers saw nothing: the targets did.

Cause: a target's statement about itself was not read; choices knew slots, reported load and failures. The class is a bound over all instances that no instance keeps. Up to 11 instances used one target within 4 s, and each by itself kept the rate, so reading it alone would not have been enough.

Each instance keeps a fixed share of a named rate: three quarters for the instance that prefers the target, the rest for the other serving instances of its zone, nothing for standbys. The shares add up to the rate without an exchange of counts, which would be late or lost just when it matters. Heartbeats carry the statements, so that instances that rarely use a target learn of a limit and of its end. While the limits leave no room in time, a request is refused at once and told when to return, instead of waiting for a third of its objective.

--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -1,41 +1,227 @@
 package placement
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
 
-// rateLimit is the request rate that a target accepts from all instances together, as
-// last stated by the target. The zero value is that of a target that never stated one.
-type rateLimit struct {
+// A target in need names the request rate that it accepts from all instances together.
+// Each instance keeps a fixed share of that rate, and the shares add up to the rate, so
+// the limit holds without counts that would have to be exchanged and could be late or
+// lost. The instance that prefers the target has most of the rate. The other instances
+// of the zone divide the rest, so that a request that arrives where no share is left
+// can often go to another target.
+const (
+	// preferredLimitShare is the share of the instance that prefers the target.
+	preferredLimitShare = 0.75
+	// limitBurst is the time over which unused allowance adds up.
+	limitBurst = time.Second
+	// minPreferredRate in requests per second goes to a target that accepts fewer:
+	// only a response tells that the limit has ended.
+	minPreferredRate = 0.2
+	// limitReportTime is the time for which a statement is passed on to other instances
+	// by the instance that prefers the target. Others pass theirs on for recentResultAge.
+	limitReportTime = 10 * time.Second
+	// maxLimitRetryAfter bounds the Retry-After of a request that the limits of all
+	// targets leave no room for; another instance may have room earlier.
+	maxLimitRetryAfter = time.Second
+)
+
+// limitStatement is one statement of a target about the rate that it accepts.
+type limitStatement struct {
 	limited   bool
 	perSecond float64
-	// statedAt is the time since boot at which the statement arrived at the instance
-	// that got it.
-	statedAt time.Duration
+	// at is the time since boot at which the statement arrived at the instance that got
+	// it; 0 means that there is none.
+	at time.Duration
+}
+
+// rateLimit is the request rate that a target accepts from all instances together, as
+// last stated by the target, and this instance's part of it. The zero value is that of a
+// target that never stated one.
+type rateLimit struct {
+	limitStatement
+	// own is the last statement in a response to this instance.
+	own limitStatement
+	// endedAt is the time since boot of the statement to this instance that ended the
+	// last limit.
+	endedAt time.Duration
+
+	// share is this instance's share of the rate, preferred whether it prefers the target.
+	share     float64
+	preferred bool
+	// tokens is the number of requests that this instance may send, computed up to
+	// updatedAt (time since boot).
+	tokens    float64
+	updatedAt time.Duration
 }
 
-// state applies a statement of the target that arrived at the given time. It reports
-// whether that changed the limit; an older statement than the last one does not.
-func (l *rateLimit) state(limited bool, perSecond float64, at time.Duration) (changed bool) {
-	if at < l.statedAt {
+// state applies a statement of the target. It reports whether that changed the limit;
+// an older statement than the last one does not.
+func (l *rateLimit) state(stated limitStatement, now time.Duration) (changed bool) {
+	if stated.at < l.at {
 		return false
 	}
-	changed = limited != l.limited || perSecond != l.perSecond
-	*l = rateLimit{limited: limited, perSecond: perSecond, statedAt: at}
+	l.refill(now)
+	if stated.limited && !l.limited {
+		l.tokens = 0
+	}
+	changed = stated.limited != l.limited || stated.perSecond != l.perSecond
+	l.limitStatement = stated
 	return changed
 }
 
+// stateOwn is state for a statement in a response to this instance.
+func (l *rateLimit) stateOwn(stated limitStatement, now time.Duration) (changed bool) {
+	if l.own.limited && !stated.limited {
+		l.endedAt = stated.at
+	}
+	l.own = stated
+	return l.state(stated, now)
+}
+
+// assign sets this instance's share of the rate. instances is the number of serving
+// instances that share the target, and member says that this instance is one of them.
+// Standbys and instances that are leaving have no share: there may be many of them.
+func (l *rateLimit) assign(instances int, member, preferred bool, now time.Duration) {
+	l.refill(now)
+	l.preferred = preferred
+	switch {
+	case instances == 0, preferred && instances == 1:
+		l.share = 1
+	case preferred:
+		l.share = preferredLimitShare
+	case member:
+		l.share = (1 - preferredLimitShare) / float64(instances-1)
+	default:
+		l.share = 0
+	}
+}
+
+// rate returns the requests per second that this instance may send.
+func (l *rateLimit) rate() float64 {
+	rate := l.perSecond * l.share
+	if l.preferred {
+		rate = max(rate, minPreferredRate)
+	}
+	return rate
+}
+
+// refill updates tokens.
+func (l *rateLimit) refill(now time.Duration) {
+	if now > l.updatedAt {
+		rate := l.rate()
+		l.tokens = min(l.tokens+rate*(now-l.updatedAt).Seconds(), max(1, rate*limitBurst.Seconds()))
+		l.updatedAt = now
+	}
+}
+
+// exhausted reports whether the limit leaves no request for this instance now.
+func (l *rateLimit) exhausted(now time.Duration) bool {
+	if !l.limited {
+		return false
+	}
+	l.refill(now)
+	return l.tokens < 1
+}
+
+// spend counts a request that this instance sends.
+func (l *rateLimit) spend(now time.Duration) {
+	if l.limited {
+		l.refill(now)
+		l.tokens--
+	}
+}
+
+// reported reports whether heartbeats carry this instance's own last statement: while the
+// target limits its rate, and for a time after that.
+func (l *rateLimit) reported(now time.Duration) bool {
+	maxAge := recentResultAge
+	if l.preferred {
+		maxAge = limitReportTime
+	}
+	if l.own.at == 0 || now-l.own.at >= maxAge {
+		return false
+	}
+	return l.own.limited || (l.endedAt > 0 && now-l.endedAt < limitReportTime)
+}
+
+// limitWait returns how long a request will wait for the allowance of a target while
+// ahead other requests wait before it. limited is false if a target without a limit can
+// be used, whose load may fall at any time.
+func (s *service) limitWait(tried []string, ahead int, now time.Duration) (wait time.Duration, limited bool) {
+	rate, tokens := 0.0, 0.0
+	for _, t := range s.ordered {
+		if !t.usable(now) || slices.Contains(tried, t.entry.ID) {
+			continue
+		}
+		if !t.limit.limited {
+			return 0, false
+		}
+		t.limit.refill(now)
+		rate += t.limit.rate()
+		tokens += min(t.limit.tokens, 1)
+	}
+	missing := float64(ahead+1) - tokens
+	if missing <= 0 {
+		return 0, true
+	}
+	seconds := missing / rate
+	if seconds > maxLimitWait.Seconds() {
+		return maxLimitWait, true
+	}
+	return time.Duration(seconds * float64(time.Second)), true
+}
+
+// maxLimitWait bounds the result of limitWait, which has no bound while this instance has
+// no share of any target.
+const maxLimitWait = time.Hour
+
+// limitRetryAfter returns the time after which a caller should return that was refused
+// because of the targets' limits.
+func limitRetryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, retryAfter), maxLimitRetryAfter)
+}
+
 // observeRateLimit applies what a response of the target stated about its rate. The
 // caller holds the service's mutex.
 func (b *Balancer) observeRateLimit(s *service, t *target, stated proxy.RateLimit, now time.Duration) {
-	if stated.Known && t.limit.state(stated.Limited, stated.PerSecond, now) {
+	if stated.Known && t.limit.stateOwn(limitStatement{stated.Limited, stated.PerSecond, now}, now) {
 		b.logRateLimit(s, t, "target")
 	}
 }
 
+// fillRateLimits adds the limits that this instance knows from the targets themselves.
+func (s *service) fillRateLimits(h *peerpb.Heartbeat, now time.Duration) {
+	for _, t := range s.ordered {
+		if t.limit.reported(now) {
+			h.RateLimits = append(h.RateLimits, &peerpb.TargetRateLimit{
+				Target: t.entry.ID, Limited: t.limit.own.limited, PerSecond: t.limit.own.perSecond,
+				AgeMs: uint32((now - t.limit.own.at).Milliseconds()),
+			})
+		}
+	}
+}
+
+// mergeRateLimits applies the limits in another instance's heartbeat.
+func (b *Balancer) mergeRateLimits(s *service, from string, limits []*peerpb.TargetRateLimit, now time.Duration) {
+	for _, l := range limits {
+		t := s.targets[l.Target]
+		if t == nil || !(l.PerSecond >= 0) || math.IsInf(l.PerSecond, 0) {
+			continue
+		}
+		stated := limitStatement{l.Limited, l.PerSecond, now - time.Duration(l.AgeMs)*time.Millisecond}
+		if t.limit.state(stated, now) {
+			b.logRateLimit(s, t, from)
+		}
+	}
+}
+
 // logRateLimit logs that the limit of a target has changed. from is who stated it.
 func (b *Balancer) logRateLimit(s *service, t *target, from string) {
 	change := event.TargetLimitEnded
@@ -43,5 +229,5 @@
 		change = event.TargetLimitNamed
 	}
 	change.Log(b.log).Str("target", t.entry.ID).Str("service", s.name).Str("from", from).
-		Float64("per_second", t.limit.perSecond).Bool("home", t.preferred).Send()
+		Float64("per_second", t.limit.perSecond).Float64("share", t.limit.share).Send()
 }
--- a/pkg/placement/limit_sim_test.go
+++ b/pkg/placement/limit_sim_test.go
@@ -5,8 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
 // The platform's bound for a target that has named a rate: from limitSettled after it did
@@ -200,6 +203,54 @@
 	}
 }
 
+// Guards against refused callers while the limits and the other targets leave room for
+// all requests.
+func TestLimitedTargetsCostNoRequests(t *testing.T) {
+	for seed := range uint64(3) {
+		s := newLimitSim(seed, 9, 26, 130, 0.7, 0.5)
+		for range 4000 {
+			s.step(130*simStep.Seconds(), false)
+		}
+		if s.refused > s.asked/100 {
+			t.Errorf("seed %d: %d of %d requests were refused", seed, s.refused, s.asked)
+		}
+	}
+}
+
+// Guards against a request that waits although the limits of all targets leave it no
+// room in time.
+func TestUnservableRequestWaits(t *testing.T) {
+	f := newFixture(1)
+	for range 2 {
+		a, err := f.Acquire(f.request(false), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer a.Done(proxy.Answered, time.Millisecond, proxy.Load{})
+	}
+	now := f.clock.SinceBoot()
+	for _, target := range f.service("s").targets {
+		target.limit.state(limitStatement{limited: true, perSecond: 2, at: now}, now)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := f.Acquire(f.request(false), nil)
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		var refused *refusal.Refusal
+		if !errors.As(err, &refused) || refused.Kind != refusal.Overloaded {
+			t.Fatalf("got %v, want an overload refusal", err)
+		}
+		if refused.RetryAfter < retryAfter || refused.RetryAfter > maxLimitRetryAfter {
+			t.Errorf("Retry-After is %s", refused.RetryAfter)
+		}
+	case <-time.After(5 * time.Second):
+		t.Fatal("the request still waits")
+	}
+}
+
 // Guards against a limit that stays in force after the target has ended it.
 func TestNamedRateEnds(t *testing.T) {
 	s := newLimitSim(1, 9, 26, 130, 0.7, 0.5)
@@ -225,8 +276,8 @@
 	f.send(t, true, answered)
 	now := f.clock.SinceBoot()
 	target := f.service("s").targets["a0"]
-	target.limit.state(false, 0, now)
-	if target.limit.state(true, 3, now-time.Second) || target.limit.limited {
+	target.limit.state(limitStatement{at: now}, now)
+	if target.limit.state(limitStatement{limited: true, perSecond: 3, at: now - time.Second}, now) || target.limit.limited {
 		t.Error("an older statement replaced a newer one")
 	}
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -115,12 +115,16 @@
 			}
 			if noneUsable && len(s.ordered) == 0 {
 				s.dequeue(w)
-				return nil, b.refuse(refusal.NoTarget, s, tried, now-began)
+				return nil, b.refuse(refusal.NoTarget, s, tried, now-began, retryAfter)
 			}
 		}
 		if now >= waitUntil {
 			s.dequeue(w)
-			return nil, b.refuse(refusal.Overloaded, s, tried, now-began)
+			return nil, b.refuse(refusal.Overloaded, s, tried, now-began, retryAfter)
+		}
+		if wait, limited := s.limitWait(tried, s.queue.ahead(w, r.Priority), now); limited && now+wait > waitUntil {
+			s.dequeue(w)
+			return nil, b.refuse(refusal.Overloaded, s, tried, now-began, limitRetryAfter(wait))
 		}
 		if w == nil {
 			w = &waiter{priority: r.Priority, arrived: now, wake: make(chan struct{}, 1)}
@@ -178,10 +182,11 @@
 	s.mu.Lock()
 }
 
-// refuse returns a refusal with the service's counts as its cause.
-func (b *Balancer) refuse(kind refusal.Kind, s *service, tried []string, waited time.Duration) error {
+// refuse returns a refusal with the service's counts as its cause. The caller should
+// return after the given time.
+func (b *Balancer) refuse(kind refusal.Kind, s *service, tried []string, waited, after time.Duration) error {
 	cause := &NoTargetError{Service: s.name, Listed: len(s.ordered), Tried: len(tried), Waited: waited}
-	return errors.WithStack(&refusal.Refusal{Kind: kind, RetryAfter: retryAfter, Cause: cause})
+	return errors.WithStack(&refusal.Refusal{Kind: kind, RetryAfter: after, Cause: cause})
 }
 
 // TakeRetry takes one retry from the service's budget and reports whether one was
@@ -224,6 +229,7 @@
 				Target: t.entry.ID, FailingPermille: uint32(math.Round(1000 * t.own.failProb)), Slowness: int32(math.Round(100 * t.own.slowness)),
 			})
 		}
+		s.fillRateLimits(h, now)
 		s.mu.Unlock()
 	}
 }
@@ -273,8 +279,8 @@
 }
 
 // Merge applies the evidence in another serving instance's heartbeat.
-func (b *Balancer) Merge(_ string, h *peerpb.Heartbeat) {
-	if len(h.Targets) == 0 {
+func (b *Balancer) Merge(from string, h *peerpb.Heartbeat) {
+	if len(h.Targets) == 0 && len(h.RateLimits) == 0 {
 		return
 	}
 	now := b.clock.SinceBoot()
@@ -285,6 +291,7 @@
 				t.applyReport(e, now)
 			}
 		}
+		b.mergeRateLimits(s, from, h.RateLimits, now)
 		s.mu.Unlock()
 	}
 }
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -167,14 +167,14 @@
 		s.ordered = append(s.ordered, t)
 	}
 	s.targets = keep
-	s.assignPreferred(v)
+	s.assignPreferred(v, now)
 }
 
 // assignPreferred assigns each target to one serving instance of its zone, which
 // prefers it. It does so round-robin, so that all instances prefer about the same
 // number of targets. Targets of a zone without a serving instance are divided among
 // all instances.
-func (s *service) assignPreferred(v *fleet.View) {
+func (s *service) assignPreferred(v *fleet.View, now time.Duration) {
 	byZone := map[string][]*target{}
 	for _, t := range s.ordered {
 		t.sameZone = t.entry.Zone == v.Self.Zone
@@ -187,6 +187,7 @@
 		}
 		for i, t := range targets {
 			t.preferred = len(owners) > 0 && owners[i%len(owners)].Instance == v.Self.Instance
+			t.limit.assign(len(owners), slices.Contains(owners, v.Self), t.preferred, now)
 		}
 	}
 	for d := range s.byDistance {
--- a/pkg/placement/target.go
+++ b/pkg/placement/target.go
@@ -156,13 +156,14 @@
 }
 
 // load returns the number of requests at the target, by this instance and others. It
-// is at least twice the slots while the target counts as full.
+// is at least twice the slots while the target counts as full or its rate limit leaves
+// no request for this instance.
 func (t *target) load(now time.Duration) float64 {
 	load := float64(len(t.openStarts))
 	if age := now - t.otherLoadAt; t.otherLoad > 0 && age < 4*otherLoadDecay {
 		load += t.otherLoad * (1 - float64(age)/float64(4*otherLoadDecay))
 	}
-	if now < t.fullUntil {
+	if now < t.fullUntil || t.limit.exhausted(now) {
 		load = max(load, float64(2*t.entry.Slots))
 	}
 	return load
@@ -178,6 +179,7 @@
 func (t *target) addOpen(now time.Duration) {
 	t.openStarts = append(t.openStarts, now)
 	t.lastUsedAt = now
+	t.limit.spend(now)
 }
 
 // removeOpen removes an open request that started at the given time.
--- a/pkg/placement/wait_queue.go
+++ b/pkg/placement/wait_queue.go
@@ -45,6 +45,17 @@
 	}
 }
 
+// ahead returns the number of requests before w, or before a new request of this
+// priority if w is nil.
+func (q waitQueue) ahead(w *waiter, priority int) int {
+	for i, other := range q {
+		if other == w || (w == nil && other.priority > priority) {
+			return i
+		}
+	}
+	return len(q)
+}
+
 // mustWait reports whether a new request of this priority has to wait behind
 // others.
 func (q waitQueue) mustWait(priority int) bool { return len(q) > 0 && q[0].priority <= priority }
