--- a/pkg/lab/soak/check.go
+++ b/pkg/lab/soak/check.go
@@ -48,6 +48,7 @@
 	for _, team := range teams {
 		tb.checkLimit(team, runs)
 	}
+	tb.checkRates(runs, requestsByID)
 	tb.checkRecovery(c.requests)
 }
 
--- a/pkg/lab/soak/soak.go
+++ b/pkg/lab/soak/soak.go
@@ -93,7 +93,9 @@
 	defer stop()
 	callers := startCallers(loadContext, tb)
 	report := &Report{Seed: o.Seed}
+	endLimits := tb.startRateLimits(ctx, report)
 	tb.injectFaults(ctx, report)
+	endLimits()
 	if err := sleep(ctx, finalFaultFreeTime); err != nil {
 		return nil, err
 	}
@@ -119,7 +121,9 @@
 		gap := time.Duration(rng.Int64N(int64(maxFaultInterval)))
 		active <- struct{}{}
 		line := fmt.Sprintf("%6.2f s %s for %.1f s", time.Since(began).Seconds(), f.name, duration.Seconds())
+		tb.mu.Lock()
 		report.Faults = append(report.Faults, line)
+		tb.mu.Unlock()
 		_, _ = fmt.Fprintln(tb.Progress, line)
 		f.begin()
 		tb.activeFaults.Go(func() {
--- a/pkg/lab/soak/testbed.go
+++ b/pkg/lab/soak/testbed.go
@@ -89,6 +89,7 @@
 	// activeStoreFaults counts the faults of the store; storeFaultSpans are their intervals.
 	activeStoreFaults int
 	storeFaultSpans   []span
+	rateSpans         []rateSpan
 	targetCount       int
 	violations        []Violation
 }
--- a/pkg/lab/upstreamsim/faults.go
+++ b/pkg/lab/upstreamsim/faults.go
@@ -59,8 +59,8 @@
 	if status != http.StatusOK {
 		body = []byte("failed")
 	}
-	head := fmt.Sprintf("HTTP/1.1 %d x\r\n%s: %s\r\n%s: %s\r\n%s: 1,0,%d\r\n", status, RequestIDHeader, id, SignatureHeader,
-		Signature(s.ID, id), LoadHeader, s.Slots)
+	head := fmt.Sprintf("HTTP/1.1 %d x\r\n%s: %s\r\n%s: %s\r\n%s: 1,0,%d\r\n%s", status, RequestIDHeader, id, SignatureHeader,
+		Signature(s.ID, id), LoadHeader, s.Slots, s.rateLimitLine())
 	withLength := func(extraHeaders string) []byte {
 		return append(fmt.Appendf(nil, "%s%sContent-Length: %d\r\n\r\n", head, extraHeaders, len(body)), body...)
 	}
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -29,6 +29,8 @@
 	SignatureHeader   = "Arbutuslink-Server-Signature"
 	LoadHeader        = "Arbutuslink-Server-Load"
 	NotExecutedHeader = "Arbutuslink-Not-Executed"
+	// RateLimitHeader names the requests per second that the target accepts.
+	RateLimitHeader = "Server-Limit"
 )
 
 // Faults are the fractions of requests, 0 to 1, into which each fault is
@@ -125,6 +127,8 @@
 	rng        *rand.Rand
 	faults     Faults
 	slowFactor float64
+	// rateLimit in requests per second is named in all responses unless it is 0.
+	rateLimit  float64
 	waiting    int
 	executions []*Execution
 	conns      map[net.Conn]struct{}
@@ -162,6 +166,24 @@
 	s.faults, s.slowFactor = m, slowFactor
 }
 
+// SetRateLimit makes the target name a rate in requests per second, or none with 0. It
+// accepts more: checks find out who sends it.
+func (s *Server) SetRateLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rateLimit = perSecond
+}
+
+// rateLimitLine returns the header line that names the rate, or nothing.
+func (s *Server) rateLimitLine() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rateLimit == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s: %.1f\r\n", RateLimitHeader, s.rateLimit)
+}
+
 // ListEntry returns the JSON entry that the target writes about itself into the
 // platform's list of targets. address is the address at which it is reached.
 func (s *Server) ListEntry(state, address string) []byte {
@@ -341,6 +363,6 @@
 
 // writeNotExecuted responds that the request was not executed.
 func (s *Server) writeNotExecuted(c net.Conn, id string, status int) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, NotExecutedHeader, RequestIDHeader, id)
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%s: 1\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", status, NotExecutedHeader, RequestIDHeader, id, s.rateLimitLine())
 	return err == nil
 }
