Bound the retries of standbys, so that all instances together keep the budget

Cause: each process saved up to 4 retries and gained 0.2 per second, standbys as well. In the window 32 standbys had 272 requests of those that are sent to each instance directly, and spent 125 of 237 retries, nearly half a retry per request. Ruled out: the 12 serving instances, with 112 retries for 504 requests, stayed within a fifth and their constant part.

A standby now saves one retry and gains them only from requests. TestStandbysExceedRetryBudget failed before (96 retries of 168 requests in 10 s) and passes.

--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -168,6 +168,7 @@
 	}
 	s.targets = keep
 	s.assignPreferred(v, now)
+	s.retryBudget.setServing(v.Serving, now)
 }
 
 // assignPreferred assigns each target to one serving instance of its zone, which
