--- a/pkg/lab/storesim/rows.go
+++ b/pkg/lab/storesim/rows.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/base64"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -43,10 +44,12 @@
 	changed chan struct{}
 	// blobs are the stored objects by name.
 	blobs map[string][]byte
+	// era counts the restores, from 1 on.
+	era int64
 }
 
 func newTables() *tables {
-	return &tables{rows: map[string]Row{}, changed: make(chan struct{}), blobs: map[string][]byte{}}
+	return &tables{rows: map[string]Row{}, changed: make(chan struct{}), blobs: map[string][]byte{}, era: 1}
 }
 
 // transaction is the body of a rows-tx call. It is applied only if each row in
@@ -129,13 +132,13 @@
 
 // changesAfter returns the changes of a table after a version. It waits up to the
 // given time for the first one. gone reports that the history no longer reaches
-// back to that version.
+// back to that version, or that the store does not have it.
 func (t *tables) changesAfter(table string, after int64, wait time.Duration) (rows []Row, version int64, gone bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		t.mu.Lock()
-		if after < t.trimmedVersion {
+		if after < t.trimmedVersion || after > t.version {
 			t.mu.Unlock()
 			return nil, 0, true
 		}
@@ -166,4 +169,38 @@
 	t.changed = make(chan struct{})
 }
 
+func (t *tables) currentEra() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.era
+}
+
+// tablesCopy is the contents of the store at one moment.
+type tablesCopy struct {
+	version, trimmedVersion int64
+	rows                    map[string]Row
+	history                 []Row
+	blobs                   map[string][]byte
+}
+
+func (t *tables) copy() *tablesCopy {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return &tablesCopy{
+		version: t.version, trimmedVersion: t.trimmedVersion, rows: maps.Clone(t.rows), history: slices.Clone(t.history),
+		blobs: maps.Clone(t.blobs),
+	}
+}
+
+// restore replaces the contents by a copy and begins a new era. Waiting feeds end.
+func (t *tables) restore(c *tablesCopy) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.version, t.trimmedVersion, t.rows = c.version, c.trimmedVersion, maps.Clone(c.rows)
+	t.history, t.blobs = slices.Clone(c.history), maps.Clone(c.blobs)
+	t.era++
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
 func encodeBase64(value []byte) string { return base64.StdEncoding.EncodeToString(value) }
--- a/pkg/lab/storesim/server.go
+++ b/pkg/lab/storesim/server.go
@@ -56,8 +56,13 @@
 	faults Faults
 	// calls counts the calls by name.
 	calls map[string]int
+	// hangFeeds says that calls that waited during the last restore stay unanswered.
+	hangFeeds bool
 }
 
+// eraHeader counts the restores of the store in all its answers.
+const eraHeader = "Store-Era"
+
 // Start serves an empty store on address, IP:port; port 0 selects a free port.
 func Start(address string) (*Store, error) {
 	s := &Store{tables: newTables(), calls: map[string]int{}}
@@ -106,6 +111,22 @@
 	return keys
 }
 
+// Copy is a copy of a store's contents.
+type Copy struct{ contents *tablesCopy }
+
+// Copy returns a copy of the contents, for Restore.
+func (s *Store) Copy() Copy { return Copy{s.tables.copy()} }
+
+// Restore replaces the contents by a copy: everything written since is lost, versions go
+// back and are given out again, and the era rises by one. With hang, calls that wait for
+// changes then get no answer for as long as they would have waited.
+func (s *Store) Restore(c Copy, hang bool) {
+	s.mu.Lock()
+	s.hangFeeds = hang
+	s.mu.Unlock()
+	s.tables.restore(c.contents)
+}
+
 // DropHistory drops the history of changes, so that readers of the feed get status
 // 410 and must read the rows again.
 func (s *Store) DropHistory() { s.tables.dropHistory() }
@@ -130,6 +151,7 @@
 		}
 	}
 	time.Sleep(f.Delay)
+	defer func() { ctx.Response.Header.Set(eraHeader, strconv.FormatInt(s.tables.currentEra(), 10)) }()
 	if name == "rows-tx" && f.LoseAnswers {
 		s.applyUnanswered(ctx, f.ApplyDelay)
 		return
@@ -184,7 +206,13 @@
 			return
 		}
 		wait := min(time.Duration(q.GetUintOrZero("wait_ms"))*time.Millisecond, maxFeedWait)
+		began := s.tables.currentEra()
 		rows, version, gone := s.tables.changesAfter(argument("table"), after, wait)
+		if s.tables.currentEra() != began && s.hangsFeeds() {
+			time.Sleep(wait)
+			_ = ctx.Conn().Close()
+			return
+		}
 		if gone {
 			ctx.SetStatusCode(fasthttp.StatusGone)
 			return
@@ -197,6 +225,12 @@
 	}
 }
 
+func (s *Store) hangsFeeds() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hangFeeds
+}
+
 func (s *Store) serveTransaction(ctx *fasthttp.RequestCtx) {
 	var tx transaction
 	if err := json.Unmarshal(ctx.PostBody(), &tx); err != nil || len(tx.Expect)+len(tx.Set)+len(tx.Delete) > maxTransactionEntries {
