Read the configuration again when the store has been restored from a copy

What callers would have seen: a withdrawn key still accepted and a new route answered with 404, for as long as the operator makes no further change.

Cause: a lister waits for changes after a version, and the restored store gives versions out again. A wait that resumes once the store has passed that version gets no 410 and skips all changes below it. A wait that hangs since before the restore is as bad: the next listing on another connection confirms the old configuration as the newest, to this instance and in heartbeats to all others.

The cursor now carries the era of its version. A listing confirms the configuration only in the era in which the follower waits.

--- a/pkg/ctl/store.go
+++ b/pkg/ctl/store.go
@@ -98,7 +98,7 @@
 
 func (a *app) storeStatus() error {
 	return a.withStore(func(ctx context.Context, s Store) error {
-		update, err := s.Await(ctx, 0)
+		update, err := s.Await(ctx, follow.Cursor{})
 		if err != nil {
 			return err
 		}
@@ -106,7 +106,7 @@
 		if err != nil {
 			return err
 		}
-		targets, err := s.Targets(ctx)
+		listed, err := s.Targets(ctx)
 		if err != nil {
 			return err
 		}
@@ -120,7 +120,7 @@
 		for _, m := range members {
 			status.InstancesByZone[m.Zone]++
 		}
-		for _, t := range targets {
+		for _, t := range listed.Targets {
 			counts := status.Services[t.Service]
 			if t.Draining {
 				counts.Draining++
@@ -154,7 +154,7 @@
 
 func (a *app) storeConfig() error {
 	return a.withStore(func(ctx context.Context, s Store) error {
-		update, err := s.Await(ctx, 0)
+		update, err := s.Await(ctx, follow.Cursor{})
 		if err == nil {
 			err = update.Rejected
 		}
--- a/pkg/ctl/store_test.go
+++ b/pkg/ctl/store_test.go
@@ -23,16 +23,16 @@
 	err         error
 }
 
-func (s *fakeStore) Await(context.Context, int64) (follow.Update, error) {
+func (s *fakeStore) Await(context.Context, follow.Cursor) (follow.Update, error) {
 	c := config.Empty()
 	c.Teams["red"] = config.Team{Batch: "default"}
 	return follow.Update{Version: 7, Config: c}, s.err
 }
 
-func (s *fakeStore) Targets(context.Context) ([]discovery.Target, error) {
-	return []discovery.Target{
+func (s *fakeStore) Targets(context.Context) (discovery.Listed, error) {
+	return discovery.Listed{Targets: []discovery.Target{
 		{ID: "t1", Service: "pay", Slots: 2}, {ID: "t2", Service: "pay", Slots: 4}, {ID: "t3", Service: "pay", Slots: 4, Draining: true},
-	}, s.err
+	}}, s.err
 }
 
 func (s *fakeStore) Members(context.Context) ([]fleet.Member, error) {
--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -56,10 +56,17 @@
 	Started int64
 }
 
+// Listed is what one listing of the platform's store returned.
+type Listed struct {
+	Targets []Target
+	// Era counts the restores of the store from a copy; 0 if the store does not tell.
+	Era int64
+}
+
 // Source lists the targets from the platform's store. Entries that cannot be
 // decoded are left out.
 type Source interface {
-	Targets(ctx context.Context) ([]Target, error)
+	Targets(ctx context.Context) (Listed, error)
 }
 
 // Entry is a target in the catalogue.
@@ -132,6 +139,8 @@
 	// listedAt is the time since boot at which this instance requested its last
 	// successful listing.
 	listedAt time.Duration
+	// listedEra is the era of the store in that listing.
+	listedEra int64
 	// failingSince is the time since boot from which listings have failed, or 0
 	// if the last one succeeded; lastFailureAt is the time of the last failure.
 	// From settledAt on, targets that are missing from a listing count as removed.
@@ -165,11 +174,11 @@
 }
 
 // ListedAt returns the time since boot at which this instance requested its
-// last successful listing from the store.
-func (r *Registry) ListedAt() time.Duration {
+// last successful listing from the store, and the era of the store then.
+func (r *Registry) ListedAt() (at time.Duration, era int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.listedAt
+	return r.listedAt, r.listedEra
 }
 
 // CheckedAt returns the latest time since boot for which the targets are known, or it is
@@ -247,12 +256,12 @@
 		event.ListingFailed.Log(r.log).Err(err).Dur("age", now-r.Catalogue().ReadAt).Send()
 		return errors.Wrap(err, "list targets")
 	}
-	next := make(map[string]Target, len(listed))
-	for _, t := range listed {
+	next := make(map[string]Target, len(listed.Targets))
+	for _, t := range listed.Targets {
 		next[t.ID] = t
 	}
 	r.mu.Lock()
-	r.listedAt = startedAt
+	r.listedAt, r.listedEra = startedAt, listed.Era
 	r.outOfSync.Store(false)
 	if r.failingSince != 0 && r.lastFailureAt-r.failingSince >= minExpiryOutage {
 		// The retention starts at the last failure and not now: a standby may not
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -23,9 +23,9 @@
 	calls   int
 }
 
-func (s *fakeSource) Targets(context.Context) ([]Target, error) {
+func (s *fakeSource) Targets(context.Context) (Listed, error) {
 	s.calls++
-	return s.targets, s.err
+	return Listed{Targets: s.targets}, s.err
 }
 
 // unreachablePeers fails each request for a listing.
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -20,12 +20,12 @@
 // unavailablePlatform is a Platform whose calls fail.
 type unavailablePlatform struct{}
 
-func (unavailablePlatform) Await(context.Context, int64) (follow.Update, error) {
+func (unavailablePlatform) Await(context.Context, follow.Cursor) (follow.Update, error) {
 	return follow.Update{}, context.DeadlineExceeded
 }
 
-func (unavailablePlatform) Targets(context.Context) ([]discovery.Target, error) {
-	return nil, context.DeadlineExceeded
+func (unavailablePlatform) Targets(context.Context) (discovery.Listed, error) {
+	return discovery.Listed{}, context.DeadlineExceeded
 }
 
 func (unavailablePlatform) Join(context.Context, fleet.Member) error { return context.DeadlineExceeded }
--- a/pkg/follow/copy_test.go
+++ b/pkg/follow/copy_test.go
@@ -94,13 +94,15 @@
 	f, s, c := newStandby(unreachablePeers{}, configUpdate(3))
 	f.EnsureMaxAge(context.Background(), time.Second)
 	c.Advance(2 * time.Second)
-	f.ConfirmReachable(c.SinceBoot())
+	f.ConfirmReachable(c.SinceBoot(), 0)
 	is.True(f.configAge() >= 2*time.Second) // Run is not waiting for changes
 	f.waitingSince.Store(int64(c.SinceBoot()))
 	c.Advance(time.Second)
-	f.ConfirmReachable(c.SinceBoot() - 1100*time.Millisecond)
+	f.ConfirmReachable(c.SinceBoot()-1100*time.Millisecond, 0)
 	is.True(f.configAge() >= 2*time.Second) // the store was reached before the wait began
-	f.ConfirmReachable(c.SinceBoot() - 100*time.Millisecond)
+	f.ConfirmReachable(c.SinceBoot()-100*time.Millisecond, 1)
+	is.True(f.configAge() >= 2*time.Second) // the store was reached in another era than that of the wait
+	f.ConfirmReachable(c.SinceBoot()-100*time.Millisecond, 0)
 	is.Equal(f.configAge(), 100*time.Millisecond)
 	is.Equal(s.reads, 1)
 }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -48,11 +48,20 @@
 	activationTTL = 5 * time.Second
 )
 
+// Cursor is a position in the store's changes. The zero value is that before the first
+// read.
+type Cursor struct {
+	Version int64
+	// Era counts the restores of the store from a copy. Versions of different eras cannot
+	// be compared.
+	Era int64
+}
+
 // Update is a configuration as a source delivers it.
 type Update struct {
 	// Cursor is the position in the store's changes; the next Await continues
 	// after it.
-	Cursor int64
+	Cursor Cursor
 	// Config is nil if nothing changed or the document was rejected.
 	Config *config.Config
 	// Version is the version of the configuration document.
@@ -63,9 +72,10 @@
 
 // Source reads configurations from the platform's store.
 type Source interface {
-	// Await returns the newest configuration at once if cursor is 0. Otherwise it
-	// waits until there is a change after cursor or the source's own timeout ends.
-	Await(ctx context.Context, cursor int64) (Update, error)
+	// Await returns the newest configuration at once if cursor is the zero value or the
+	// store has begun another era. Otherwise it waits until there is a change after
+	// cursor or the source's own timeout ends.
+	Await(ctx context.Context, cursor Cursor) (Update, error)
 }
 
 // Follower owns the applied configuration. It implements control.Viewer and
@@ -90,6 +100,8 @@
 	// waitingSince is the time since boot at which Run began to wait for changes
 	// from the source, or 0 if it does not wait.
 	waitingSince atomic.Int64
+	// waitingEra is the era of the store in which Run waits.
+	waitingEra atomic.Int64
 	// confirmedAt is the latest time since boot at which there was no version newer
 	// than the applied one, as known from a serving instance or from the source.
 	confirmedAt atomic.Int64
@@ -146,10 +158,10 @@
 }
 
 // ConfirmReachable tells the follower that the source was reachable at the given time since
-// boot. If Run was already waiting for changes then, there had been none, so that
-// the applied version is confirmed as the newest.
-func (f *Follower) ConfirmReachable(at time.Duration) {
-	if since := f.waitingSince.Load(); since != 0 && since <= int64(at) {
+// boot, in an era of the store. If Run was already waiting for changes in that era,
+// there had been none, so that the applied version is confirmed as the newest.
+func (f *Follower) ConfirmReachable(at time.Duration, era int64) {
+	if since := f.waitingSince.Load(); since != 0 && since <= int64(at) && f.waitingEra.Load() == era {
 		f.confirmNewest(at)
 	}
 }
@@ -196,7 +208,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	startedAt := f.clock.SinceBoot()
-	update, err := f.source.Await(ctx, 0)
+	update, err := f.source.Await(ctx, Cursor{})
 	if err != nil {
 		// A read that took far longer than its timeout spans a pause of the process and
 		// says nothing about the source.
@@ -228,17 +240,18 @@
 
 // Run waits for configurations from the source and applies them until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	var cursor int64
+	var cursor Cursor
 	retryDelay, available := initialRetryDelay, true
 	for {
 		// A standby need not read the first configuration itself: it learns of it
 		// from heartbeats of serving instances.
 		if !f.active() {
 			f.waitUntilReadDue(ctx)
-			cursor = 0
+			cursor = Cursor{}
 		}
 		startedAt := f.clock.SinceBoot()
-		if cursor != 0 {
+		if cursor != (Cursor{}) {
+			f.waitingEra.Store(cursor.Era)
 			f.waitingSince.Store(int64(startedAt))
 		}
 		update, err := f.source.Await(ctx, cursor)
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -24,9 +24,9 @@
 	reads   int
 }
 
-func (s *scriptedSource) Await(ctx context.Context, cursor int64) (Update, error) {
+func (s *scriptedSource) Await(ctx context.Context, cursor Cursor) (Update, error) {
 	s.mu.Lock()
-	if cursor == 0 {
+	if cursor == (Cursor{}) {
 		s.reads++
 	}
 	if len(s.updates) == 0 {
@@ -55,7 +55,9 @@
 	return fleet.NewCopySources(func() time.Duration { return 0 })
 }
 
-func configUpdate(v int64) Update { return Update{Cursor: v, Version: v, Config: config.Empty()} }
+func configUpdate(v int64) Update {
+	return Update{Cursor: Cursor{Version: v}, Version: v, Config: config.Empty()}
+}
 
 // startFollower runs an active follower on a source that delivers updates.
 func startFollower(t *testing.T, updates ...any) *Follower {
@@ -86,7 +88,7 @@
 func TestVersionsNeverDecrease(t *testing.T) {
 	is := is.New(t)
 	f := startFollower(t, configUpdate(3), configUpdate(7), configUpdate(5),
-		Update{Cursor: 8, Version: 8, Rejected: errors.New("odd")}, Update{Cursor: 9})
+		Update{Cursor: Cursor{Version: 8}, Version: 8, Rejected: errors.New("odd")}, Update{Cursor: Cursor{Version: 9}})
 	is.True(!f.MayServe() || f.View().Config.Version > 0)
 	eventually(t, "version 7 was not applied", func() bool { return f.View().Config.Version == 7 })
 	time.Sleep(30 * time.Millisecond)
