Retain targets that a restored store lacks until they report again

What callers would have seen: refusals, or a whole service without a target where all were replaced within the age of the copy, until the targets report again.

Cause: only an outage of 2 s or more made missing targets count as unsettled. A store that comes back from a copy lacks all targets that came since, however short it was away.

A listing of another era makes missing targets unsettled for the same 2.2 s, at the lister and, by the era in its heartbeats, at all others. Heartbeats of an era that has ended are ignored.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -20,9 +20,9 @@
 )
 
 const (
-	// missingRetention is how long after an outage of the store targets that
-	// disappeared from the listing stay in use: live ones are listed again within
-	// about 2 s.
+	// missingRetention is how long after an outage of the store, or after its restore
+	// from a copy, targets that disappeared from the listing stay in use: live ones are
+	// listed again within about 2 s.
 	missingRetention = 2200 * time.Millisecond
 	// minExpiryOutage is the shortest outage of the store in which entries of live
 	// targets can expire. Targets report to the store at an interval set by the
@@ -139,8 +139,10 @@
 	// listedAt is the time since boot at which this instance requested its last
 	// successful listing.
 	listedAt time.Duration
-	// listedEra is the era of the store in that listing.
-	listedEra int64
+	// listedEra is the era of the store in that listing, era the newest one of any listing.
+	listedEra, era int64
+	// restoredAt is the time since boot at which era last changed.
+	restoredAt time.Duration
 	// failingSince is the time since boot from which listings have failed, or 0
 	// if the last one succeeded; lastFailureAt is the time of the last failure.
 	// From settledAt on, targets that are missing from a listing count as removed.
@@ -269,6 +271,7 @@
 		r.settledAt = r.lastFailureAt + missingRetention
 	}
 	r.failingSince, r.consecutiveFailures = 0, 0
+	r.observeEra(listed.Era, now)
 	changed := r.accept(next, digestOf(next), startedAt, now, now < r.settledAt)
 	r.mu.Unlock()
 	if changed {
--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -148,7 +148,7 @@
 // caller holds mu.
 func (r *Registry) listingHeader(now time.Duration) *peerpb.Listing {
 	age := now - r.Catalogue().ReadAt
-	return &peerpb.Listing{Digest: r.digest, AgeMs: uint32(min(age, maxReportedAge).Milliseconds()), Unsettled: now < r.settledAt}
+	return &peerpb.Listing{Digest: r.digest, AgeMs: uint32(min(age, maxReportedAge).Milliseconds()), Unsettled: now < r.settledAt, StoreEra: r.era}
 }
 
 // Listing returns the complete listing for another instance, encoded as changes
@@ -219,6 +219,10 @@
 func (r *Registry) applyMessage(l *peerpb.Listing, now time.Duration, complete bool) (changed, outOfSync bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if l.StoreEra < r.era {
+		return false, false
+	}
+	r.observeEra(l.StoreEra, now)
 	next := r.lastListing
 	if l.Digest != r.digest {
 		if !complete && r.digestAfter(l) != l.Digest {
