Leave out targets that a restored store lists as they were before they left

What callers would have seen: requests at targets that had drained or left, answered late or not at all, for up to the 4.5 s until such an entry expires.

Cause: each listing is taken as it is. A copy lists a target that has drained since as ready, and one that has left as present.

Every instance remembers for five minutes which runs of targets drain or have left, whoever listed them. After a restore, a lister corrects its listing by that: a drained run still drains until its entry is written again, a run that had left stays out until its entry is written again or 6 s have passed, when an entry that nobody writes has expired. Followers get the corrected listing.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -59,6 +59,9 @@
 // Listed is what one listing of the platform's store returned.
 type Listed struct {
 	Targets []Target
+	// RowVersions holds the version of each target's entry by the target's id. It changes
+	// whenever the entry is written.
+	RowVersions map[string]int64
 	// Era counts the restores of the store from a copy; 0 if the store does not tell.
 	Era int64
 }
@@ -143,6 +146,8 @@
 	listedEra, era int64
 	// restoredAt is the time since boot at which era last changed.
 	restoredAt time.Duration
+	// departures are the targets that drain or have left, by id.
+	departures map[string]*departure
 	// failingSince is the time since boot from which listings have failed, or 0
 	// if the last one succeeded; lastFailureAt is the time of the last failure.
 	// From settledAt on, targets that are missing from a listing count as removed.
@@ -158,7 +163,7 @@
 func NewRegistry(c clock.Clock, source Source, peerListings PeerListings, copySources *fleet.CopySources, log *zerolog.Logger, onChange func(own bool)) *Registry {
 	r := &Registry{
 		clock: c, source: source, peerListings: peerListings, copySources: copySources, log: log, onChange: onChange, lastListing: map[string]Target{}, listedAt: -time.Hour,
-		storeFailing: map[string]bool{},
+		storeFailing: map[string]bool{}, departures: map[string]*departure{},
 	}
 	r.current.Store(&Catalogue{ReadAt: -time.Hour, Services: map[string][]*Entry{}, byID: map[string]*Entry{}})
 	return r
@@ -272,6 +277,7 @@
 	}
 	r.failingSince, r.consecutiveFailures = 0, 0
 	r.observeEra(listed.Era, now)
+	r.correctRevived(next, listed.RowVersions, now)
 	changed := r.accept(next, digestOf(next), startedAt, now, now < r.settledAt)
 	r.mu.Unlock()
 	if changed {
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -19,14 +19,16 @@
 // fakeSource is a Source whose targets and error are set by a test.
 type fakeSource struct {
 	targets []Target
-	era     int64
-	err     error
-	calls   int
+	// versions are the versions of the targets' entries.
+	versions map[string]int64
+	era      int64
+	err      error
+	calls    int
 }
 
 func (s *fakeSource) Targets(context.Context) (Listed, error) {
 	s.calls++
-	return Listed{Targets: s.targets, Era: s.era}, s.err
+	return Listed{Targets: s.targets, RowVersions: s.versions, Era: s.era}, s.err
 }
 
 // unreachablePeers fails each request for a listing.
--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -56,6 +56,7 @@
 	if changed = digest != r.digest; changed {
 		keepFirstWarmup(next, r.lastListing)
 		r.recordChanges(next, now)
+		r.recordDepartures(next, now)
 		r.lastListing, r.digest = next, digest
 	}
 	r.replaceCatalogue(r.lastListing, readAt, now, unsettled)
--- a/pkg/discovery/restore.go
+++ b/pkg/discovery/restore.go
@@ -17,3 +17,72 @@
 	}
 	return restored
 }
+
+const (
+	// revivalDoubt is how long after a restore a target that had left counts as left
+	// although it is listed: entries of targets that no longer report expire after three
+	// missed reports, 4.5 s on the users' deployments.
+	revivalDoubt = 6 * time.Second
+	// departureMemory is how long a target that has left is remembered. Copies of the
+	// store are some seconds old.
+	departureMemory = 5 * time.Minute
+)
+
+// departure records that a target drains or was removed from the listing. A restored
+// store lists it as it was before.
+type departure struct {
+	// started identifies the run of the target's process that has ended or drains.
+	started  int64
+	draining bool
+	// at is the time since boot at which this instance learned of it.
+	at time.Duration
+	// era and rowVersion are those of the entry in the first listing after a restore.
+	era, rowVersion int64
+}
+
+// recordDepartures records the targets that drain or are missing in next. The caller
+// holds mu.
+func (r *Registry) recordDepartures(next map[string]Target, now time.Duration) {
+	for id, d := range r.departures {
+		if now-d.at >= departureMemory {
+			delete(r.departures, id)
+		}
+	}
+	for id, t := range r.lastListing {
+		if _, ok := next[id]; !ok {
+			r.departures[id] = &departure{started: t.Started, at: now}
+		}
+	}
+	for id, t := range next {
+		switch d := r.departures[id]; {
+		case !t.Draining:
+			delete(r.departures, id)
+		case d == nil || !d.draining || d.started != t.Started:
+			r.departures[id] = &departure{started: t.Started, draining: true, at: now}
+		}
+	}
+}
+
+// correctRevived corrects a listing by the departures from before the last restore: the
+// targets left out are those that had been removed, and those that drained still do. A
+// target whose entry is written again after the restore is taken as it says. rowVersions
+// holds the versions of the entries. The caller holds mu.
+func (r *Registry) correctRevived(listed map[string]Target, rowVersions map[string]int64, now time.Duration) {
+	for id, d := range r.departures {
+		t, ok := listed[id]
+		if !ok || t.Started != d.started || t.Draining || d.at >= r.restoredAt {
+			continue
+		}
+		if d.era != r.era {
+			d.era, d.rowVersion = r.era, rowVersions[id]
+		}
+		switch {
+		case d.rowVersion != rowVersions[id]:
+		case d.draining:
+			t.Draining = true
+			listed[id] = t
+		case now-r.restoredAt < revivalDoubt:
+			delete(listed, id)
+		}
+	}
+}
--- a/pkg/discovery/restore_test.go
+++ b/pkg/discovery/restore_test.go
@@ -61,3 +61,58 @@
 	is.True(lister.Catalogue().Find("t2") == nil)
 	is.True(other.Catalogue().Find("t2") == nil)
 }
+
+// Guards against a target that has left for good, or that is alive and returns, being
+// mistaken for the other after a restore of the store.
+func TestRevivedTargetsAreToldFromReturningOnes(t *testing.T) {
+	is := is.New(t)
+	r, s, c := newRegistry()
+	list := func(era int64, versions map[string]int64, targets ...Target) {
+		c.Advance(500 * time.Millisecond)
+		s.era, s.versions, s.targets = era, versions, targets
+		is.NoErr(r.Refresh(context.Background()))
+	}
+	draining, again := target("t1"), target("t3")
+	draining.Draining = true
+	again.Started = 7
+	list(1, nil, target("t1"), target("t2"), target("t3"))
+	list(1, nil, draining)
+	copied := map[string]int64{"t1": 5, "t2": 6, "t3": 9}
+	list(2, copied, target("t1"), target("t2"), again)
+	is.True(r.Catalogue().Find("t1").Draining)
+	is.True(r.Catalogue().Find("t2") == nil)
+	is.True(r.Catalogue().Find("t3") != nil) // it has started anew since
+
+	// Another target changes, so that the listing is accepted again.
+	list(2, copied, target("t1"), target("t2"), again, target("t4"))
+	is.True(r.Catalogue().Find("t1").Draining)
+	is.True(r.Catalogue().Find("t2") == nil)
+
+	// The entry is written after the restore, so the target is alive.
+	list(2, map[string]int64{"t1": 5, "t2": 20, "t3": 9}, target("t1"), target("t2"), again)
+	is.True(r.Catalogue().Find("t2") != nil)
+
+	// A target that drained stays so for as long as its entry is the old one.
+	for range 20 {
+		list(2, copied, target("t1"))
+		is.True(r.Catalogue().Find("t1").Draining)
+	}
+}
+
+// Guards against a live target that is left out for good because its entry was written
+// before the first listing after the restore.
+func TestReturningTargetIsUsedAfterTheDoubt(t *testing.T) {
+	is := is.New(t)
+	r, s, c := newRegistry()
+	s.era, s.targets = 1, []Target{target("t1"), target("t2")}
+	is.NoErr(r.Refresh(context.Background()))
+	c.Advance(time.Second)
+	s.targets = s.targets[:1]
+	is.NoErr(r.Refresh(context.Background()))
+	s.era, s.targets, s.versions = 2, []Target{target("t1"), target("t2")}, map[string]int64{"t1": 3, "t2": 4}
+	for range 16 {
+		c.Advance(500 * time.Millisecond)
+		is.NoErr(r.Refresh(context.Background()))
+	}
+	is.True(r.Catalogue().Find("t2") != nil)
+}
