Enter the roster again after a restore of the store

What would have been seen: an instance that started within the age of the copy is in no roster. Processes that start later do not contact it, and know it only once it sends them a heartbeat, which a standby does only to serving instances of its zone.

Cause: an instance writes its row once, since the store lost nothing that it had acknowledged.

The era comes with each listing, own or in a heartbeat, so that every instance learns of a restore without a call of its own. Each then writes its row again, spread over 2 s so that hundreds of instances stay within the store's rate, and repeats it until it succeeds or the instance leaves. An instance whose first listing is of a later era than the first does so as well: it may have joined before the restore.

The roster's rows of instances that left gracefully within the age of the copy come back and stay; a process that starts asks them for a heartbeat once.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -114,6 +114,9 @@
 	// onChange is called without a lock held after each change of the listing;
 	// own reports whether this instance read the change from the store.
 	onChange func(own bool)
+	// OnRestore, if not nil, is called without a lock held when the store may have been
+	// restored from a copy since this process started.
+	OnRestore func()
 
 	current atomic.Pointer[Catalogue]
 	// retryAt is the time since boot before which EnsureMaxAge does not repeat a
@@ -276,10 +279,11 @@
 		r.settledAt = r.lastFailureAt + missingRetention
 	}
 	r.failingSince, r.consecutiveFailures = 0, 0
-	r.observeEra(listed.Era, now)
+	restored := r.observeEra(listed.Era, now)
 	r.correctRevived(next, listed.RowVersions, now)
 	changed := r.accept(next, digestOf(next), startedAt, now, now < r.settledAt)
 	r.mu.Unlock()
+	r.announceRestore(restored)
 	if changed {
 		r.onChange(true)
 	}
--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -218,12 +218,14 @@
 // listing has changed, and whether this instance is out of sync because the
 // result does not match the digest of the message; such a message is not applied.
 func (r *Registry) applyMessage(l *peerpb.Listing, now time.Duration, complete bool) (changed, outOfSync bool) {
+	restored := false
+	defer func() { r.announceRestore(restored) }()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if l.StoreEra < r.era {
 		return false, false
 	}
-	r.observeEra(l.StoreEra, now)
+	restored = r.observeEra(l.StoreEra, now)
 	next := r.lastListing
 	if l.Digest != r.digest {
 		if !complete && r.digestAfter(l) != l.Digest {
--- a/pkg/discovery/restore.go
+++ b/pkg/discovery/restore.go
@@ -2,20 +2,23 @@
 
 import "time"
 
+// firstEra is the era of a store that was never restored.
+const firstEra = 1
+
 // observeEra records the era of the store in a listing, and reports whether the store
-// was restored from a copy since the last one. The copy may lack live targets until they
-// report again, so missing ones are retained as after an outage. The caller holds mu.
+// may have been restored from a copy since this process started. The copy may lack live
+// targets until they report again, so missing ones are retained as after an outage. The
+// caller holds mu.
 func (r *Registry) observeEra(era int64, now time.Duration) (restored bool) {
 	if era <= r.era {
 		return false
 	}
-	restored = r.era != 0
-	r.era = era
-	if restored {
+	if r.era != 0 {
 		r.restoredAt = now
 		r.settledAt = max(r.settledAt, now+missingRetention)
 	}
-	return restored
+	r.era = era
+	return era > firstEra
 }
 
 const (
@@ -86,3 +89,11 @@
 		}
 	}
 }
+
+// announceRestore calls OnRestore if the store may have been restored. No lock may be
+// held.
+func (r *Registry) announceRestore(restored bool) {
+	if restored && r.OnRestore != nil {
+		r.OnRestore()
+	}
+}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -107,6 +107,7 @@
 	i := &Instance{Options: o, clock: c, started: c.Now(), startedAt: c.SinceBoot(), recorder: newRecorder(o.Log)}
 	i.stateFetcher = &stateFetcher{instance: s.Instance, client: drpcpeer.NewClientFrom(hostOf(s.GossipAddress))}
 	i.registry = discovery.NewRegistry(i.clock, o.Platform, i.stateFetcher, fleet.NewCopySources(i.copyDelay), o.Log, func(own bool) { i.fleet.Push(own) })
+	i.registry.OnRestore = func() { i.fleet.Rejoin() }
 	i.follower = follow.New(i.clock, o.Platform, i.stateFetcher, fleet.NewCopySources(i.copyDelay), membership.Member{
 		Instance: s.Instance, Zone: s.AvailabilityZone, CallerAddress: s.CallerAddress,
 	}, o.Log, func(own bool) { i.fleet.Push(own) })
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -62,6 +62,9 @@
 	onlyMemberWait = 250 * time.Millisecond
 	// maxRosterRetryDelay bounds the random delay between two tries to join and read the roster.
 	maxRosterRetryDelay = time.Second
+	// rejoinPeriod is the period over which the instances spread the calls that enter them
+	// into the roster again.
+	rejoinPeriod = 2 * time.Second
 	// rosterCallTimeout bounds one try to join and read the roster.
 	rosterCallTimeout = 2 * time.Second
 )
@@ -109,6 +112,8 @@
 	// calledChanged has an element when View.Called has changed, push when
 	// heartbeats should be sent at once.
 	calledChanged, push chan struct{}
+	// rejoin has an element when this instance should enter the roster again.
+	rejoin chan struct{}
 	// pushToAll says that the next push also goes to all serving instances.
 	pushToAll atomic.Bool
 
@@ -123,7 +128,7 @@
 
 // New returns a fleet that knows only this instance.
 func New(o Options) *Fleet {
-	f := &Fleet{Options: o, members: map[string]*memberState{}, calledChanged: make(chan struct{}, 1), push: make(chan struct{}, 1)}
+	f := &Fleet{Options: o, members: map[string]*memberState{}, calledChanged: make(chan struct{}, 1), push: make(chan struct{}, 1), rejoin: make(chan struct{}, 1)}
 	f.view.Store(&View{Self: o.Self})
 	return f
 }
@@ -149,9 +154,18 @@
 	}
 }
 
+// Rejoin enters this instance into the roster again, which may have lost its entry.
+func (f *Fleet) Rejoin() {
+	select {
+	case f.rejoin <- struct{}{}:
+	default:
+	}
+}
+
 // Run joins the fleet and sends heartbeats until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	go f.join(ctx)
+	go f.rejoinWhenAsked(ctx)
 	for scope := onlyDue; ; {
 		f.stepWithPush(scope)
 		// The jitter keeps the instances from sending at the same moments.
@@ -203,6 +217,29 @@
 	}
 }
 
+// rejoinWhenAsked enters this instance into the roster after each call of Rejoin, until
+// ctx ends or the instance leaves.
+func (f *Fleet) rejoinWhenAsked(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.rejoin:
+		}
+		for failed := true; failed; {
+			if f.Clock.Sleep(ctx, rand.N(rejoinPeriod)) != nil || f.leaving.Load() {
+				return
+			}
+			call, cancel := context.WithTimeout(ctx, rosterCallTimeout)
+			err := f.Roster.Join(call, f.Self)
+			cancel()
+			if failed = err != nil; failed {
+				event.JoinFailed.Log(f.Log).Err(err).Send()
+			}
+		}
+	}
+}
+
 // startWait returns how long a new process waits until it may decide to serve.
 // The other instances may start at the same time; without a wait, each of the
 // first ones would see only few members and decide to serve. Rows that earlier
