--- a/pkg/lab/soak/limits.go
+++ b/pkg/lab/soak/limits.go
@@ -28,17 +28,6 @@
 	perSecond float64
 }
 
-// startRateLimits begins injectRateLimits and returns a function that ends it.
-func (tb *testbed) startRateLimits(ctx context.Context, report *Report) (end func()) {
-	ctx, cancel := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go func() {
-		tb.injectRateLimits(ctx, report)
-		close(done)
-	}()
-	return func() { cancel(); <-done }
-}
-
 // injectRateLimits makes targets name rates, several at a time, until ctx ends. The
 // draws are apart from those of the other faults, so that the seeds of earlier findings
 // keep their faults.
@@ -52,11 +41,7 @@
 		tb.mu.Lock()
 		targets := slices.DeleteFunc(slices.Clone(tb.targets), func(*target) bool { return rng.Float64() >= share })
 		tb.mu.Unlock()
-		line := fmt.Sprintf("%d targets name a rate for %.1f s", len(targets), length.Seconds())
-		tb.mu.Lock()
-		report.Faults = append(report.Faults, line)
-		tb.mu.Unlock()
-		_, _ = fmt.Fprintln(tb.Progress, line)
+		tb.addFault(report, fmt.Sprintf("%d targets name a rate for %.1f s", len(targets), length.Seconds()))
 		var ends []func()
 		for _, t := range targets {
 			// The callers send about 25 requests per second and target.
--- a/pkg/lab/soak/soak.go
+++ b/pkg/lab/soak/soak.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -93,9 +94,13 @@
 	defer stop()
 	callers := startCallers(loadContext, tb)
 	report := &Report{Seed: o.Seed}
-	endLimits := tb.startRateLimits(ctx, report)
+	further, endFurther := context.WithCancel(ctx)
+	var injectors sync.WaitGroup
+	injectors.Go(func() { tb.injectRateLimits(further, report) })
+	injectors.Go(func() { tb.injectRestores(further, report) })
 	tb.injectFaults(ctx, report)
-	endLimits()
+	endFurther()
+	injectors.Wait()
 	if err := sleep(ctx, finalFaultFreeTime); err != nil {
 		return nil, err
 	}
@@ -120,11 +125,7 @@
 		duration := 300*time.Millisecond + time.Duration(rng.Int64N(int64(3*time.Second)))
 		gap := time.Duration(rng.Int64N(int64(maxFaultInterval)))
 		active <- struct{}{}
-		line := fmt.Sprintf("%6.2f s %s for %.1f s", time.Since(began).Seconds(), f.name, duration.Seconds())
-		tb.mu.Lock()
-		report.Faults = append(report.Faults, line)
-		tb.mu.Unlock()
-		_, _ = fmt.Fprintln(tb.Progress, line)
+		tb.addFault(report, fmt.Sprintf("%6.2f s %s for %.1f s", time.Since(began).Seconds(), f.name, duration.Seconds()))
 		f.begin()
 		tb.activeFaults.Go(func() {
 			// The fault must also end when the run is canceled.
@@ -138,5 +139,13 @@
 	tb.resumeProcesses()
 }
 
+// addFault adds a line about a fault to the report and shows it.
+func (tb *testbed) addFault(report *Report, line string) {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	report.Faults = append(report.Faults, line)
+	_, _ = fmt.Fprintln(tb.Progress, line)
+}
+
 // sleep waits for d or until ctx ends, and returns the error of ctx.
 func sleep(ctx context.Context, d time.Duration) error { return clock.System{}.Sleep(ctx, d) }
