Wait for unreachable targets although none is left that can be used

Callers saw nothing yet: found in the reading before the landing. Since the refusal at once for named rates, a request was also refused at once, and told to return after 1 s, when all targets were unreachable for 0.4 s or had been tried, without any limit. Cause: no usable target at all counted like targets whose limits leave no room. The wait now counts only where a limit was seen and every target that is left has one.

Evidence: TestUnreachableTargetsCountAsLimited failed before and passes.

--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -152,24 +152,25 @@
 }
 
 // limitWait returns how long a request will wait for the allowance of a target while
-// ahead other requests wait before it. limited is false if a target without a limit can
-// be used, whose load may fall at any time.
+// ahead other requests wait before it. limited is false unless all targets that are left
+// have a limit: one without may become free or reachable at any time.
 func (s *service) limitWait(tried []string, ahead int, now time.Duration) (wait time.Duration, limited bool) {
 	rate, tokens := 0.0, 0.0
 	for _, t := range s.ordered {
-		if !t.usable(now) || slices.Contains(tried, t.entry.ID) {
+		if t.entry.Draining || slices.Contains(tried, t.entry.ID) {
 			continue
 		}
 		if !t.limit.limited {
 			return 0, false
 		}
+		limited = true
 		t.limit.refill(now)
 		rate += t.limit.rate()
 		tokens += min(t.limit.tokens, 1)
 	}
 	missing := float64(ahead+1) - tokens
-	if missing <= 0 {
-		return 0, true
+	if !limited || missing <= 0 {
+		return 0, limited
 	}
 	seconds := missing / rate
 	if seconds > maxLimitWait.Seconds() {
--- a/pkg/placement/limit_sim_test.go
+++ b/pkg/placement/limit_sim_test.go
@@ -251,6 +251,23 @@
 	}
 }
 
+// Guards against a request that is refused at once, as if limits left it no room, while
+// targets without a limit are only unreachable for a moment.
+func TestUnreachableTargetsCountAsLimited(t *testing.T) {
+	f := newFixture(1)
+	f.send(t, true, answered)
+	s, now := f.service("s"), f.clock.SinceBoot()
+	for _, target := range s.targets {
+		target.blockedUntil = now + unreachableBackoff
+	}
+	if _, limited := s.limitWait(nil, 0, now); limited {
+		t.Error("no target has a limit")
+	}
+	if _, limited := s.limitWait([]string{"a0", "b0"}, 0, now); limited {
+		t.Error("no target is left, but none has a limit")
+	}
+}
+
 // Guards against a limit that stays in force after the target has ended it.
 func TestNamedRateEnds(t *testing.T) {
 	s := newLimitSim(1, 9, 26, 130, 0.7, 0.5)
