--- a/pkg/lab/soak/limits.go
+++ b/pkg/lab/soak/limits.go
@@ -113,7 +113,8 @@
 	return most
 }
 
-// hadFault reports whether an instance had a fault or was starting in an interval.
+// hadFault reports whether an instance had a fault or was stopping in an interval, each
+// extended by faultMargin.
 func (tb *testbed) hadFault(ip string, from, to time.Time) bool {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
--- a/pkg/lab/storesim/rows.go
+++ b/pkg/lab/storesim/rows.go
@@ -192,7 +192,8 @@
 	}
 }
 
-// restore replaces the contents by a copy and begins a new era. Waiting feeds end.
+// restore replaces the contents by a copy and begins a new era. Waiting feeds
+// check again whether their version exists.
 func (t *tables) restore(c *tablesCopy) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
