Close a target's connection that still holds an unread part of the request

A caller whose request follows one that a target answered without reading its large body waits until its deadline.

Cause: the connection counted as unusable only when the write was still blocked as the response arrived. When the send buffer of the system takes the whole body (up to about 4 MB on loopback, depending on its growth), the write succeeds, the early response is complete, and the connection goes back to the pool although the target has read 1 KB of 4 MB. A trace of local ports showed it: each failed request was written to the connection of the one before, 32,601 bytes went out, and the target never read.

Ruled out: load (nothing else ran), a slow read of the caller's body (8 to 13 ms in the failed runs), a lost response (nothing had arrived at the proxy).

Change: after a response to a body that was written by itself (over 8 KiB), the unacknowledged bytes of the connection are asked for; with any, it is closed. The response of a target that has read everything acknowledges everything, so other connections stay in use, and small requests cost no system call more.

--- a/pkg/proxy/dialect_test.go
+++ b/pkg/proxy/dialect_test.go
@@ -153,14 +153,15 @@
 	}()
 	r := newDialectTestProxy(t, 0, ln.Addr().String())
 	caller := r.dial(t)
-	for range 2 {
+	// The send buffer of the system takes the smaller body whole.
+	for _, size := range []int{1 << 20, 1 << 20, 4 << 20, 4 << 20} {
 		began := time.Now()
-		response, body := caller.send("POST", "/put", strings.Repeat("x", 4<<20), r.keyLine())
+		response, body := caller.send("POST", "/put", strings.Repeat("x", size), r.keyLine())
 		is.Equal(response.StatusCode, 413)
 		is.Equal(body, "no")
 		is.True(time.Since(began) < 250*time.Millisecond)
 	}
-	is.Equal(len(accepted), 2) // Each request had its own connection.
+	is.Equal(len(accepted), 4) // Each request had its own connection.
 }
 
 // Guards against a target that gets more time than the caller will wait, against a
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -193,7 +193,7 @@
 		x.p.pool.discard(x.conn)
 		return x.reportFailure(err)
 	}
-	x.ended = x.respondedEarly || x.closeDelimited(response)
+	x.ended = x.respondedEarly || x.closeDelimited(response) || x.unreadByTarget()
 	x.closing = response.Header.ConnectionClose()
 	if x.rest == nil {
 		x.releaseConn()
@@ -201,6 +201,12 @@
 	return x.handleResponse(response)
 }
 
+// unreadByTarget reports whether the target responded before it had received the whole
+// request. The next request on the connection would wait behind the unread rest.
+func (x *exchange) unreadByTarget() bool {
+	return len(x.caller.Request.Body()) > maxInlineBodyBytes && hasUnsentData(x.conn.Conn)
+}
+
 // releaseConn returns the connection of a complete exchange to the pool, or closes it.
 func (x *exchange) releaseConn() {
 	switch {
