Play the test of bounded fetches in simulated time

Cause: the server cuts a client off that takes no 64 KiB within the write timeout, which the test set to one second of real time. Under the race detector a client copies 8 MiB in steps, and a profile has 79% of the processor time in the detector's bookkeeping of those ranges. With 12 copies of the test at once 9 fail: a trace shows writes of 65,542 bytes of which 19,192 to 61,648 were taken within 1.0 to 1.3 s. The same 12 copies without the race detector: 36 of 36 runs pass. So the server did what it should with a client that does not read for that long; the test took the speed of the machine for a property of the server.

Ruled out: a quadratic reader in drpc (frames are appended once), a write timeout for the whole reply (each frame has its own).

Change: the test runs in a synctest bubble over pipes, with the write timeout of the product (2 s) instead of one of its own, and checks besides that the clients which do not read really held all fetches. The client's dialer is a function for that; serve, which only existed to set another timeout, is gone.

--- a/pkg/peer/drpcpeer/client.go
+++ b/pkg/peer/drpcpeer/client.go
@@ -39,7 +39,8 @@
 
 // Client is a peer.Transport over TCP. Close it when it is no longer used.
 type Client struct {
-	dialer   net.Dialer
+	// dial opens a TCP connection to an address.
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	counters Counters
 
 	mu     sync.Mutex
@@ -78,11 +79,11 @@
 // NewClientFrom returns a client that connects from the local IP address
 // sourceIP; if it is empty, the operating system chooses one.
 func NewClientFrom(sourceIP string) *Client {
-	c := &Client{pools: map[poolKey]*pool{}}
+	dialer := &net.Dialer{}
 	if ip := net.ParseIP(sourceIP); ip != nil {
-		c.dialer.LocalAddr = &net.TCPAddr{IP: ip}
+		dialer.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	return c
+	return &Client{dial: dialer.DialContext, pools: map[poolKey]*pool{}}
 }
 
 // ClosedError reports a call on a client that has been closed.
@@ -169,7 +170,7 @@
 	if conn := c.takeIdle(p); conn != nil {
 		return conn, release, nil
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", key.address)
+	raw, err := c.dial(ctx, "tcp", key.address)
 	if err != nil {
 		release()
 		return nil, nil, errors.WithStack(err)
--- a/pkg/peer/drpcpeer/drpcpeer_test.go
+++ b/pkg/peer/drpcpeer/drpcpeer_test.go
@@ -6,6 +6,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/peer"
@@ -186,56 +187,104 @@
 
 // blockedReader is a connection that is never read from, like that of a client
 // that has stopped reading.
-type blockedReader struct{ net.Conn }
+type blockedReader struct {
+	net.Conn
+	closed chan struct{}
+}
 
 // Read blocks until the connection is closed.
 func (s blockedReader) Read([]byte) (int, error) {
-	time.Sleep(time.Minute)
+	<-s.closed
 	return 0, net.ErrClosed
 }
 
+// Close closes the connection.
+func (s blockedReader) Close() error {
+	close(s.closed)
+	return s.Conn.Close()
+}
+
+// pipeListener is a listener in memory, for tests in simulated time.
+type pipeListener struct {
+	accepted chan net.Conn
+	closed   chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{accepted: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	near, far := net.Pipe()
+	select {
+	case l.accepted <- far:
+		return near, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.accepted:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.UnixAddr{Name: "pipe", Net: "pipe"} }
+
 // Guards against holding a reply in memory for every instance of the fleet at
 // once after a configuration change, and against clients that do not read their
 // reply occupying the bounded number of served fetches.
 func TestServedFetchesAreBounded(t *testing.T) {
-	is := is.New(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	ctx, cancel := context.WithCancel(t.Context())
-	var active, maxActive atomic.Int64
-	handlers := peer.Handlers{OnFetch: func(context.Context, *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
-		maxActive.Store(max(maxActive.Load(), active.Add(1)))
-		time.Sleep(10 * time.Millisecond)
-		active.Add(-1)
-		return &peerpb.FetchReply{Config: make([]byte, 8<<20)}, nil
-	}}
-	done := make(chan error, 1)
-	go func() { done <- serve(ctx, listener, handlers, &Counters{}, time.Second) }()
-	address := listener.Addr().String()
-	for range maxServedFetches {
-		raw, err := net.Dial("tcp", address)
-		is.NoErr(err)
-		defer func() { _ = raw.Close() }()
-		conn := drpcconn.NewWithOptions(blockedReader{raw}, drpcconn.Options{Manager: managerOptions()})
-		go func() { _, _ = peerpb.NewDRPCPeerClient(conn).Fetch(ctx, &peerpb.FetchRequest{}) }()
-	}
-	time.Sleep(100 * time.Millisecond)
-	var clients sync.WaitGroup
-	for range 3 * maxServedFetches {
-		clients.Go(func() {
-			client := NewClient()
-			ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
-			defer cancel()
-			reply, err := client.Fetch(ctx, address, &peerpb.FetchRequest{})
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		listener := newPipeListener()
+		ctx, cancel := context.WithCancel(t.Context())
+		var active, maxActive atomic.Int64
+		handlers := peer.Handlers{OnFetch: func(context.Context, *peerpb.FetchRequest) (*peerpb.FetchReply, error) {
+			maxActive.Store(max(maxActive.Load(), active.Add(1)))
+			time.Sleep(10 * time.Millisecond)
+			active.Add(-1)
+			return &peerpb.FetchReply{Config: make([]byte, 8<<20)}, nil
+		}}
+		done := make(chan error, 1)
+		go func() { done <- Serve(ctx, listener, handlers) }()
+		for range maxServedFetches {
+			raw, err := listener.dial(ctx, "", "")
 			is.NoErr(err)
-			is.Equal(len(reply.Config), 8<<20)
-			_ = client.Close()
-		})
-	}
-	clients.Wait()
-	is.True(maxActive.Load() > 1 && maxActive.Load() <= maxServedFetches)
-	cancel()
-	is.NoErr(<-done)
+			conn := drpcconn.NewWithOptions(blockedReader{raw, make(chan struct{})}, drpcconn.Options{Manager: managerOptions()})
+			defer func() { _ = conn.Close() }()
+			go func() { _, _ = peerpb.NewDRPCPeerClient(conn).Fetch(ctx, &peerpb.FetchRequest{}) }()
+		}
+		synctest.Wait()
+		began := time.Now()
+		var clients sync.WaitGroup
+		for range 3 * maxServedFetches {
+			clients.Go(func() {
+				client := NewClient()
+				client.dial = listener.dial
+				ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
+				defer cancel()
+				reply, err := client.Fetch(ctx, "pipe", &peerpb.FetchRequest{})
+				is.NoErr(err)
+				is.Equal(len(reply.Config), 8<<20)
+				_ = client.Close()
+			})
+		}
+		clients.Wait()
+		is.True(time.Since(began) > fetchWriteTimeout) // The blocked clients held all fetches.
+		is.True(maxActive.Load() > 1 && maxActive.Load() <= maxServedFetches)
+		cancel()
+		is.NoErr(<-done)
+	})
 }
 
 // Guards against one call whose handler panics ending the process.
--- a/pkg/peer/drpcpeer/server.go
+++ b/pkg/peer/drpcpeer/server.go
@@ -5,7 +5,6 @@
 	"context"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/daemon"
 	"github.com/arbutuslink/arbutuslink/pkg/peer"
@@ -43,15 +42,11 @@
 
 // ServeCounted is like Serve and counts the calls and their bytes in counters.
 func ServeCounted(ctx context.Context, listener net.Listener, handler peer.Handler, counters *Counters) error {
-	return serve(ctx, listener, handler, counters, fetchWriteTimeout)
-}
-
-func serve(ctx context.Context, listener net.Listener, handler peer.Handler, counters *Counters, writeTimeout time.Duration) error {
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, handler); err != nil {
 		return errors.WithStack(&ServeError{Cause: err})
 	}
-	counting := &countingHandler{Handler: mux, counters: counters, fetches: make(chan struct{}, maxServedFetches), writeTimeout: writeTimeout}
+	counting := &countingHandler{Handler: mux, counters: counters, fetches: make(chan struct{}, maxServedFetches)}
 	server := drpcserver.NewWithOptions(counting, drpcserver.Options{Manager: managerOptions()})
 	ctx, cancel := context.WithCancel(ctx)
 	var connections sync.WaitGroup
--- a/pkg/peer/drpcpeer/traffic.go
+++ b/pkg/peer/drpcpeer/traffic.go
@@ -92,8 +92,6 @@
 	counters *Counters
 	// fetches is a semaphore with one element per Fetch call that is served.
 	fetches chan struct{}
-	// writeTimeout is the timeout of each write of a reply to Fetch.
-	writeTimeout time.Duration
 }
 
 const (
@@ -114,7 +112,7 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	conn.writeTimeout.Store(int64(h.writeTimeout))
+	conn.writeTimeout.Store(int64(fetchWriteTimeout))
 	return func() {
 		conn.writeTimeout.Store(0)
 		_ = conn.SetWriteDeadline(time.Time{})
