Let instances with few requests own no targets

Change: an instance that gets less than a fifth of its zone's mean rate for 2 s, or that begins to serve with less than two fifths, is quiet and owns no targets until it has two fifths. It decides for itself and says so in its heartbeats, so that all agree. Its share of the rates that targets name stays that of any other instance.

--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -11,12 +12,16 @@
 // caller holds mu.
 func (f *Fleet) updateView(now time.Duration) {
 	old := f.View()
-	next := &View{Version: old.Version, Self: f.Self}
+	next := &View{Version: old.Version, Self: f.Self, Quiet: map[string]bool{}}
 	next.Called = f.shouldServe(now, old.Called)
 	next.Serving = next.Called && f.Ready()
 	if next.Serving {
 		next.Peers = append(next.Peers, f.Self)
 	}
+	f.quiet.update(f, next.Serving, now)
+	if f.quiet.value {
+		next.Quiet[f.Self.Instance] = true
+	}
 	for _, k := range f.members {
 		timeout := unresponsiveTimeout
 		if !old.Serving && k.Zone != f.Self.Zone {
@@ -24,6 +29,9 @@
 		}
 		if now-k.lastReceived < timeout && k.serving && !k.leaving {
 			next.Peers = append(next.Peers, k.Member)
+			if k.quiet {
+				next.Quiet[k.Instance] = true
+			}
 		}
 	}
 	sortByName(next.Peers)
@@ -33,12 +41,14 @@
 		default:
 		}
 	}
-	if next.Serving == old.Serving && slices.Equal(next.Peers, old.Peers) {
-		f.view.Store(next)
-		return
+	samePeers := next.Serving == old.Serving && slices.Equal(next.Peers, old.Peers)
+	if !samePeers || !maps.Equal(next.Quiet, old.Quiet) {
+		next.Version++
 	}
-	next.Version++
 	f.view.Store(next)
+	if samePeers {
+		return
+	}
 	event.ServingChanged.Log(f.Log).Bool("self", next.Serving).Int("serving", len(next.Peers)).
 		Int("serving_in_zone", len(next.InZone(f.Self.Zone))).Int("known", len(f.members)+1).Send()
 }
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -124,6 +124,7 @@
 	// promotableSince is the time since boot from which this standby has been among
 	// those that should serve, or 0 if it is not.
 	promotableSince time.Duration
+	quiet           quietState
 }
 
 // New returns a fleet that knows only this instance.
@@ -323,7 +324,7 @@
 	if k != nil && h.Incarnation < k.Incarnation && now-k.lastReceived < unresponsiveTimeout {
 		return false
 	}
-	changed := k == nil || k.serving != h.Serving || k.leaving != h.Leaving || now-k.lastReceived >= unresponsiveTimeout
+	changed := k == nil || k.serving != h.Serving || k.leaving != h.Leaving || k.quiet != h.Quiet || now-k.lastReceived >= unresponsiveTimeout
 	if k == nil {
 		k = &memberState{}
 		f.members[h.Instance] = k
@@ -332,7 +333,7 @@
 		Instance: h.Instance, Incarnation: h.Incarnation, Zone: h.Zone, CallerAddress: h.CallerAddress,
 		GossipAddress: h.GossipAddress, Capacity: h.Capacity, DiagnosticsAddress: k.DiagnosticsAddress,
 	}
-	k.lastReceived, k.serving, k.leaving, k.rate = now, h.Serving, h.Leaving, float64(h.Rate)
+	k.lastReceived, k.serving, k.leaving, k.quiet, k.rate = now, h.Serving, h.Leaving, h.Quiet, float64(h.Rate)
 	if changed {
 		f.updateView(now)
 	}
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,7 @@
 	lastReceived time.Duration
 	serving      bool
 	leaving      bool
+	quiet        bool
 	rate         float64
 	// lastSent is the time since boot of the last heartbeat to it.
 	lastSent time.Duration
@@ -90,6 +92,18 @@
 	// Peers are the serving instances, including this one if it serves, ordered by
 	// instance name.
 	Peers []Member
+	// Quiet holds the names of the peers that get too few requests to own targets.
+	Quiet map[string]bool
+}
+
+// Owners returns the serving instances of a zone that own targets.
+func (v *View) Owners(zone string) []Member {
+	members := v.InZone(zone)
+	owners := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return v.Quiet[m.Instance] })
+	if len(owners) == 0 {
+		return members
+	}
+	return owners
 }
 
 // InZone returns the serving instances of a zone.
--- a/pkg/fleet/send.go
+++ b/pkg/fleet/send.go
@@ -123,10 +123,11 @@
 
 // heartbeat builds a heartbeat for an audience.
 func (f *Fleet) heartbeat(to Audience) *peerpb.Heartbeat {
+	view := f.View()
 	h := &peerpb.Heartbeat{
 		Instance: f.Self.Instance, Incarnation: f.Self.Incarnation, Zone: f.Self.Zone,
 		CallerAddress: f.Self.CallerAddress, GossipAddress: f.Self.GossipAddress, Capacity: f.Self.Capacity,
-		Serving: f.View().Serving, Leaving: f.leaving.Load(), Rate: float32(f.Rate()),
+		Serving: view.Serving, Leaving: f.leaving.Load(), Rate: float32(f.Rate()), Quiet: view.Quiet[f.Self.Instance],
 	}
 	if to == IdentityOnly {
 		return h
--- a/pkg/placement/floor_sim_test.go
+++ b/pkg/placement/floor_sim_test.go
@@ -57,6 +57,11 @@
 	members   []*simMember
 	targets   map[string]*simTarget
 	open      []simRequest
+	// quiet is the number of members, the first ones, that get a tenth of the requests of
+	// another.
+	quiet int
+	// errors is the fraction of the requests that healthy targets fail.
+	errors float64
 	// sent and failed hold the times of recent requests and failures.
 	sent, failed []time.Duration
 }
@@ -73,7 +78,7 @@
 
 func newFloorSim(seed uint64, instances, zones, targets, slots int) *floorSim {
 	s := &floorSim{
-		rng: rand.New(rand.NewPCG(seed, 1)), clock: clock.NewManual(time.Unix(0, 0)), targets: map[string]*simTarget{},
+		rng: rand.New(rand.NewPCG(seed, 1)), clock: clock.NewManual(time.Unix(0, 0)), errors: simErrors, targets: map[string]*simTarget{},
 		catalogue: &discovery.Catalogue{Version: 1, Services: map[string][]*discovery.Entry{}},
 	}
 	s.clock.Advance(time.Hour)
@@ -141,7 +146,11 @@
 // send sends a request through a random instance. Requests that no target can take
 // are not served, but do not count as failures here.
 func (s *floorSim) send(now time.Duration) {
-	m := s.members[s.rng.IntN(len(s.members))]
+	i := s.rng.IntN(len(s.members))
+	if i < s.quiet && s.rng.Float64() > 0.1 {
+		i = s.quiet + s.rng.IntN(len(s.members)-s.quiet)
+	}
+	m := s.members[i]
 	chosen := m.choose(now)
 	if chosen == nil {
 		return
@@ -155,7 +164,7 @@
 	switch {
 	case target.failing && s.rng.Float64() < simFails:
 		r.result, r.endsAt = proxy.ServerError, now+simStep
-	case s.rng.Float64() < simErrors:
+	case s.rng.Float64() < s.errors:
 		r.result = proxy.ServerError
 	}
 	s.open = append(s.open, r)
@@ -259,6 +268,26 @@
 	}
 }
 
+// Guards against targets out of use because their owners get few requests: in trouble-1
+// of csl-capacite-grown, an instance that began to serve got 2 requests per second and
+// owned 5 targets, of which some had none for 5 s.
+func TestQuietInstancesLeaveNoTargetsUnused(t *testing.T) {
+	crossed, windows := 0, 0
+	for seed := range uint64(12) {
+		s := newFloorSim(seed, 16, 4, 84, 6)
+		s.quiet, s.errors = 4, 0.12 // one in each zone
+		for _, m := range s.members {
+			m.view.Quiet = map[string]bool{"e00": true, "e01": true, "e02": true, "e03": true}
+		}
+		c, w := floorCrossings(s, 4*84)
+		crossed, windows = crossed+c, windows+w
+	}
+	t.Logf("%d of %d windows below the floor", crossed, windows)
+	if float64(crossed) > maxCrossings*float64(windows) {
+		t.Errorf("in %d of %d windows less than 70%% of the healthy targets were in use while more than a tenth failed", crossed, windows)
+	}
+}
+
 // Guards against targets that are left out for longer than the floor permits: with
 // enough requests, each has one within 2 s, or within 4 s after it has failed one.
 func TestEveryTargetIsUsedInTime(t *testing.T) {
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -173,8 +173,9 @@
 
 // assignPreferred assigns each target to one serving instance of its zone, which
 // prefers it. It does so round-robin, so that all instances prefer about the same
-// number of targets. Targets of a zone without a serving instance are divided among
-// all instances.
+// number of targets; those with few requests prefer none, since they could not keep
+// them in use. Targets of a zone without a serving instance are divided among all
+// instances.
 func (s *service) assignPreferred(v *fleet.View, now time.Duration) {
 	byZone := map[string][]*target{}
 	for _, t := range s.ordered {
@@ -182,13 +183,13 @@
 		byZone[t.entry.Zone] = append(byZone[t.entry.Zone], t)
 	}
 	for zone, targets := range byZone {
-		owners := v.InZone(zone)
-		if len(owners) == 0 {
-			owners = v.Peers
+		sharing, owners := v.InZone(zone), v.Owners(zone)
+		if len(sharing) == 0 {
+			sharing, owners = v.Peers, v.Peers
 		}
 		for i, t := range targets {
 			t.preferred = len(owners) > 0 && owners[i%len(owners)].Instance == v.Self.Instance
-			t.limit.assign(len(owners), slices.Contains(owners, v.Self), t.preferred, now)
+			t.limit.assign(len(sharing), slices.Contains(sharing, v.Self), t.preferred, now)
 		}
 	}
 	for d := range s.byDistance {
