Pass targets on that their owner does not reach

From 10 to 18 s, 46% of the targets lose the path to a fifth of the instances that send them requests.

Change: an instance that could not connect to a target of its zone says so in heartbeats within the zone, and the next instance in order owns the target. The first one keeps testing it by a request each 5 to 10 s, which goes elsewhere if the connection fails again, and is the owner again after a response.

--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -79,6 +79,7 @@
 		t.otherLoad, t.otherLoadAt = max(0, float64(load.InFlight+load.Queued-1-len(t.openStarts))), now
 	}
 	a.balancer.observeRateLimit(s, t, load.RateLimit, now)
+	s.observeReach(t, result, now)
 	suspected := t.own.failProb >= suspectThreshold
 	t.recordResult(result, a.started, now)
 	if now := t.own.failProb >= suspectThreshold; now != suspected {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -230,6 +230,9 @@
 			})
 		}
 		s.fillRateLimits(h, now)
+		if to == fleet.SameZonePeers {
+			s.fillUnreachable(h, now)
+		}
 		s.mu.Unlock()
 	}
 }
@@ -280,9 +283,6 @@
 
 // Merge applies the evidence in another serving instance's heartbeat.
 func (b *Balancer) Merge(from string, h *peerpb.Heartbeat) {
-	if len(h.Targets) == 0 && len(h.RateLimits) == 0 {
-		return
-	}
 	now := b.clock.SinceBoot()
 	for _, s := range b.allServices() {
 		s.mu.Lock()
@@ -292,6 +292,7 @@
 			}
 		}
 		b.mergeRateLimits(s, from, h.RateLimits, now)
+		s.mergeUnreachable(from, h.UnreachableTargets, now)
 		s.mu.Unlock()
 	}
 }
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -83,6 +83,15 @@
 	// catalogueVersion and viewVersion are the versions from which ordered and
 	// byDistance were built.
 	catalogueVersion, viewVersion uint64
+	// self is the name of this instance. reassign says that the owners of targets may have
+	// changed since, and reassignAt is the time since boot at which that is next due.
+	self       string
+	reassign   bool
+	reassignAt time.Duration
+	// unreached are the targets of the zone that this instance does not reach.
+	// unreachedElsewhere says that another instance may have reported some.
+	unreached          []*target
+	unreachedElsewhere bool
 	// typicalLatency is the weighted average latency of good responses, of which
 	// latencyCount were counted. It is 0 before the first request.
 	typicalLatency time.Duration
@@ -150,7 +159,11 @@
 // update applies a new catalogue or set of serving instances. A target that was
 // restarted or moved to another address loses its evidence. The caller holds mu.
 func (s *service) update(c *discovery.Catalogue, v *fleet.View, now time.Duration) {
+	s.self = v.Self.Instance
 	if s.catalogueVersion == c.Version && s.viewVersion == v.Version && len(s.ordered) > 0 {
+		if s.reassign || (s.reassignAt > 0 && now >= s.reassignAt) {
+			s.assignPreferred(v, now)
+		}
 		return
 	}
 	s.catalogueVersion, s.viewVersion = c.Version, v.Version
@@ -174,11 +187,20 @@
 // assignPreferred assigns each target to one serving instance of its zone, which
 // prefers it. It does so round-robin, so that all instances prefer about the same
 // number of targets; those with few requests prefer none, since they could not keep
-// them in use. Targets of a zone without a serving instance are divided among all
-// instances.
+// them in use, and a target that its instance does not reach goes to the next one. Targets
+// of a zone without a serving instance are divided among all instances.
 func (s *service) assignPreferred(v *fleet.View, now time.Duration) {
 	byZone := map[string][]*target{}
+	s.reassign, s.reassignAt, s.unreached, s.unreachedElsewhere = false, 0, s.unreached[:0], false
 	for _, t := range s.ordered {
+		if next := t.reach.prune(now); next > 0 && (s.reassignAt == 0 || next < s.reassignAt) {
+			s.reassignAt = next
+		}
+		lost := t.reach.lost(s.self, now)
+		if lost {
+			s.unreached = append(s.unreached, t)
+		}
+		s.unreachedElsewhere = s.unreachedElsewhere || len(t.reach.until) > 1 || (len(t.reach.until) == 1 && !lost)
 		t.sameZone = t.entry.Zone == v.Self.Zone
 		byZone[t.entry.Zone] = append(byZone[t.entry.Zone], t)
 	}
@@ -188,7 +210,7 @@
 			sharing, owners = v.Peers, v.Peers
 		}
 		for i, t := range targets {
-			t.preferred = len(owners) > 0 && owners[i%len(owners)].Instance == v.Self.Instance
+			t.preferred = len(owners) > 0 && owners[t.reach.owner(owners, i, now)].Instance == v.Self.Instance
 			t.limit.assign(len(sharing), slices.Contains(sharing, v.Self), t.preferred, now)
 		}
 	}
@@ -201,9 +223,9 @@
 	}
 }
 
-// choose returns the target for a request: one that is due for a trial or has been
-// out of use for too long, else one with the lowest cost, or nil when all usable targets are full. noneUsable says
-// that there is no usable target at all.
+// choose returns the target for a request: one that is due for a trial, has been out of use
+// for too long or was unreachable, else one with the lowest cost, or nil when all usable
+// targets are full. noneUsable says that there is no usable target at all.
 func (s *service) choose(r proxy.Request, tried []string, now time.Duration) (chosen *target, noneUsable bool) {
 	if len(tried) == 0 {
 		if t := s.trial(r, now); t != nil {
@@ -212,6 +234,9 @@
 		if t := s.outOfUse(now); t != nil {
 			return t, false
 		}
+		if t := s.reachTest(now); t != nil {
+			return t, false
+		}
 	}
 	s.candidates = s.candidates[:0]
 	noneUsable = true
--- a/pkg/placement/target.go
+++ b/pkg/placement/target.go
@@ -77,6 +77,8 @@
 
 	// limit is the request rate that the target accepts.
 	limit rateLimit
+	// reach tells which instances of the zone cannot connect to the target.
+	reach reachability
 
 	// blockedUntil is the time since boot up to which the target gets no requests.
 	blockedUntil time.Duration
