--- /dev/null
+++ b/pkg/fleet/quiet_test.go
@@ -0,0 +1,65 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against instances that own targets although hardly any requests come to them,
+// against instances that disagree on the owners, and against changes at each small
+// change of the rates.
+func TestInstancesWithFewRequestsOwnNoTargets(t *testing.T) {
+	is := is.New(t)
+	tf := newTestFleet(12)
+	tf.run(3 * time.Second)
+	names := tf.serving("a")
+	slices.Sort(names)
+	owners := func() []string {
+		var first []string
+		for _, n := range tf.instances {
+			var names []string
+			for _, m := range n.View().Owners("a") {
+				names = append(names, m.Instance)
+			}
+			if n.View().Serving && first == nil {
+				first = names
+			}
+			if n.View().Serving {
+				is.Equal(names, first)
+			}
+		}
+		return first
+	}
+	rates := func(quiet float64) {
+		for i, name := range names {
+			tf.instances[name].rate = 20
+			if i == 0 {
+				tf.instances[name].rate = quiet
+			}
+		}
+	}
+	is.Equal(owners(), names)
+	for _, step := range []struct {
+		rate   float64
+		quiet  bool
+		reason string
+	}{
+		{2, true, "few requests"},
+		{4, true, "more, but not yet enough"},
+		{12, false, "enough"},
+		{4, false, "fewer, but not few"},
+		{0, true, "none"},
+	} {
+		rates(step.rate)
+		tf.run(3 * time.Second)
+		is.Equal(len(owners()) == len(names)-1, step.quiet) // step.reason
+	}
+	for _, name := range names {
+		tf.instances[name].rate = 0
+	}
+	tf.run(3 * time.Second)
+	is.Equal(owners(), names) // without requests, all own targets
+}
