Guards and a test for targets that their owner does not reach

Nothing noticed that the owner tests the path again, so reach_test.go plays that, and the reports of others, on one balancer.

--- /dev/null
+++ b/pkg/placement/reach_test.go
@@ -0,0 +1,76 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+)
+
+// owns reports whether the instance owns the target, as of a request now.
+func (f *fixture) owns(target string) bool {
+	s := f.service("s")
+	s.update(f.catalogue, f.view, f.clock.SinceBoot())
+	return s.targets[target].preferred
+}
+
+// Guards against a target that stays with another instance for good after its owner could
+// not connect to it, and against tests of the path that take many requests.
+func TestOwnerTestsUnreachableTarget(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(4)
+	cut, attempts := true, 0
+	play := func(d time.Duration) {
+		for end := f.clock.SinceBoot() + d; f.clock.SinceBoot() < end; {
+			f.send(t, false, func(target string) proxy.Result {
+				if target != "a0" {
+					return proxy.Answered
+				}
+				attempts++
+				if cut {
+					return proxy.NotSent
+				}
+				return proxy.Answered
+			})
+		}
+	}
+	is.True(f.owns("a0"))
+	play(2 * time.Second)
+	is.True(!f.owns("a0"))
+	h := &peerpb.Heartbeat{}
+	f.Fill(h, fleet.SameZonePeers)
+	is.Equal(h.UnreachableTargets, []string{"a0"})
+	before := attempts
+	play(30 * time.Second)
+	is.True(!f.owns("a0"))
+	is.True(attempts-before >= 2 && attempts-before <= 6)
+	cut = false
+	play(2*minReachTestDelay + time.Second)
+	is.True(f.owns("a0"))
+}
+
+// Guards against a target that nobody owns while its owner reports it as unreachable, and
+// against one that stays with another instance after the reports have ended.
+func TestReportedTargetGoesToTheNextInstance(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(4)
+	report := func(targets ...string) {
+		f.Merge("e2", &peerpb.Heartbeat{UnreachableTargets: targets})
+	}
+	is.True(!f.owns("a1"))
+	report("a1")
+	is.True(f.owns("a1") && !f.owns("a3"))
+	f.clock.Advance(unreachableReportTime / 2)
+	report("a1")
+	f.clock.Advance(unreachableReportTime * 3 / 4)
+	is.True(f.owns("a1"))
+	report()
+	is.True(!f.owns("a1"))
+	report("a1")
+	f.clock.Advance(unreachableReportTime)
+	is.True(!f.owns("a1"))
+}
