Log targets that an instance ceases or begins to reach

Events 512 and 513 name the target, its service and whether this instance owns it, once per change, within the bound of the lines on targets.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -45,6 +45,8 @@
 
 	TargetLimitNamed = Event{510, "target_limit_named", zerolog.InfoLevel, "a target accepts only the named requests per second from all instances together; look at the target"}
 	TargetLimitEnded = Event{511, "target_limit_ended", zerolog.InfoLevel, "a target accepts any request rate again"}
+	TargetUnreached  = Event{512, "target_unreached", zerolog.InfoLevel, "this instance could not connect to a target of its zone and leaves it to another one; check the network between them"}
+	TargetReached    = Event{513, "target_reached", zerolog.InfoLevel, "this instance reaches a target again"}
 
 	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
 	AnswerIncomplete = Event{601, "answer_incomplete", zerolog.WarnLevel, "a target's answer was cut short and not passed on"}
@@ -77,7 +79,7 @@
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
-		TargetLimitNamed, TargetLimitEnded,
+		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached,
 		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
--- a/pkg/event/limit.go
+++ b/pkg/event/limit.go
@@ -26,7 +26,8 @@
 	switch e.ID {
 	case RequestEnded.ID:
 		return maxRequestLines
-	case TargetListed.ID, TargetGone.ID, TargetSuspected.ID, TargetTrusted.ID, TargetLimitNamed.ID, TargetLimitEnded.ID:
+	case TargetListed.ID, TargetGone.ID, TargetSuspected.ID, TargetTrusted.ID, TargetLimitNamed.ID, TargetLimitEnded.ID,
+		TargetUnreached.ID, TargetReached.ID:
 		return maxTargetLines
 	default:
 		return defaultMaxLines
--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -79,7 +79,9 @@
 		t.otherLoad, t.otherLoadAt = max(0, float64(load.InFlight+load.Queued-1-len(t.openStarts))), now
 	}
 	a.balancer.observeRateLimit(s, t, load.RateLimit, now)
-	s.observeReach(t, result, now)
+	if s.observeReach(t, result, now) {
+		a.balancer.logReach(s, t, result != proxy.NotSent)
+	}
 	suspected := t.own.failProb >= suspectThreshold
 	t.recordResult(result, a.started, now)
 	if now := t.own.failProb >= suspectThreshold; now != suspected {
--- a/pkg/placement/reach.go
+++ b/pkg/placement/reach.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
@@ -79,17 +80,28 @@
 	return next
 }
 
-// observeReach applies the result of an attempt at the target. The caller holds the
-// service's mutex.
-func (s *service) observeReach(t *target, result proxy.Result, now time.Duration) {
+// observeReach applies the result of an attempt at the target. It reports whether this
+// instance has ceased or begun to reach it. The caller holds the service's mutex.
+func (s *service) observeReach(t *target, result proxy.Result, now time.Duration) (changed bool) {
 	switch {
 	case !t.sameZone:
 	case result == proxy.NotSent:
-		s.reassign = t.reach.mark(s.self, untilReached, now) || s.reassign
+		changed = t.reach.mark(s.self, untilReached, now)
 		t.reach.testAt = now + minReachTestDelay + rand.N(minReachTestDelay)
 	case result == proxy.Answered || result == proxy.ServerError || result == proxy.Shed:
-		s.reassign = t.reach.clear(s.self, now) || s.reassign
+		changed = t.reach.clear(s.self, now)
 	}
+	s.reassign = s.reassign || changed
+	return changed
+}
+
+// logReach logs that this instance has ceased or begun to reach a target.
+func (b *Balancer) logReach(s *service, t *target, reached bool) {
+	change := event.TargetUnreached
+	if reached {
+		change = event.TargetReached
+	}
+	change.Log(b.log).Str("target", t.entry.ID).Str("service", s.name).Bool("owner", t.preferred).Send()
 }
 
 // reachTest returns a target that this instance did not reach and should try again, or nil.
