Keep named rates when the path to a target is tested

Seen in the reading of the change that tests unreachable targets: reachTest chose a target whatever its load, so that a request could exceed the rate that the target had named, by one in 5 to 10 s and instance.

--- a/pkg/placement/reach_test.go
+++ b/pkg/placement/reach_test.go
@@ -74,3 +74,22 @@
 	f.clock.Advance(unreachableReportTime)
 	is.True(!f.owns("a1"))
 }
+
+// Guards against a request that tests the path to a target although the rate that the
+// target named leaves none for this instance.
+func TestPathIsNotTestedBeyondTheNamedRate(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(4)
+	f.owns("a0") // lists the targets
+	s := f.service("s")
+	a0 := s.targets["a0"]
+	now := f.clock.SinceBoot()
+	s.observeReach(a0, proxy.NotSent, now)
+	f.owns("a0") // assigns them again
+	f.clock.Advance(2 * minReachTestDelay)
+	now = f.clock.SinceBoot()
+	a0.limit.state(limitStatement{limited: true, perSecond: 0.1, at: now}, now)
+	is.Equal(s.reachTest(now), nil)
+	a0.limit.state(limitStatement{at: now}, now)
+	is.Equal(s.reachTest(now), a0)
+}
