--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
 
 // testFleet is a fleet in virtual time on one goroutine.
@@ -294,8 +295,8 @@
 		for _, n := range tf.instances {
 			n.rate = 0
 			if n.View().Serving {
-				// 70 to 80 requests/s in the zone, below and above the limit.
-				n.rate = float64(70+10*(i%2)) / float64(len(tf.serving(n.Self.Zone)))
+				// Below and above what minServing instances carry.
+				n.rate = float64(minServing*capacity-5+10*(i%2)) / float64(len(tf.serving(n.Self.Zone)))
 			}
 		}
 		tf.run(500 * time.Millisecond)
@@ -330,6 +331,21 @@
 	}
 }
 
+// Guards against a delayed heartbeat of an earlier process of an instance that takes the
+// place of what the running one says.
+func TestDelayedHeartbeatOfAnEarlierProcessIsIgnored(t *testing.T) {
+	is := is.New(t)
+	f := newTestFleet(1).instances["a00"].Fleet
+	send := func(incarnation uint64, address string) {
+		f.recordHeartbeat(&peerpb.Heartbeat{Instance: "a01", Incarnation: incarnation, Zone: "a", Serving: true, CallerAddress: address})
+	}
+	send(7, "running")
+	send(6, "ended")
+	is.Equal(f.members["a01"].CallerAddress, "running")
+	send(8, "restarted")
+	is.Equal(f.members["a01"].CallerAddress, "restarted")
+}
+
 // Guards against callers that have to wait after the loss of all instances: if the
 // roster has rows of earlier processes, an instance may serve at once.
 func TestStartWait(t *testing.T) {
--- a/pkg/follow/follow_test.go
+++ b/pkg/follow/follow_test.go
@@ -177,3 +177,37 @@
 	f.EnsureMaxAge(context.Background(), time.Second)
 	is.Equal(f.View().Config.Version, int64(4))
 }
+
+// pausedSource fails each read after a time.
+type pausedSource struct {
+	clock *clock.Manual
+	takes time.Duration
+	reads int
+}
+
+func (s *pausedSource) Await(context.Context, Cursor) (Update, error) {
+	s.reads++
+	s.clock.Advance(s.takes)
+	return Update{}, errors.New("timeout")
+}
+
+// Guards against a read for each request while the store fails, and against a read that
+// failed because the process was paused and keeps it from reading after the pause.
+func TestFailedReadIsNotRepeatedAtOnce(t *testing.T) {
+	is := is.New(t)
+	nop := zerolog.Nop()
+	c := clock.NewManual(time.Unix(0, 0))
+	c.Advance(time.Hour)
+	s := &pausedSource{clock: c, takes: readTimeout}
+	f := New(c, s, unreachablePeers{}, immediateCopySources(), membership.Member{}, &nop, func(bool) {})
+	for range 5 {
+		f.EnsureMaxAge(t.Context(), time.Second)
+	}
+	is.Equal(s.reads, 1)
+	c.Advance(failedReadBackoff)
+	s.takes = readTimeout + 2*maxTimeoutDelay
+	f.EnsureMaxAge(t.Context(), time.Second)
+	is.Equal(s.reads, 2)
+	f.EnsureMaxAge(t.Context(), time.Second)
+	is.Equal(s.reads, 3)
+}
--- a/pkg/usage/usage_test.go
+++ b/pkg/usage/usage_test.go
@@ -221,3 +221,30 @@
 	c.run(10*time.Second, 47*12.0/3, alive)
 	is.Equal(c.refused, 0)
 }
+
+// Guards against a new process that assumes that nothing of a team's burst was spent
+// before its start.
+func TestRestartBeginsWithAPartOfTheBurst(t *testing.T) {
+	is := is.New(t)
+	for _, startFull := range []bool{true, false} {
+		c := newCluster(4, startFull)
+		is.NoErr(c.limiters[0].Take(context.Background(), "red"))
+		is.Equal(c.limiters[0].Level("red") > initialBurstFraction*testBurst, startFull)
+	}
+}
+
+// Guards against a level that ignores what another instance reports beyond what it was
+// assumed to admit.
+func TestReportedCountIsDeducted(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(4, true)
+	l := c.limiters[0]
+	report := func(admitted uint64) {
+		l.Merge("1", &peerpb.Heartbeat{Incarnation: 1, Serving: true, Teams: []*peerpb.TeamUse{{Team: "red", Admitted: admitted}}})
+	}
+	report(100)
+	is.Equal(l.Level("red"), float64(testBurst))
+	c.clock.Advance(100 * time.Millisecond)
+	report(140)
+	is.True(l.Level("red") <= testBurst-40+0.1*testRate)
+}
