--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -38,7 +38,8 @@
 
 // Reason lists the inputs of the choice: whether the target was a preferred one
 // ("home"), another one of the same zone ("near") or one of another zone ("far"), its
-// load, its failure probability in percent, and the age of the listing in ms.
+// load, its failure probability in percent, the age of the listing in ms and, if the
+// target limits its rate, this instance's part of it in requests per second.
 func (a *attempt) Reason() string {
 	location := "far"
 	switch {
@@ -47,10 +48,13 @@
 	case a.choice.sameZone:
 		location = "near"
 	}
-	text := append(make([]byte, 0, 48), location...)
+	text := append(make([]byte, 0, 64), location...)
 	text = strconv.AppendInt(append(text, ",load="...), int64(a.choice.load), 10)
 	text = strconv.AppendInt(append(text, ",failing="...), int64(100*a.choice.failProb), 10)
 	text = strconv.AppendInt(append(text, ",listing="...), a.choice.listingAge.Milliseconds(), 10)
+	if a.choice.limited {
+		text = strconv.AppendFloat(append(text, ",limit="...), a.choice.limit, 'g', 3, 64)
+	}
 	return string(text)
 }
 
@@ -59,6 +63,10 @@
 	preferred, sameZone bool
 	load, failProb      float64
 	listingAge          time.Duration
+	// limit is this instance's part, in requests per second, of the rate that the target
+	// accepts, if it is limited.
+	limited bool
+	limit   float64
 }
 
 // Done reports the result. Calls after the first have no effect.
--- a/pkg/placement/floor_sim_test.go
+++ b/pkg/placement/floor_sim_test.go
@@ -62,8 +62,9 @@
 	quiet int
 	// cut reports whether an instance cannot connect to a target; nil means never.
 	cut func(instance, target string) bool
-	// errors is the fraction of the requests that healthy targets fail.
-	errors float64
+	// troubled says that the healthy targets of two zones fail a quarter of their requests,
+	// so that more than a tenth of all requests fail.
+	troubled bool
 	// sent and failed hold the times of recent requests and failures.
 	sent, failed []time.Duration
 }
@@ -80,7 +81,7 @@
 
 func newFloorSim(seed uint64, instances, zones, targets, slots int) *floorSim {
 	s := &floorSim{
-		rng: rand.New(rand.NewPCG(seed, 1)), clock: clock.NewManual(time.Unix(0, 0)), errors: simErrors, targets: map[string]*simTarget{},
+		rng: rand.New(rand.NewPCG(seed, 1)), clock: clock.NewManual(time.Unix(0, 0)), targets: map[string]*simTarget{},
 		catalogue: &discovery.Catalogue{Version: 1, Services: map[string][]*discovery.Entry{}},
 	}
 	s.clock.Advance(time.Hour)
@@ -172,12 +173,20 @@
 	switch {
 	case target.failing && s.rng.Float64() < simFails:
 		r.result, r.endsAt = proxy.ServerError, now+simStep
-	case s.rng.Float64() < s.errors:
+	case s.rng.Float64() < s.errorRatio(chosen.entry):
 		r.result = proxy.ServerError
 	}
 	s.open = append(s.open, r)
 }
 
+// errorRatio is the fraction of its requests that a healthy target fails.
+func (s *floorSim) errorRatio(e *discovery.Entry) float64 {
+	if s.troubled && e.Zone >= "2" {
+		return 0.25
+	}
+	return simErrors
+}
+
 // choose returns the target of a request that was not sent to the tried ones and counts the
 // request there.
 func (m *simMember) choose(tried []string, now time.Duration) *target {
@@ -286,7 +295,7 @@
 	crossed, windows := 0, 0
 	for seed := range uint64(4) {
 		s := newFloorSim(seed, 16, 4, 84, 6)
-		s.quiet, s.errors = 4, 0.12 // one in each zone
+		s.quiet, s.troubled = 4, true // one in each zone
 		for _, m := range s.members {
 			m.view.Quiet = map[string]bool{"e00": true, "e01": true, "e02": true, "e03": true}
 		}
@@ -306,7 +315,7 @@
 	crossed, windows := 0, 0
 	for seed := range uint64(4) {
 		s := newFloorSim(seed, 16, 4, 84, 6)
-		s.errors = 0.12
+		s.troubled = true
 		s.cut = func(instance, target string) bool {
 			var i, n int
 			_, _ = fmt.Sscanf(instance+" "+target, "e%d t%d", &i, &n)
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -156,6 +156,7 @@
 func (b *Balancer) newAttempt(s *service, t *target, r proxy.Request, tried []string, now time.Duration) *attempt {
 	a := &attempt{balancer: b, service: s, target: t, route: r.Route, started: now, retryDelay: s.retryDelay(), last: !r.Idempotent || len(tried) > 0, choice: choice{
 		preferred: t.preferred, sameZone: t.sameZone, load: t.load(now), failProb: t.failProb(now), listingAge: now - b.targets.Catalogue().ReadAt,
+		limited: t.limit.limited, limit: t.limit.rate(),
 	}}
 	t.addOpen(now)
 	return a
