Failing test: a named rate is forgotten while the target's entry has lapsed

The fleet of balancers in virtual time, whose targets all name a rate; the entries of six of them lapse and return each 8 s.

--- a/pkg/placement/limit_sim_test.go
+++ b/pkg/placement/limit_sim_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/arbutuslink/arbutuslink/pkg/discovery"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
@@ -26,6 +27,8 @@
 // limitSim is a fleet in front of targets of which some name a rate from limitedFrom on.
 type limitSim struct {
 	*floorSim
+	// all are the targets, listed or not.
+	all         []*discovery.Entry
 	limits      map[string]float64
 	limitedFrom time.Duration
 	waiting     []limitedCaller
@@ -58,6 +61,7 @@
 		floorSim: newFloorSim(seed, instances, 3, targets, 4), limits: map[string]float64{},
 		told: map[[2]string]time.Duration{}, counted: map[string][]time.Duration{},
 	}
+	s.all = s.catalogue.Services["s"]
 	for i := range targets {
 		if float64(i) < share*float64(targets) {
 			s.limits[fmt.Sprintf("t%03d", i)] = factor * rate / float64(targets) * (0.4 + 1.2*s.rng.Float64())
@@ -203,6 +207,28 @@
 	}
 }
 
+// setListed lists all targets but the first missing ones.
+func (s *limitSim) setListed(missing int) {
+	s.catalogue = &discovery.Catalogue{Version: s.catalogue.Version + 1, Services: map[string][]*discovery.Entry{"s": s.all[missing:]}}
+}
+
+// Guards against a named rate that is forgotten while the target's entry has lapsed.
+func TestNamedRateIsForgottenWithTheEntry(t *testing.T) {
+	for seed := range uint64(3) {
+		s := newLimitSim(seed, 9, 26, 130, 1, 0.3)
+		for step := range 4000 {
+			switch step % 1600 {
+			case 900:
+				s.setListed(6)
+			case 0:
+				s.setListed(0)
+			}
+			s.step(1.5*130*simStep.Seconds(), false)
+		}
+		s.checkBound(t)
+	}
+}
+
 // Guards against refused callers while the limits and the other targets leave room for
 // all requests.
 func TestLimitedTargetsCostNoRequests(t *testing.T) {
