Keep what is known of a target while its entry has lapsed

Cause: pkg/placement kept the state of a target only while it was in the catalogue. An entry lapses while the target cannot reach the store, and all instances drop it within 0.3 s. Its process runs on: the rate that it named, the requests that it has open and the evidence on it hold, but the target that returned was a new one to all instances at once. The class is state about a running process that ends with a listing of it.

Evidence: 318 of 339 requests in the two seconds after the return were sent without a known limit by instances that had known it.

Why this works: the state stays for five minutes under the id, and is used again if the run and the address are the same. A limit that ended meanwhile ends with the first response, which the instance that prefers the target asks for within 5 s.

--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -75,6 +76,8 @@
 	// mu guards the fields below and the state of the targets.
 	mu      sync.Mutex
 	targets map[string]*target
+	// unlisted are the targets that left the catalogue within unlistedMemory, by id.
+	unlisted map[string]*target
 	// ordered holds the targets in the order of their ids.
 	ordered []*target
 	// byDistance groups the targets: preferred ones, others of the same zone, and
@@ -153,11 +156,15 @@
 }
 
 func newService(name string, now time.Duration) *service {
-	return &service{name: name, targets: map[string]*target{}, sizes: responseSizes{}, retryBudget: newRetryBudget(now)}
+	return &service{name: name, targets: map[string]*target{}, unlisted: map[string]*target{}, sizes: responseSizes{}, retryBudget: newRetryBudget(now)}
 }
 
-// update applies a new catalogue or set of serving instances. A target that was
-// restarted or moved to another address loses its evidence. The caller holds mu.
+// unlistedMemory is the time for which the state of a target is kept that is not in the
+// catalogue. Its entry may lapse while the target cannot reach the platform's store; its
+// process runs on, and what it stated and the requests that it has open still hold.
+const unlistedMemory = 5 * time.Minute
+
+// update applies a new catalogue or set of serving instances. The caller holds mu.
 func (s *service) update(c *discovery.Catalogue, v *fleet.View, now time.Duration) {
 	s.self = v.Self.Instance
 	if s.catalogueVersion == c.Version && s.viewVersion == v.Version && len(s.ordered) > 0 {
@@ -167,22 +174,38 @@
 		return
 	}
 	s.catalogueVersion, s.viewVersion = c.Version, v.Version
-	entries := c.Services[s.name]
+	s.updateTargets(c.Services[s.name], now)
+	s.assignPreferred(v, now)
+	s.retryBudget.setServing(v.Serving, now)
+	s.outcomes.forget(v)
+}
+
+// updateTargets applies the entries of the catalogue. A target that was restarted or moved
+// to another address begins without evidence. The caller holds mu.
+func (s *service) updateTargets(entries []*discovery.Entry, now time.Duration) {
 	s.ordered = s.ordered[:0]
-	keep := make(map[string]*target, len(entries))
+	listed := make(map[string]*target, len(entries))
 	for _, entry := range entries {
 		t := s.targets[entry.ID]
+		if t == nil {
+			t = s.unlisted[entry.ID]
+			delete(s.unlisted, entry.ID)
+		}
 		if t == nil || t.entry.Started != entry.Started || t.entry.Address != entry.Address {
 			t = newTarget(entry, now)
 		}
 		t.entry = entry
-		keep[entry.ID] = t
+		listed[entry.ID] = t
 		s.ordered = append(s.ordered, t)
 	}
-	s.targets = keep
-	s.assignPreferred(v, now)
-	s.retryBudget.setServing(v.Serving, now)
-	s.outcomes.forget(v)
+	for id, t := range s.targets {
+		if listed[id] == nil {
+			t.unlistedAt = now
+			s.unlisted[id] = t
+		}
+	}
+	maps.DeleteFunc(s.unlisted, func(_ string, t *target) bool { return now-t.unlistedAt >= unlistedMemory })
+	s.targets = listed
 }
 
 // assignPreferred assigns each target to one serving instance of its zone, which
--- a/pkg/placement/target.go
+++ b/pkg/placement/target.go
@@ -53,6 +53,8 @@
 	// listedAt is the time since boot from which this instance knows the target,
 	// lastResultAt that of the last result of this instance's requests to it.
 	listedAt, lastResultAt time.Duration
+	// unlistedAt is the time since boot at which the target left the catalogue.
+	unlistedAt time.Duration
 	// lastUsedAt is the time since boot at which this instance's last request to it
 	// began.
 	lastUsedAt time.Duration
