--- a/pkg/placement/limit_sim_test.go
+++ b/pkg/placement/limit_sim_test.go
@@ -229,6 +229,36 @@
 	}
 }
 
+// Guards against requests that many instances have saved up, each a few, and send at once.
+func TestSavedAllowancesExceedNamedRate(t *testing.T) {
+	s := newLimitSim(1, 90, 60, 60, 1, 1)
+	for range 2000 {
+		s.step(60*simStep.Seconds(), false)
+	}
+	for range 3 {
+		s.clock.Advance(10 * time.Minute)
+		for range 1000 {
+			s.step(900*simStep.Seconds(), true)
+		}
+	}
+	s.checkBound(t)
+}
+
+// Guards against an instance that spends what it saved up under a share that it has no more.
+func TestAllowanceOutlivesItsShare(t *testing.T) {
+	now := time.Hour
+	l := rateLimit{share: 1, updatedAt: now}
+	l.state(limitStatement{limited: true, perSecond: 8, at: now}, now)
+	now += time.Minute
+	if l.exhausted(now) {
+		t.Fatal("the instance has no allowance")
+	}
+	l.assign(3, false, false, now)
+	if !l.exhausted(now) {
+		t.Error("an instance without a share may still send")
+	}
+}
+
 // Guards against refused callers while the limits and the other targets leave room for
 // all requests.
 func TestLimitedTargetsCostNoRequests(t *testing.T) {
