Let four instances at most share a named rate, and end saved allowances with the share

The targets would have seen it: with 30 instances a zone, and rates of about one request a second, up to 15 requests in 4 s where 14 are allowed, after minutes in which few were sent.

Cause: each of the instances that divide a quarter of the rate may save up one request, so that the sum of what is saved grows with the zone, and an instance that lost its share kept up to one request of it. The class is a bound over all instances that holds on average and not at every moment.

Now the instance that prefers the target and the three that follow it in order have shares, the others none, and an instance without a share has no allowance. In any 4 s these send at most 4 s of the rate, what the first one saves in a second, and three: less than 1.5 times 4 s of the rate and 5, for every rate and any size of the fleet.

--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
@@ -13,12 +14,15 @@
 // A target in need names the request rate that it accepts from all instances together.
 // Each instance keeps a fixed share of that rate, and the shares add up to the rate, so
 // the limit holds without counts that would have to be exchanged and could be late or
-// lost. The instance that prefers the target has most of the rate. The other instances
+// lost. The instance that prefers the target has most of the rate. A few other instances
 // of the zone divide the rest, so that a request that arrives where no share is left
 // can often go to another target.
 const (
 	// preferredLimitShare is the share of the instance that prefers the target.
 	preferredLimitShare = 0.75
+	// maxLimitSharers bounds the other instances that have a share. Each of them may save
+	// up one request: with more of them, these alone would exceed a low rate at once.
+	maxLimitSharers = 3
 	// limitBurst is the time over which unused allowance adds up.
 	limitBurst = time.Second
 	// minPreferredRate in requests per second goes to a target that accepts fewer:
@@ -85,22 +89,36 @@
 	return l.state(stated, now)
 }
 
-// assign sets this instance's share of the rate. instances is the number of serving
-// instances that share the target, and member says that this instance is one of them.
-// Standbys and instances that are leaving have no share: there may be many of them.
-func (l *rateLimit) assign(instances int, member, preferred bool, now time.Duration) {
+// assign sets this instance's share of the rate. sharers is the number of instances other
+// than the one that prefers the target that have a share, and member says that this instance
+// is one of them. Standbys and instances that are leaving have no share: there may be many
+// of them.
+func (l *rateLimit) assign(sharers int, member, preferred bool, now time.Duration) {
 	l.refill(now)
 	l.preferred = preferred
 	switch {
-	case instances == 0, preferred && instances == 1:
+	case sharers == 0 && (preferred || member):
 		l.share = 1
 	case preferred:
 		l.share = preferredLimitShare
 	case member:
-		l.share = (1 - preferredLimitShare) / float64(instances-1)
+		l.share = (1 - preferredLimitShare) / float64(sharers)
 	default:
 		l.share = 0
 	}
+	l.tokens = min(l.tokens, l.maxTokens())
+}
+
+// limitSharers returns the instances other than the owner that have a share of the rate of
+// the target with the given number in its zone. instances are those that share the zone.
+func limitSharers(instances []fleet.Member, owner fleet.Member, number int) []fleet.Member {
+	var sharers []fleet.Member
+	for k := range instances {
+		if m := instances[(number+k)%len(instances)]; m != owner && len(sharers) < maxLimitSharers {
+			sharers = append(sharers, m)
+		}
+	}
+	return sharers
 }
 
 // rate returns the requests per second that this instance may send.
@@ -112,11 +130,19 @@
 	return rate
 }
 
+// maxTokens returns the number of requests that this instance may save up.
+func (l *rateLimit) maxTokens() float64 {
+	rate := l.rate()
+	if rate == 0 {
+		return 0
+	}
+	return max(1, rate*limitBurst.Seconds())
+}
+
 // refill updates tokens.
 func (l *rateLimit) refill(now time.Duration) {
 	if now > l.updatedAt {
-		rate := l.rate()
-		l.tokens = min(l.tokens+rate*(now-l.updatedAt).Seconds(), max(1, rate*limitBurst.Seconds()))
+		l.tokens = min(l.tokens+l.rate()*(now-l.updatedAt).Seconds(), l.maxTokens())
 		l.updatedAt = now
 	}
 }
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -234,8 +234,16 @@
 			sharing, owners = v.Peers, v.Peers
 		}
 		for i, t := range targets {
-			t.preferred = len(owners) > 0 && owners[t.reach.owner(owners, i, now)].Instance == v.Self.Instance
-			t.limit.assign(len(sharing), slices.Contains(sharing, v.Self), t.preferred, now)
+			if len(owners) == 0 {
+				// No instance is known to serve, and callers that come here have nowhere to go.
+				t.preferred = false
+				t.limit.assign(0, true, false, now)
+				continue
+			}
+			owner := owners[t.reach.owner(owners, i, now)]
+			t.preferred = owner.Instance == v.Self.Instance
+			sharers := limitSharers(sharing, owner, i)
+			t.limit.assign(len(sharers), slices.Contains(sharers, v.Self), t.preferred, now)
 		}
 	}
 	for d := range s.byDistance {
