Let entries of targets lapse and return in the soak

The soak draws shares of the targets whose entries are missing for up to 2 s, apart from its other faults, so that named rates, open requests and evidence meet a return of the entry.

--- a/pkg/lab/soak/restore.go
+++ b/pkg/lab/soak/restore.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/lab/storesim"
@@ -16,6 +17,10 @@
 	maxCopies    = 12
 	// reportInterval is the longest time until a target writes its entry again.
 	reportInterval = 1500 * time.Millisecond
+	// maxLapseInterval is the longest time between two lapses of entries, maxLapse the
+	// longest time for which they are missing.
+	maxLapseInterval = 4 * time.Second
+	maxLapse         = 2 * time.Second
 )
 
 // injectRestores restores the store from copies, at random times and ages, until ctx
@@ -57,3 +62,28 @@
 		tb.store.Put("servers", t.ID, t.ListEntry("ready", t.pathRelay.Addr()))
 	}
 }
+
+// injectLapses lets entries of targets lapse for some time, as when these cannot reach the
+// store while callers still reach them, until ctx ends. The draws are apart from those of
+// the other faults.
+func (tb *testbed) injectLapses(ctx context.Context, report *Report) {
+	rng := rand.New(rand.NewPCG(tb.Seed, 4))
+	for sleep(ctx, time.Duration(rng.Int64N(int64(maxLapseInterval)))) == nil {
+		share, length := 0.2+0.5*rng.Float64(), time.Duration(rng.Int64N(int64(maxLapse)))
+		tb.mu.Lock()
+		lapsed := slices.DeleteFunc(slices.Clone(tb.targets), func(t *target) bool { return rng.Float64() >= share || !t.drainingSince.IsZero() })
+		for _, t := range lapsed {
+			tb.store.Delete("servers", t.ID)
+		}
+		tb.mu.Unlock()
+		tb.addFault(report, fmt.Sprintf("entries of %d targets lapse for %.1f s", len(lapsed), length.Seconds()))
+		_ = sleep(ctx, length)
+		tb.mu.Lock()
+		for _, t := range lapsed {
+			if slices.Contains(tb.targets, t) && t.drainingSince.IsZero() {
+				tb.store.Put("servers", t.ID, t.ListEntry("ready", t.pathRelay.Addr()))
+			}
+		}
+		tb.mu.Unlock()
+	}
+}
--- a/pkg/lab/soak/soak.go
+++ b/pkg/lab/soak/soak.go
@@ -98,6 +98,7 @@
 	var injectors sync.WaitGroup
 	injectors.Go(func() { tb.injectRateLimits(further, report) })
 	injectors.Go(func() { tb.injectRestores(further, report) })
+	injectors.Go(func() { tb.injectLapses(further, report) })
 	tb.injectFaults(ctx, report)
 	endFurther()
 	injectors.Wait()
