Log the listings that an instance takes over

Event 708 names the number of targets of a changed listing, how many are in use, its age, origin and whether missing targets are retained. Nothing depends on it.

--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -60,6 +60,10 @@
 		r.lastListing, r.digest = next, digest
 	}
 	r.replaceCatalogue(r.lastListing, readAt, now, unsettled)
+	if changed {
+		event.ListingChanged.Log(r.log).Int("targets", len(r.lastListing)).Int("in_use", len(r.Catalogue().byID)).
+			Bool("own", readAt == r.listedAt).Bool("unsettled", unsettled).Dur("age", now-readAt).Send()
+	}
 	return changed
 }
 
