Failing tests: targets are lost when the store returns

Two registries of targets, one of which follows the other: a target that returns at once is lost at the follower; the first reader after an outage drops what has lapsed; the retention begins with the last failure; an earlier outage shortens the retention after a restore; a lister pauses on although the store is known to be back.

--- /dev/null
+++ b/pkg/discovery/outage_test.go
@@ -0,0 +1,143 @@
+package discovery
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+)
+
+// outageFixture is two instances that read the same store, a lister and another one that
+// follows it.
+type outageFixture struct {
+	*is.I
+	lister, other             *Registry
+	listerSource, otherSource *fakeSource
+	advance                   func(time.Duration)
+}
+
+func newOutageFixture(t *testing.T) *outageFixture {
+	f := &outageFixture{I: is.New(t)}
+	lister, listerSource, clock := newRegistry()
+	other, otherSource, _ := newRegistry()
+	other.clock = clock
+	f.lister, f.listerSource, f.other, f.otherSource, f.advance = lister, listerSource, other, otherSource, clock.Advance
+	f.store(1, nil, "t1", "t2")
+	f.NoErr(lister.Refresh(context.Background()))
+	f.pass(lister, other)
+	f.Equal(len(other.Catalogue().byID), 2)
+	return f
+}
+
+// store sets what the store answers.
+func (f *outageFixture) store(era int64, err error, targets ...string) {
+	for _, s := range []*fakeSource{f.listerSource, f.otherSource} {
+		s.era, s.err, s.targets = era, err, nil
+		for _, id := range targets {
+			s.targets = append(s.targets, target(id))
+		}
+	}
+}
+
+// pass sends a heartbeat between two instances.
+func (f *outageFixture) pass(from, to *Registry) {
+	h := &peerpb.Heartbeat{Instance: "from", Serving: true}
+	from.Fill(h, fleet.SameZonePeers)
+	to.Merge("from", h)
+}
+
+// outage lets the lister fail for some seconds, of which the other one hears.
+func (f *outageFixture) outage(seconds int) {
+	f.store(1, errors.New("down"))
+	for range seconds {
+		f.advance(time.Second)
+		f.True(f.lister.Refresh(context.Background()) != nil)
+		f.pass(f.lister, f.other)
+	}
+}
+
+// Guards against followers without a target that left the listing and returned within the
+// time for which changes are repeated.
+func TestTargetThatReturnsAtOnceIsLostElsewhere(t *testing.T) {
+	f := newOutageFixture(t)
+	for _, listed := range [][]string{{"t1"}, {"t1", "t2"}, {"t1", "t2", "t3"}} {
+		f.advance(500 * time.Millisecond)
+		f.store(1, nil, listed...)
+		f.NoErr(f.lister.Refresh(context.Background()))
+		f.pass(f.lister, f.other)
+		f.Equal(len(f.other.Catalogue().byID), len(listed))
+	}
+}
+
+// Guards against lapsed targets that are dropped everywhere because the first instance that
+// lists them after an outage had not asked during it.
+func TestFirstReaderAfterOutageDropsLapsedTargets(t *testing.T) {
+	f := newOutageFixture(t)
+	f.outage(4)
+	f.advance(100 * time.Millisecond)
+	f.store(1, nil, "t1")
+	f.NoErr(f.other.Refresh(context.Background()))
+	f.pass(f.other, f.lister)
+	f.True(f.other.Catalogue().Find("t2") != nil)
+	f.True(f.lister.Catalogue().Find("t2") != nil)
+	f.advance(3 * time.Second)
+	f.NoErr(f.other.Refresh(context.Background()))
+	f.pass(f.other, f.lister)
+	f.True(f.other.Catalogue().Find("t2") == nil)
+	f.True(f.lister.Catalogue().Find("t2") == nil)
+}
+
+// Guards against live targets that are dropped because the retention had begun before the
+// store returned, with the last failed listing.
+func TestRetentionBeginsBeforeTheReturn(t *testing.T) {
+	f := newOutageFixture(t)
+	f.outage(4)
+	f.advance(1900 * time.Millisecond)
+	f.store(1, nil, "t1")
+	for range 4 {
+		f.NoErr(f.lister.Refresh(context.Background()))
+		f.True(f.lister.Catalogue().Find("t2") != nil)
+		f.advance(500 * time.Millisecond)
+	}
+}
+
+// Guards against live targets that are dropped too early after a restore because an outage
+// before it sets an earlier end of the retention.
+func TestEarlierOutageEndsRetentionAfterRestore(t *testing.T) {
+	f := newOutageFixture(t)
+	f.outage(3)
+	f.advance(time.Second)
+	f.store(2, nil, "t1", "t2")
+	f.NoErr(f.other.Refresh(context.Background()))
+	f.pass(f.other, f.lister)
+	f.advance(time.Second)
+	f.store(2, nil, "t1")
+	f.NoErr(f.lister.Refresh(context.Background()))
+	f.advance(500 * time.Millisecond)
+	f.NoErr(f.lister.Refresh(context.Background()))
+	f.True(f.lister.Catalogue().Find("t2") != nil)
+}
+
+// Guards against a lister that still pauses after its failures although another instance
+// has read the store.
+func TestPauseOutlastsTheReturnOfTheStore(t *testing.T) {
+	f := newOutageFixture(t)
+	f.store(1, errors.New("down"))
+	for range 4 {
+		f.advance(2 * time.Second)
+		f.lister.EnsureMaxAge(context.Background(), time.Second)
+	}
+	f.advance(100 * time.Millisecond)
+	f.store(1, nil, "t1", "t2")
+	f.NoErr(f.other.Refresh(context.Background()))
+	f.pass(f.other, f.lister)
+	f.advance(600 * time.Millisecond)
+	calls := f.listerSource.calls
+	f.lister.EnsureMaxAge(context.Background(), 500*time.Millisecond)
+	f.Equal(f.listerSource.calls, calls+1)
+}
