Keep only the last change of a target in heartbeats, and the digest of what it leads to

The same holds for any target that leaves the listing and returns within 1.2 s: its followers stay without it for good.

Cause: heartbeats repeat changes for 1.2 s and name changed and removed targets apart, without an order. A target that had left and returned was in both lists; followers applied the removals last, and their digest, computed from the one before, took it as listed. As the digests then agreed, nothing corrected the listing later. The class is state that is passed on as changes and checked by a number that is not computed from it.

Now a target has one change, the last one, and the digest follows the order in which changes are applied, so that contradictory ones lead to a complete copy.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -139,9 +139,9 @@
 	// hasMissing is set while the catalogue retains targets that are no longer
 	// listed.
 	hasMissing bool
-	// changes are the recent changes that led to lastListing; heartbeats repeat
-	// them for changeTTL.
-	changes []targetChange
+	// changes are the recent changes that led to lastListing, by target ID; heartbeats
+	// repeat them for changeTTL.
+	changes map[string]targetChange
 	// listedAt is the time since boot at which this instance requested its last
 	// successful listing.
 	listedAt time.Duration
@@ -166,7 +166,7 @@
 func NewRegistry(c clock.Clock, source Source, peerListings PeerListings, copySources *fleet.CopySources, log *zerolog.Logger, onChange func(own bool)) *Registry {
 	r := &Registry{
 		clock: c, source: source, peerListings: peerListings, copySources: copySources, log: log, onChange: onChange, lastListing: map[string]Target{}, listedAt: -time.Hour,
-		storeFailing: map[string]bool{}, departures: map[string]*departure{},
+		storeFailing: map[string]bool{}, departures: map[string]*departure{}, changes: map[string]targetChange{},
 	}
 	r.current.Store(&Catalogue{ReadAt: -time.Hour, Services: map[string][]*Entry{}, byID: map[string]*Entry{}})
 	return r
--- a/pkg/discovery/outage_test.go
+++ b/pkg/discovery/outage_test.go
@@ -141,3 +141,14 @@
 	f.lister.EnsureMaxAge(context.Background(), 500*time.Millisecond)
 	f.Equal(f.listerSource.calls, calls+1)
 }
+
+// Guards against a listing that differs from its digest, since a heartbeat names a target
+// both as changed and as removed.
+func TestContradictoryChangesAreNotApplied(t *testing.T) {
+	f := newOutageFixture(t)
+	f.advance(500 * time.Millisecond)
+	l := &peerpb.Listing{StoreEra: 1, Digest: digestOf(map[string]Target{"t2": target("t2"), "t3": target("t3")}), Removed: []string{"t1", "t3"}, Changed: []*peerpb.ListedTarget{toMessage(target("t3"))}}
+	f.other.Merge("from", &peerpb.Heartbeat{Instance: "from", Serving: true, Listing: l})
+	f.True(f.other.OutOfSync())
+	f.Equal(len(f.other.Catalogue().byID), 2)
+}
--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"maps"
-	"slices"
 	"strconv"
 	"time"
 
@@ -81,17 +80,18 @@
 }
 
 // recordChanges records the differences between the last listing and next for
-// heartbeats, and drops changes older than changeTTL.
+// heartbeats, and drops changes older than changeTTL. Only the last change of a target is
+// kept: heartbeats do not tell the order of changes.
 func (r *Registry) recordChanges(next map[string]Target, now time.Duration) {
-	r.changes = slices.DeleteFunc(r.changes, func(c targetChange) bool { return now-c.at >= changeTTL })
+	maps.DeleteFunc(r.changes, func(_ string, c targetChange) bool { return now-c.at >= changeTTL })
 	for id, t := range next {
 		if old, ok := r.lastListing[id]; !ok || old != t {
-			r.changes = append(r.changes, targetChange{at: now, target: t})
+			r.changes[id] = targetChange{at: now, target: t}
 		}
 	}
 	for id, t := range r.lastListing {
 		if _, ok := next[id]; !ok {
-			r.changes = append(r.changes, targetChange{at: now, target: t, removed: true})
+			r.changes[id] = targetChange{at: now, target: t, removed: true}
 		}
 	}
 }
@@ -246,18 +246,21 @@
 	return r.accept(next, l.Digest, now-time.Duration(l.AgeMs)*time.Millisecond, now, l.Unsettled), false
 }
 
-// digestAfter returns the digest of the last listing with the changes of a
-// message applied.
+// digestAfter returns the digest of targetsAfter for a message that is not complete.
 func (r *Registry) digestAfter(l *peerpb.Listing) uint64 {
 	digest := r.digest
+	changed := make(map[string]uint64, len(l.Changed))
 	for _, m := range l.Changed {
 		if old, ok := r.lastListing[m.Id]; ok {
 			digest -= old.digest()
 		}
-		digest += fromMessage(m).digest()
+		changed[m.Id] = fromMessage(m).digest()
+		digest += changed[m.Id]
 	}
 	for _, id := range l.Removed {
-		if old, ok := r.lastListing[id]; ok {
+		if d, ok := changed[id]; ok {
+			digest -= d
+		} else if old, ok := r.lastListing[id]; ok {
 			digest -= old.digest()
 		}
 	}
