Let an earlier outage not shorten the retention after a restore

Cause: the first good listing after own failures set the end of the retention to the last failure and 2.2 s, even if a restore, of which another instance had told, had set a later one. An instance that had followed others kept the begin of an outage long past, so that the outage counted as long enough.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -276,7 +276,7 @@
 	if r.failingSince != 0 && r.lastFailureAt-r.failingSince >= minExpiryOutage {
 		// The retention starts at the last failure and not now: a standby may not
 		// list again for a long time after the outage.
-		r.settledAt = r.lastFailureAt + missingRetention
+		r.settledAt = max(r.settledAt, r.lastFailureAt+missingRetention)
 	}
 	r.failingSince, r.consecutiveFailures = 0, 0
 	restored := r.observeEra(listed.Era, now)
