Retain lapsed targets after an outage that this instance has only heard of

Cause: an instance took an outage to be what its own listings had met. Standbys list only before a request, and a lister's last failure may lie 2 s before the store's return, as its pauses grow to that. What other instances report of their failures served only the choice of the listers. The class is a condition of the whole fleet that each instance judges by its own calls.

Now the failures that other instances report count like own ones, and the time without a listing tells how long the outage was; a listing that is passed on says for how much longer missing targets are retained, so that the next instance that lists does so as well. An instance that was cut off from the store alone retains nothing for longer than before (TestNothingIsKeptLongAfterACut).

TestNextReaderAfterOutageDropsLapsedTargets fails without the time in the message.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -20,15 +20,6 @@
 )
 
 const (
-	// missingRetention is how long after an outage of the store, or after its restore
-	// from a copy, targets that disappeared from the listing stay in use: live ones are
-	// listed again within about 2 s.
-	missingRetention = 2200 * time.Millisecond
-	// minExpiryOutage is the shortest outage of the store in which entries of live
-	// targets can expire. Targets report to the store at an interval set by the
-	// deployment and expire after three missed reports; missing two of them during
-	// the outage is enough, as the last report before it may be one interval old.
-	minExpiryOutage = 2 * time.Second
 	// initialRetryInterval is the time from a failed listing to the next attempt by
 	// EnsureMaxAge. It doubles with each further failure up to maxRetryInterval, so that
 	// waiting requests do not overload a failing store and an unresponsive store
@@ -151,12 +142,7 @@
 	restoredAt time.Duration
 	// departures are the targets that drain or have left, by id.
 	departures map[string]*departure
-	// failingSince is the time since boot from which listings have failed, or 0
-	// if the last one succeeded; lastFailureAt is the time of the last failure.
-	// From settledAt on, targets that are missing from a listing count as removed.
-	failingSince, lastFailureAt, settledAt time.Duration
-	// consecutiveFailures counts the failed listings since the last successful one.
-	consecutiveFailures int
+	outage
 	// storeFailing holds the serving instances that report failing store calls.
 	storeFailing map[string]bool
 }
@@ -273,12 +259,7 @@
 	r.mu.Lock()
 	r.listedAt, r.listedEra = startedAt, listed.Era
 	r.outOfSync.Store(false)
-	if r.failingSince != 0 && r.lastFailureAt-r.failingSince >= minExpiryOutage {
-		// The retention starts at the last failure and not now: a standby may not
-		// list again for a long time after the outage.
-		r.settledAt = max(r.settledAt, r.lastFailureAt+missingRetention)
-	}
-	r.failingSince, r.consecutiveFailures = 0, 0
+	r.observeListing(r.Catalogue().ReadAt, startedAt)
 	restored := r.observeEra(listed.Era, now)
 	r.correctRevived(next, listed.RowVersions, now)
 	changed := r.accept(next, digestOf(next), startedAt, now, now < r.settledAt)
--- a/pkg/discovery/outage_test.go
+++ b/pkg/discovery/outage_test.go
@@ -92,12 +92,39 @@
 	f.True(f.lister.Catalogue().Find("t2") == nil)
 }
 
+// Guards against lapsed targets that are dropped by an instance that lists them after another
+// one has passed on that the listing is unsettled.
+func TestNextReaderAfterOutageDropsLapsedTargets(t *testing.T) {
+	f := newOutageFixture(t)
+	f.outage(4)
+	f.advance(100 * time.Millisecond)
+	f.store(1, nil, "t1")
+	f.NoErr(f.other.Refresh(context.Background()))
+	f.pass(f.other, f.lister)
+	for range 3 {
+		f.advance(500 * time.Millisecond)
+		f.NoErr(f.lister.Refresh(context.Background()))
+		f.True(f.lister.Catalogue().Find("t2") != nil)
+		f.pass(f.lister, f.other)
+		f.True(f.other.Catalogue().Find("t2") != nil)
+	}
+	for range 3 {
+		f.advance(500 * time.Millisecond)
+		f.NoErr(f.lister.Refresh(context.Background()))
+		f.pass(f.lister, f.other)
+	}
+	f.True(f.lister.Catalogue().Find("t2") == nil)
+	f.True(f.other.Catalogue().Find("t2") == nil)
+}
+
 // Guards against live targets that are dropped because the retention had begun before the
-// store returned, with the last failed listing.
+// store returned, with the lister's last failure. Others still report theirs.
 func TestRetentionBeginsBeforeTheReturn(t *testing.T) {
 	f := newOutageFixture(t)
 	f.outage(4)
+	f.True(f.other.Refresh(context.Background()) != nil)
 	f.advance(1900 * time.Millisecond)
+	f.pass(f.other, f.lister)
 	f.store(1, nil, "t1")
 	for range 4 {
 		f.NoErr(f.lister.Refresh(context.Background()))
--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -153,7 +153,10 @@
 // caller holds mu.
 func (r *Registry) listingHeader(now time.Duration) *peerpb.Listing {
 	age := now - r.Catalogue().ReadAt
-	return &peerpb.Listing{Digest: r.digest, AgeMs: uint32(min(age, maxReportedAge).Milliseconds()), Unsettled: now < r.settledAt, StoreEra: r.era}
+	return &peerpb.Listing{
+		Digest: r.digest, AgeMs: uint32(min(age, maxReportedAge).Milliseconds()), StoreEra: r.era,
+		Unsettled: now < r.settledAt, SettledInMs: uint32(max(0, r.settledAt-now).Milliseconds()),
+	}
 }
 
 // Listing returns the complete listing for another instance, encoded as changes
@@ -193,6 +196,7 @@
 	defer r.mu.Unlock()
 	if storeFailing {
 		r.storeFailing[from] = true
+		r.lastFailureAt = r.clock.SinceBoot()
 		return
 	}
 	delete(r.storeFailing, from)
@@ -243,6 +247,9 @@
 		}
 	}
 	r.outOfSync.Store(false)
+	if l.Unsettled {
+		r.settledAt = max(r.settledAt, now+min(time.Duration(l.SettledInMs)*time.Millisecond, missingRetention))
+	}
 	return r.accept(next, l.Digest, now-time.Duration(l.AgeMs)*time.Millisecond, now, l.Unsettled), false
 }
 
