End the pause of failed listings when another instance has read the store

Cause: a listing that another instance passes on told that the store is back, but did not end the pause. Only the first listing after an outage of the whole fleet does now; an instance that the store turns away hears of listings all the time, and keeps its pauses.

--- a/pkg/discovery/outage.go
+++ b/pkg/discovery/outage.go
@@ -35,8 +35,14 @@
 // may have expired. The retention starts at the last failure and not now: a standby may not
 // list for a long time after the outage.
 func (o *outage) observeListing(before, readAt time.Duration) {
-	if o.lastFailureAt > before && readAt-before >= minExpiryOutage {
+	if o.endsOutage(before, readAt) {
 		o.settledAt = max(o.settledAt, o.lastFailureAt+missingRetention)
 	}
 	o.failingSince, o.consecutiveFailures = 0, 0
 }
+
+// endsOutage reports whether a listing is the first one after an outage in which entries of
+// live targets may have expired.
+func (o *outage) endsOutage(before, readAt time.Duration) bool {
+	return o.lastFailureAt > before && readAt-before >= minExpiryOutage
+}
--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -250,7 +250,13 @@
 	if l.Unsettled {
 		r.settledAt = max(r.settledAt, now+min(time.Duration(l.SettledInMs)*time.Millisecond, missingRetention))
 	}
-	return r.accept(next, l.Digest, now-time.Duration(l.AgeMs)*time.Millisecond, now, l.Unsettled), false
+	readAt := now - time.Duration(l.AgeMs)*time.Millisecond
+	if r.endsOutage(r.Catalogue().ReadAt, readAt) {
+		// The store is back for others, so probably for this instance, too.
+		r.consecutiveFailures = 0
+		r.retryAt.Store(0)
+	}
+	return r.accept(next, l.Digest, readAt, now, l.Unsettled), false
 }
 
 // digestAfter returns the digest of targetsAfter for a message that is not complete.
