--- a/pkg/lab/soak/check.go
+++ b/pkg/lab/soak/check.go
@@ -49,7 +49,9 @@
 		tb.checkLimit(team, runs)
 	}
 	tb.checkRates(runs, requestsByID)
-	tb.checkRecovery(c.requests)
+	end := lastEnd(c.requests)
+	tb.checkRecovery(c.requests, end)
+	tb.checkTargetsUsed(runs, end)
 }
 
 // targetRuns returns the runs at all targets, those that have ended included.
@@ -274,15 +276,35 @@
 	return float64(max(highest, previous))
 }
 
-// checkRecovery checks that enough requests were served in the last part of the
-// run. Requests over a limit and with withdrawn keys do not count.
-func (tb *testbed) checkRecovery(requests []*request) {
-	var end time.Time
+// lastEnd returns the time at which the last request ended.
+func lastEnd(requests []*request) (end time.Time) {
 	for _, r := range requests {
 		if r.endedAt.After(end) {
 			end = r.endedAt
 		}
 	}
+	return end
+}
+
+// checkTargetsUsed checks that all targets to which routes lead got requests in the last
+// part of the run: none is lost to the fleet.
+func (tb *testbed) checkTargetsUsed(runs []upstreamsim.Execution, end time.Time) {
+	used := map[string]bool{}
+	for _, r := range runs {
+		if r.StartedAt.After(end.Add(-recoveryWindow)) {
+			used[r.Target] = true
+		}
+	}
+	for _, t := range tb.targets {
+		if !used[t.ID] && (t.Service == serviceA || tb.config.moved) {
+			tb.addViolation("listed targets are used", "%s got no request in the last %s", t.ID, recoveryWindow)
+		}
+	}
+}
+
+// checkRecovery checks that enough requests were served in the last part of the
+// run. Requests over a limit and with withdrawn keys do not count.
+func (tb *testbed) checkRecovery(requests []*request, end time.Time) {
 	counted, served := 0, 0
 	for _, r := range requests {
 		if r.sentAt.Before(end.Add(-recoveryWindow)) || r.status == http.StatusTooManyRequests || r.status == http.StatusUnauthorized {
