--- a/pkg/control/delivery.go
+++ b/pkg/control/delivery.go
@@ -95,6 +95,11 @@
 		}
 		return func() {
 			c.recordPlatformResult(err)
+			if err == nil && row.Lacks(base.row) {
+				event.HeadLost.Log(&c.options.Log).Int64("revision", row.Revision).Int64("known_revision", base.row.Revision).
+					Int64("config", row.ConfigVersion).Int64("known_config", base.row.ConfigVersion).
+					Int64("membership", row.MembershipVersion).Int64("known_membership", base.row.MembershipVersion).Send()
+			}
 			if err == nil {
 				c.apply(d, false)
 			}
--- a/pkg/head/row.go
+++ b/pkg/head/row.go
@@ -19,3 +19,12 @@
 	MembershipObject         string `json:"membership_object"`
 	PreviousMembershipObject string `json:"previous_membership_object"`
 }
+
+// Lacks reports whether the row, which was read after known, lacks what known holds: the
+// table has been restored from an older copy. Rows that were written since then may give
+// the same numbers to other versions.
+func (r Row) Lacks(known Row) bool {
+	return r.Revision < known.Revision || r.ConfigVersion < known.ConfigVersion || r.MembershipVersion < known.MembershipVersion ||
+		(r.ConfigVersion == known.ConfigVersion && r.ConfigObject != known.ConfigObject) ||
+		(r.MembershipVersion == known.MembershipVersion && r.MembershipObject != known.MembershipObject)
+}
