--- /dev/null
+++ b/pkg/control/restored_test.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/head"
+)
+
+// copyOf returns a copy of the platform's table and objects.
+func (p *fakePlatform) copyOf() *fakePlatform {
+	return &fakePlatform{rows: maps.Clone(p.rows), objects: maps.Clone(p.objects)}
+}
+
+// restore replaces the table, and the objects too if these are lost as well.
+func (p *fakePlatform) restore(from *fakePlatform, objects bool) {
+	p.rows = maps.Clone(from.rows)
+	if objects {
+		p.objects = maps.Clone(from.objects)
+	}
+}
+
+// restoredSim is a fleet with version 2 in force whose platform has come back from a copy
+// with version 1.
+func restoredSim(t *testing.T, seed uint64) (*sim, []*node) {
+	s := newSim(t, seed)
+	nodes := s.fleet(5)
+	s.failOnStaleConfig()
+	s.writeConfig(nodes[0], 0, addKey("k1"))
+	s.until(5*time.Second, "key everywhere", allDelivered(nodes, 1))
+	before := s.platform.copyOf()
+	s.writeConfig(nodes[1], 1, removeKey("k1"))
+	s.until(10*time.Second, "in force", func() bool { return nodes[0].status(2).State == InForce })
+	s.platform.restore(before, seed%2 == 0)
+	return s, nodes
+}
+
+// Guards against a change that is accepted, and reported in force, under a number that the
+// fleet already has for another one.
+func TestRestoredTableGivesVersionOutAgain(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(6) {
+		s, nodes := restoredSim(t, seed)
+		refused := false
+		s.propose(nodes[2], 1, addKey("k2"), func(err error) {
+			var stale *head.StaleError
+			var undelivered *head.UndeliveredError
+			refused = errors.As(err, &stale) || errors.As(err, &undelivered)
+		})
+		s.run(time.Second)
+		is.True(refused)
+	}
+}
+
+// Guards against changes that are refused for good after a restore of the table, and against
+// the loss of a confirmed one.
+func TestRestoredTableRefusesChanges(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(6) {
+		s, nodes := restoredSim(t, seed)
+		s.run(5 * time.Second)
+		s.writeConfig(nodes[3], 2, addKey("k3"))
+		s.until(10*time.Second, "version 3 everywhere", allDelivered(nodes, 3))
+		for _, n := range nodes {
+			keys := n.applied.config.Config.Keys
+			_, withdrawn := keys["k1"]
+			_, added := keys["k3"]
+			is.True(!withdrawn && added)
+			is.True(n.mayServe())
+		}
+	}
+}
+
+// Guards against a fleet that is fenced for good because an instance joined on top of a
+// restored table.
+func TestInstanceJoinsOnRestoredTable(t *testing.T) {
+	for seed := range uint64(6) {
+		s, nodes := restoredSim(t, seed)
+		joiner := s.start(fmt.Sprintf("10.0.7.%d:1", seed), "b")
+		s.until(60*time.Second, fmt.Sprintf("seed %d: joined", seed), func() bool { return joined(append(nodes, joiner)) })
+		if _, ok := joiner.applied.config.Config.Keys["k1"]; ok {
+			t.Errorf("seed %d: the withdrawn key is valid", seed)
+		}
+	}
+}
