Write the state that an instance holds again when the table has been restored

Operators of arbutus-entry would see, after a restore of its table from a copy some seconds old: every change refused as stale, although it names the version that all instances show; or, if they name the older one, a change that is confirmed and never in force. Callers would find instances that started since then fenced for good.

Cause: the row that was read was taken for the newest state, although the reader held a newer one; versions are compared by number, so that two changes of one number count as the same; and an older row was ignored, so that nobody wrote again what the table had lost.

Now a row that lacks what the instance held before it read it is a lost one (revision, version numbers, or another document under the same number). Nothing is proposed on top of it; the instance writes its state again, with a condition on the row that it read, and the objects if they are missing. A row that says so does not tell that the change before it was delivered.

--- a/pkg/control/core.go
+++ b/pkg/control/core.go
@@ -105,12 +105,12 @@
 	heartbeatsInFlight map[string]int
 	fetching           bool
 
-	// changingMembership, pollingHead and queryingList are set while that
+	// changingMembership, pollingHead, queryingList and reinstating are set while that
 	// asynchronous work runs.
-	changingMembership, pollingHead, queryingList bool
-	nextChangeAt, nextPollAt                      time.Duration
-	nextHeartbeatAt, nextListQueryAt              time.Duration
-	nextSeedQueryAt                               time.Duration
+	changingMembership, pollingHead, queryingList, reinstating bool
+	nextChangeAt, nextPollAt                                   time.Duration
+	nextHeartbeatAt, nextListQueryAt                           time.Duration
+	nextSeedQueryAt                                            time.Duration
 	// unlistedSince holds, by unresponsive member, the time since which it has
 	// been missing from the platform's instance list.
 	unlistedSince map[string]time.Duration
@@ -223,7 +223,9 @@
 		return
 	}
 	now := c.now()
-	c.recordEarlierDelivered(now, after.Config)
+	if !d.row.Reinstated {
+		c.recordEarlierDelivered(now, after.Config)
+	}
 	c.applied, c.ownChange, c.appliedAt, c.deliveredAt = d, ownChange, now, 0
 	c.takeoverAt = now + c.randomBetween(minTakeoverDelay, maxTakeoverDelay)
 	c.markRetryAt = 0
--- a/pkg/control/delivery.go
+++ b/pkg/control/delivery.go
@@ -80,7 +80,8 @@
 	c.refreshHead(func(error) { c.pollingHead = false })
 }
 
-// refreshHead reads the head row, applies it if it is newer, and calls then.
+// refreshHead reads the head row, applies it if it is newer, and calls then. If the row
+// lacks what this instance holds, it is written again, and then gets *head.ConflictError.
 func (c *core) refreshHead(then func(error)) {
 	base, store := c.applied, c.options.Store
 	c.async(func(ctx context.Context) func() {
@@ -88,19 +89,20 @@
 		defer cancel()
 		d := documents{}
 		row, err := store.Read(ctx)
-		if err == nil && versionsOf(row).NewerThan(versionsOf(base.row)) {
+		lost := err == nil && row.Lacks(base.row)
+		if err == nil && !lost && versionsOf(row).NewerThan(versionsOf(base.row)) {
 			d, err = loadDocuments(ctx, store, base, row)
 		} else {
 			d.row = row
 		}
 		return func() {
 			c.recordPlatformResult(err)
-			if err == nil && row.Lacks(base.row) {
-				event.HeadLost.Log(&c.options.Log).Int64("revision", row.Revision).Int64("known_revision", base.row.Revision).
-					Int64("config", row.ConfigVersion).Int64("known_config", base.row.ConfigVersion).
-					Int64("membership", row.MembershipVersion).Int64("known_membership", base.row.MembershipVersion).Send()
-			}
-			if err == nil {
+			switch {
+			case err != nil:
+			case lost:
+				c.reinstate(base, row)
+				err = errors.WithStack(&head.ConflictError{Row: row})
+			default:
 				c.apply(d, false)
 			}
 			then(err)
--- a/pkg/control/propose.go
+++ b/pkg/control/propose.go
@@ -63,6 +63,10 @@
 	if err != nil {
 		return none, err
 	}
+	if row.Lacks(base.row) {
+		// It is about to be written again, with the version that the operator knows.
+		return none, errors.WithStack(&head.UndeliveredError{Row: row})
+	}
 	if row.ConfigVersion != expected {
 		return none, errors.WithStack(&head.StaleError{Expected: expected, Current: row.ConfigVersion})
 	}
--- a/pkg/control/restored_test.go
+++ b/pkg/control/restored_test.go
@@ -88,3 +88,65 @@
 		}
 	}
 }
+
+// Guards against combinations of restores with other faults under which a confirmed change
+// is lost, an instance acts on an older configuration than one in force, or the fleet does
+// not recover.
+func TestRandomFaultsAndRestores(t *testing.T) {
+	seeds := uint64(40)
+	if testing.Short() {
+		seeds = 5
+	}
+	for seed := range seeds {
+		s := newSim(t, 1000+seed)
+		f := &faults{sim: s, nodes: s.fleet(5 + int(seed%3)), noPlatform: map[string]bool{}}
+		f.updateList()
+		s.platform.fault = func(string, bool) bool { return f.noPlatform[s.platform.caller] || s.random.IntN(20) == 0 }
+		s.failOnStaleConfig()
+		confirmed := map[string]bool{}
+		copies := []*fakePlatform{s.platform.copyOf()}
+		for round := range 20 {
+			f.inject()
+			for try := range 3 {
+				s.run(s.delay(1500 * time.Millisecond))
+				copies = append(copies, s.platform.copyOf())
+				n, key := f.nodes[s.random.IntN(len(f.nodes))], fmt.Sprintf("k%d-%d", round, try)
+				expected := n.applied.row.ConfigVersion
+				s.propose(n, expected, addKey(key), func(err error) {
+					if err == nil && !n.dead && n.applied.row.ConfigVersion == expected+1 {
+						f.confirmWhenInForce(n, key, confirmed)
+					}
+				})
+			}
+			if s.random.IntN(3) == 0 {
+				s.platform.restore(copies[max(0, len(copies)-1-s.random.IntN(8))], s.random.IntN(2) == 0)
+				copies = []*fakePlatform{s.platform.copyOf()}
+			}
+		}
+		s.run(10 * time.Second)
+		clear(s.cuts)
+		clear(f.noPlatform)
+		s.until(60*time.Second, fmt.Sprintf("seed %d recovered", seed), func() bool { return joined(f.nodes) })
+		if len(confirmed) == 0 {
+			t.Errorf("seed %d: no change was confirmed", seed)
+		}
+		for key := range confirmed {
+			for _, n := range f.nodes {
+				if _, ok := n.applied.config.Config.Keys[key]; !ok {
+					t.Errorf("seed %d: %s lacks the confirmed key %s", seed, n.address, key)
+				}
+			}
+		}
+	}
+}
+
+// confirmWhenInForce records the key once the version that the node has just applied is in
+// force there.
+func (f *faults) confirmWhenInForce(n *node, key string, confirmed map[string]bool) {
+	version := n.applied.row.ConfigVersion
+	f.later(4*time.Second, func() {
+		if _, ok := n.applied.config.Config.Keys[key]; ok && !n.dead && n.status(version).State == InForce {
+			confirmed[key] = true
+		}
+	})
+}
--- a/pkg/head/document.go
+++ b/pkg/head/document.go
@@ -107,6 +107,7 @@
 		"config_object":              r.ConfigObject,
 		"membership_object":          r.MembershipObject,
 		"previous_membership_object": r.PreviousMembershipObject,
+		"reinstated":                 strconv.FormatBool(r.Reinstated),
 	}
 }
 
@@ -133,6 +134,8 @@
 		ConfigObject:             item["config_object"],
 		MembershipObject:         item["membership_object"],
 		PreviousMembershipObject: item["previous_membership_object"],
+		// Rows of earlier releases lack it.
+		Reinstated: item["reinstated"] == strconv.FormatBool(true),
 	}
 	return row, err
 }
--- a/pkg/head/row.go
+++ b/pkg/head/row.go
@@ -18,6 +18,9 @@
 	ConfigObject             string `json:"config_object"`
 	MembershipObject         string `json:"membership_object"`
 	PreviousMembershipObject string `json:"previous_membership_object"`
+	// Reinstated says that the newest change was written by Reinstate: other than a
+	// proposed one, it does not tell that the change before it was delivered.
+	Reinstated bool `json:"reinstated,omitempty"`
 }
 
 // Lacks reports whether the row, which was read after known, lacks what known holds: the
@@ -25,6 +28,11 @@
 // the same numbers to other versions.
 func (r Row) Lacks(known Row) bool {
 	return r.Revision < known.Revision || r.ConfigVersion < known.ConfigVersion || r.MembershipVersion < known.MembershipVersion ||
-		(r.ConfigVersion == known.ConfigVersion && r.ConfigObject != known.ConfigObject) ||
+		r.diverges(known)
+}
+
+// diverges reports whether the row has another document under a number of known.
+func (r Row) diverges(known Row) bool {
+	return (r.ConfigVersion == known.ConfigVersion && r.ConfigObject != known.ConfigObject) ||
 		(r.MembershipVersion == known.MembershipVersion && r.MembershipObject != known.MembershipObject)
 }
--- a/pkg/head/store.go
+++ b/pkg/head/store.go
@@ -78,7 +78,7 @@
 	}
 	next := base
 	next.Revision++
-	next.Delivered = false
+	next.Delivered, next.Reinstated = false, false
 	next.Operation = change.Operation
 	next.PreviousMembershipObject = base.MembershipObject
 	if change.Config != nil {
