Condition writes of the head row on its operation, not on its revision

Operators would lose a confirmed change: after a restore of the table, a writer that holds a lost row of some revision could replace another row that has been given the same revision since.

Cause: the condition compared the revision, a number that a restored table gives out again. The operation is unique to a change, and every row has one. A row marked delivered keeps its operation; marking it again writes the same.

Evidence: TestRevisionGivenOutAgainIsNotOverwritten failed before (the row of the other writer was replaced) and passes. The fake table of the tests now evaluates the attribute that a condition names.

--- a/pkg/head/store.go
+++ b/pkg/head/store.go
@@ -131,13 +131,13 @@
 	return Row{}, errors.WithStack(&UnavailableError{OutcomeUnknown: true, Cause: err})
 }
 
-// writeRow replaces base by next if the row is still at the revision of base.
-// When the outcome is unknown, it retries with the same condition, so that the
-// write takes effect at most once.
+// writeRow replaces base by next if the row still carries the operation of base; a table
+// that was restored from a copy gives revisions out again. When the outcome is unknown,
+// it retries with the same condition, so that the write takes effect at most once.
 func (s *Store) writeRow(ctx context.Context, base, next Row) error {
 	condition := platform.Condition{Absent: true}
 	if base.Revision > 0 {
-		condition = platform.Condition{Attribute: "revision", Equals: strconv.FormatInt(base.Revision, 10)}
+		condition = platform.Condition{Attribute: "operation", Equals: base.Operation}
 	}
 	return s.retry(ctx, func() error { return s.table.Put(ctx, rowKey, next.item(), condition) })
 }
--- a/pkg/head/store_test.go
+++ b/pkg/head/store_test.go
@@ -29,7 +29,7 @@
 }
 
 func (f *fakeTable) Put(_ context.Context, _ string, item platform.Item, c platform.Condition) error {
-	if (c.Absent && f.item != nil) || (!c.Absent && f.item["revision"] != c.Equals) {
+	if (c.Absent && f.item != nil) || (!c.Absent && f.item[c.Attribute] != c.Equals) {
 		return &platform.ConditionError{Name: rowKey}
 	}
 	f.item = maps.Clone(item)
@@ -126,3 +126,22 @@
 		is.True(errors.As(err, &stale))
 	}
 }
+
+// Guards against a write on top of a row that another writer has given the same revision
+// after a restore of the table.
+func TestRevisionGivenOutAgainIsNotOverwritten(t *testing.T) {
+	is := is.New(t)
+	s, table := newStore()
+	ctx := t.Context()
+	base, err := s.Read(ctx)
+	is.NoErr(err)
+	lost, err := s.Propose(ctx, base, configChange("a"))
+	is.NoErr(err)
+	table.item = nil
+	current, err := s.Propose(ctx, base, configChange("b"))
+	is.NoErr(err)
+	is.Equal(current.Revision, lost.Revision)
+	marked, err := s.MarkDelivered(ctx, lost)
+	is.NoErr(err)
+	is.Equal(marked, current)
+}
