--- a/pkg/control/restored_test.go
+++ b/pkg/control/restored_test.go
@@ -150,3 +150,35 @@
 		}
 	})
 }
+
+// Guards against instances that start after a restore and cannot load a document that it
+// has lost.
+func TestDocumentsLostByARestoreAreWrittenAgain(t *testing.T) {
+	s := newSim(t, 1)
+	nodes := s.fleet(5)
+	before := s.platform.copyOf()
+	for n := range 2 {
+		nodes = append(nodes, s.start(fmt.Sprintf("10.0.8.%d:1", n), "b"))
+		s.until(30*time.Second, "joined", func() bool { return joined(nodes) })
+		if n == 0 {
+			s.platform.restore(before, true)
+			s.run(5 * time.Second)
+		}
+	}
+}
+
+// Guards against a change that counts as delivered because a reinstated row follows it.
+func TestReinstatedRowTellsOfNoDelivery(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1)
+	n := s.fleet(3)[0]
+	next := n.applied
+	next.row.ConfigVersion++
+	next.row.Delivered = false
+	n.apply(next, false)
+	is.Equal(n.status(next.row.ConfigVersion).State, Accepted)
+	next.row.MembershipVersion++
+	next.row.Reinstated = true
+	n.apply(next, false)
+	is.Equal(n.status(next.row.ConfigVersion).State, Accepted)
+}
