--- a/pkg/lab/experiment/operator.go
+++ b/pkg/lab/experiment/operator.go
@@ -13,6 +13,7 @@
 
 	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/lab/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/lab/platformsim"
 	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
 )
 
@@ -128,3 +129,14 @@
 func SetPlatformFaults(f *fleet.Fleet, faults map[string]any) error {
 	return call(http.MethodPost, "http://"+f.PlatformAdminAddress()+"/admin/faults", nil, faults, nil)
 }
+
+// CopyPlatform makes the platform keep a copy of its table and objects.
+func CopyPlatform(f *fleet.Fleet) error {
+	return call(http.MethodPost, "http://"+f.PlatformAdminAddress()+"/admin/copy", nil, nil, nil)
+}
+
+// RestorePlatform makes the platform go back to the copy that it made last, with the objects
+// if these are lost as well.
+func RestorePlatform(f *fleet.Fleet, objects bool) error {
+	return call(http.MethodPost, "http://"+f.PlatformAdminAddress()+"/admin/restore", nil, platformsim.RestoreRequest{Objects: objects}, nil)
+}
--- a/pkg/lab/platformsim/platformsim.go
+++ b/pkg/lab/platformsim/platformsim.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -49,8 +50,10 @@
 	clock         clock.Clock
 	faultInjector faultInjector
 	state         *memory.Platform
-	service       *httpserver.Server
-	admin         *httpserver.Server
+	// kept is the copy of the state that /admin/copy made last, nil before that.
+	kept    atomic.Pointer[memory.Copy]
+	service *httpserver.Server
+	admin   *httpserver.Server
 
 	// context ends on Close and wakes delayed requests.
 	context context.Context
@@ -193,6 +196,12 @@
 	switch path := string(ctx.Path()); {
 	case path == "/admin/stats" && ctx.IsGet():
 		httpserver.WriteJSON(ctx, s.Stats())
+	case path == "/admin/copy" && ctx.IsPost():
+		kept := s.state.Copy()
+		s.kept.Store(&kept)
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+	case path == "/admin/restore" && ctx.IsPost():
+		s.restore(ctx)
 	case path == "/admin/faults" && ctx.IsGet():
 		httpserver.WriteJSON(ctx, s.Faults())
 	case path == "/admin/faults" && ctx.IsPost():
@@ -210,4 +219,25 @@
 	}
 }
 
+// RestoreRequest is the body of POST /admin/restore.
+type RestoreRequest struct {
+	// Objects says that the object store is restored as well.
+	Objects bool `json:"objects"`
+}
+
+// restore goes back to the copy that was made last.
+func (s *Server) restore(ctx *fasthttp.RequestCtx) {
+	var request RestoreRequest
+	if !httpserver.ReadJSON(ctx, &request) {
+		return
+	}
+	kept := s.kept.Load()
+	if kept == nil {
+		ctx.Error("there is no copy", fasthttp.StatusConflict)
+		return
+	}
+	s.state.Restore(*kept, request.Objects)
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
 func drop(ctx *fasthttp.RequestCtx) { httpserver.Drop(ctx) }
--- a/pkg/lab/scenario/commands.go
+++ b/pkg/lab/scenario/commands.go
@@ -33,6 +33,7 @@
 //	fresh LIST within=D, not-fresh LIST within=D
 //	cut LIST LIST, cut-one-way LIST LIST, heal LIST LIST
 //	platform down|up|slow by=D|lose-answers next=N [before-effect=1 table-only=1]
+//	platform copy, platform restore [objects=1]
 //	patch JSON [via=N] [version=N] [is=OUTCOMES] [within=D]
 //	race LIST                      patches with the same version through each instance
 //	in-force [within=D]            marks "in-force"; D counts from "accepted", 6 s by default
--- a/pkg/lab/scenario/faults.go
+++ b/pkg/lab/scenario/faults.go
@@ -185,10 +185,21 @@
 	return false
 }
 
-// platformCommand sets or clears faults of the platform.
+// platformCommand sets or clears faults of the platform, or copies or restores its state.
 func (tb *testbed) platformCommand(a *arguments) error {
 	var faults map[string]any
 	switch a.word(0) {
+	case "copy":
+		if err := a.validate(); err != nil {
+			return err
+		}
+		return experiment.CopyPlatform(tb.fleet)
+	case "restore":
+		objects := a.has("objects")
+		if err := a.validate(); err != nil {
+			return err
+		}
+		return experiment.RestorePlatform(tb.fleet, objects)
 	case "down":
 		faults = map[string]any{"down": true}
 	case "up":
@@ -203,7 +214,7 @@
 			"next_writes": a.number("next", 1), "before_effect": a.has("before-effect"), "table_only": a.has("table-only"),
 		}}
 	default:
-		a.fail(usage("platform must be followed by down, up, slow or lose-answers"))
+		a.fail(usage("platform must be followed by down, up, slow, lose-answers, copy or restore"))
 	}
 	if err := a.validate(); err != nil {
 		return err
--- a/pkg/platform/memory/memory.go
+++ b/pkg/platform/memory/memory.go
@@ -105,6 +105,30 @@
 	p.listLag = listLag
 }
 
+// Copy is a copy of the table and the object store at one time.
+type Copy struct {
+	tableRows map[string]platform.Item
+	objects   map[string][]byte
+}
+
+// Copy returns a copy of the table and the object store.
+func (p *Platform) Copy() Copy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return Copy{maps.Clone(p.tableRows), maps.Clone(p.objects)}
+}
+
+// Restore replaces the table by that of a copy, and the object store too if objects is
+// set: what was written since is gone.
+func (p *Platform) Restore(from Copy, objects bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.tableRows = maps.Clone(from.tableRows)
+	if objects {
+		p.objects = maps.Clone(from.objects)
+	}
+}
+
 // Register adds the entry to the instance list, or replaces the one with the same
 // address.
 func (p *Platform) Register(entry platform.InstanceListEntry) {
