Tell documents of one number apart in messages between instances

Cause: a fetch names the numbers that the requester has, and documents of the same number are left out of the reply; a witness that holds another document of the number confirms it and counts as a holder.

Heartbeats and fetches now carry digests of the names of the documents, which are unique. A document is left out only if both agree, and a sender with another document of one of the numbers confirms nothing; the head row is polled at once then. Older releases send no digest, and their numbers count as before.

TestOtherDocumentOfTheSameNumberIsFetched and TestOtherDocumentOfTheSameNumberConfirmsNothing failed before.

--- a/pkg/control/documents.go
+++ b/pkg/control/documents.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/fence"
 	"github.com/arbutuslink/arbutuslink/pkg/head"
@@ -45,7 +47,7 @@
 // does not have.
 func loadDocuments(ctx context.Context, store *head.Store, base documents, row head.Row) (documents, error) {
 	d := documents{row: row, config: base.config, configJSON: base.configJSON}
-	if row.ConfigVersion != base.row.ConfigVersion {
+	if row.ConfigObject != base.row.ConfigObject {
 		stored, err := store.Config(ctx, row)
 		if err != nil {
 			return d, err
@@ -93,15 +95,15 @@
 	if reply.Head, err = encode("head", d.row); err != nil {
 		return nil, err
 	}
-	if have == nil || have.Config != d.row.ConfigVersion {
+	if !holds(have.GetConfig(), have.GetConfigDigest(), d.row.ConfigVersion, d.row.ConfigObject) {
 		reply.Config = d.configJSON
 	}
-	if have == nil || have.Membership != d.membership.Version {
+	if !holds(have.GetMembership(), have.GetMembershipDigest(), d.membership.Version, d.row.MembershipObject) {
 		if reply.Membership, err = encode("membership", d.membership); err != nil {
 			return nil, err
 		}
 	}
-	if have == nil || have.Membership != d.previous.Version {
+	if !holds(have.GetMembership(), have.GetMembershipDigest(), d.previous.Version, d.row.PreviousMembershipObject) {
 		reply.PreviousMembership, err = encode("previous membership", d.previous)
 	}
 	return reply, err
@@ -157,5 +159,19 @@
 	return &peerpb.Versions{
 		Revision: row.Revision, Config: row.ConfigVersion,
 		Membership: row.MembershipVersion, Delivered: row.Delivered,
+		ConfigDigest: xxhash.Sum64String(row.ConfigObject), MembershipDigest: xxhash.Sum64String(row.MembershipObject),
 	}
 }
+
+// holds reports whether the sender of a version number and of the digest of its document,
+// which is 0 if it does not tell, has this document.
+func holds(version int64, digest uint64, want int64, object string) bool {
+	return version == want && (digest == 0 || digest == xxhash.Sum64String(object))
+}
+
+// diverges reports whether the sender has another document under the number of one of the
+// row's.
+func diverges(v *peerpb.Versions, row head.Row) bool {
+	return (v.GetConfig() == row.ConfigVersion && !holds(v.GetConfig(), v.GetConfigDigest(), row.ConfigVersion, row.ConfigObject)) ||
+		(v.GetMembership() == row.MembershipVersion && !holds(v.GetMembership(), v.GetMembershipDigest(), row.MembershipVersion, row.MembershipObject))
+}
--- a/pkg/control/exchange.go
+++ b/pkg/control/exchange.go
@@ -71,7 +71,7 @@
 	if processOf(reply.Incarnation) != processOf(from.Incarnation) {
 		c.recordReplaced(now, from.Incarnation)
 	}
-	if reply.Incarnation == from.Incarnation && reply.Witness {
+	if reply.Incarnation == from.Incarnation && reply.Witness && !diverges(reply.Versions, c.applied.row) {
 		versions := fence.Versions{Config: reply.Versions.GetConfig(), Membership: reply.Versions.GetMembership()}
 		c.fence.RecordReply(now, reply.Incarnation, startedAt, versions)
 		c.witnessReports[reply.Incarnation] = unresponsiveReport{receivedAt: now, members: reply.Unheard}
@@ -96,13 +96,16 @@
 // from its address, and learns when the applied ones are delivered.
 func (c *core) handleVersions(from string, v *peerpb.Versions, address string) {
 	theirs := fence.Versions{Config: v.GetConfig(), Membership: v.GetMembership()}
-	if !c.appliedVersions().NewerThan(theirs) {
+	if diverges(v, c.applied.row) {
+		// One of both holds what a restored table has lost; the head row tells which.
+		c.nextPollAt = min(c.nextPollAt, c.now()+checkInterval)
+	} else if !c.appliedVersions().NewerThan(theirs) {
 		c.holders[processOf(from)] = true
 	}
 	switch {
 	case theirs.NewerThan(c.appliedVersions()):
 		c.fetchFromSender(membership.Member{Incarnation: from, PeerAddress: address})
-	case theirs == c.appliedVersions() && v.GetDelivered():
+	case theirs == c.appliedVersions() && v.GetDelivered() && !diverges(v, c.applied.row):
 		c.updateRow(v.GetRevision(), true)
 	}
 	c.checkDelivered()
--- a/pkg/control/restored_test.go
+++ b/pkg/control/restored_test.go
@@ -182,3 +182,34 @@
 	n.apply(next, false)
 	is.Equal(n.status(next.row.ConfigVersion).State, Accepted)
 }
+
+// Guards against an instance that takes over the number of a configuration and keeps another
+// document of that number, which a restored table had lost.
+func TestOtherDocumentOfTheSameNumberIsFetched(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1)
+	nodes := s.fleet(3)
+	s.writeConfig(nodes[0], 0, addKey("k1"))
+	s.until(5*time.Second, "key everywhere", allDelivered(nodes, 1))
+	have := nodes[0].applied.row
+	have.ConfigObject = "config/1-lost"
+	reply, err := nodes[0].applied.encodeReply(versionsMessage(have))
+	is.NoErr(err)
+	is.True(len(reply.Config) > 0)
+	is.Equal(len(reply.Membership), 0)
+}
+
+// Guards against a witness that confirms a number for which it holds another document, and
+// against one that counts as a holder.
+func TestOtherDocumentOfTheSameNumberConfirmsNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSim(t, 1)
+	n := s.fleet(3)[0]
+	other := n.applied.row
+	other.MembershipObject = "membership/lost"
+	n.holders = map[string]bool{}
+	n.handleVersions("other.0", versionsMessage(other), "")
+	is.Equal(len(n.holders), 0)
+	n.handleVersions("same.0", versionsMessage(n.applied.row), "")
+	is.Equal(len(n.holders), 1)
+}
