arbutusctl explain: the cause of a request's result from the logs

An operator with a request's id had to join its line by hand with what the instance believed at that time and with what others met at the same targets. explain reads files or directories of the instances' lines, twice, in bounded memory but for the lines about the request, and says in sentences: status, refusal and its meaning, the configuration and listing that decided with their ages, the store's last line, each attempt with what was known of its target, the lines about the target at that instance before and after, the results of other requests there within 2 s and whose failed.

--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -75,6 +75,7 @@
   arbutusctl key withdraw --version 13 --id reseller-1
   arbutusctl dump --all
   arbutusctl status --store 10.200.1.7:8688
+  arbutusctl explain 05959c9d37e7a4c9 --logs /var/log/arbutus-edge
 
 The operator token is read from ARBUTUS_TOKEN or from --token-file.`
 
@@ -156,6 +157,7 @@
 	add(root, "members", "list the members", &membersCommand{app: a})
 	add(root, "replace-membership", "declare members gone after a majority of witnesses was lost", &replaceCommand{app: a})
 	add(root, "dump", "print the state of one or all instances", &dumpCommand{app: a})
+	add(root, "explain", "explain the result of a request from the logs of the instances", &explainCommand{app: a})
 	keys := add(root, "key", "issue and withdraw keys", &struct{}{})
 	add(keys, "issue", "create a key and print it once", &keyIssueCommand{app: a})
 	add(keys, "withdraw", "remove a key", &keyWithdrawCommand{app: a})
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -256,3 +256,17 @@
 		is.True(json.Valid([]byte(stdout)))
 	}
 }
+
+// Guards against log files that explain does not read, or that run into one another.
+func TestExplainReadsAllFiles(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	is.NoErr(os.WriteFile(dir+"/a.log", []byte(`{"event":300,"name":"config_applied","instance":"e1","version":7,"from":"store","time":"2026-12-05T10:00:00Z"}`), 0o600))
+	is.NoErr(os.WriteFile(dir+"/b.log", []byte(`{"event":602,"instance":"e1","request_id":"r1","status":200,"config_version":7,"time":"2026-12-05T10:00:05Z"}`), 0o600))
+	var stdout, stderr strings.Builder
+	is.Equal(Run([]string{"explain", "r1", "--logs", dir}, &stdout, &stderr, nil), ExitOK)
+	is.True(strings.Contains(stdout.String(), "Configuration 7 decided; the instance applied it 5s before, from store."))
+	is.Equal(Run([]string{"explain", "r2", "--logs", dir}, &stdout, &stderr, nil), ExitFailed)
+	is.True(strings.Contains(stderr.String(), `no line of request "r2" among 2 log lines`))
+	is.Equal(Run([]string{"explain", "r1", "--logs", dir + "/missing"}, &stdout, &stderr, nil), ExitUsage)
+}
