--- a/pkg/discovery/outage_test.go
+++ b/pkg/discovery/outage_test.go
@@ -74,47 +74,49 @@
 	}
 }
 
-// Guards against lapsed targets that are dropped everywhere because the first instance that
-// lists them after an outage had not asked during it.
-func TestFirstReaderAfterOutageDropsLapsedTargets(t *testing.T) {
-	f := newOutageFixture(t)
+// listAfterOutage lets the store lose t2 in an outage during which only the lister asked, and
+// the other instance list first after it.
+func (f *outageFixture) listAfterOutage() {
 	f.outage(4)
 	f.advance(100 * time.Millisecond)
 	f.store(1, nil, "t1")
 	f.NoErr(f.other.Refresh(context.Background()))
 	f.pass(f.other, f.lister)
-	f.True(f.other.Catalogue().Find("t2") != nil)
-	f.True(f.lister.Catalogue().Find("t2") != nil)
+}
+
+// expectLapsed fails unless both instances have dropped t2, or have kept it.
+func (f *outageFixture) expectLapsed(dropped bool) {
+	f.Helper()
+	f.Equal(f.lister.Catalogue().Find("t2") == nil, dropped)
+	f.Equal(f.other.Catalogue().Find("t2") == nil, dropped)
+}
+
+// Guards against lapsed targets that are dropped everywhere because the first instance that
+// lists them after an outage had not asked during it.
+func TestFirstReaderAfterOutageDropsLapsedTargets(t *testing.T) {
+	f := newOutageFixture(t)
+	f.listAfterOutage()
+	f.expectLapsed(false)
 	f.advance(3 * time.Second)
 	f.NoErr(f.other.Refresh(context.Background()))
 	f.pass(f.other, f.lister)
-	f.True(f.other.Catalogue().Find("t2") == nil)
-	f.True(f.lister.Catalogue().Find("t2") == nil)
+	f.expectLapsed(true)
 }
 
 // Guards against lapsed targets that are dropped by an instance that lists them after another
 // one has passed on that the listing is unsettled.
 func TestNextReaderAfterOutageDropsLapsedTargets(t *testing.T) {
 	f := newOutageFixture(t)
-	f.outage(4)
-	f.advance(100 * time.Millisecond)
-	f.store(1, nil, "t1")
-	f.NoErr(f.other.Refresh(context.Background()))
-	f.pass(f.other, f.lister)
-	for range 3 {
-		f.advance(500 * time.Millisecond)
-		f.NoErr(f.lister.Refresh(context.Background()))
-		f.True(f.lister.Catalogue().Find("t2") != nil)
-		f.pass(f.lister, f.other)
-		f.True(f.other.Catalogue().Find("t2") != nil)
-	}
-	for range 3 {
+	f.listAfterOutage()
+	for n := range 6 {
 		f.advance(500 * time.Millisecond)
 		f.NoErr(f.lister.Refresh(context.Background()))
 		f.pass(f.lister, f.other)
+		if n < 3 {
+			f.expectLapsed(false)
+		}
 	}
-	f.True(f.lister.Catalogue().Find("t2") == nil)
-	f.True(f.other.Catalogue().Find("t2") == nil)
+	f.expectLapsed(true)
 }
 
 // Guards against live targets that are dropped because the retention had begun before the
