Keep what is known of a target also while another run of it is listed

Targets would see more than the rate that they named: a store that is restored from a copy lists the earlier run of a target that was restarted since, until it reports; the state of the present run was dropped then.

Cause: the state of targets that left was kept by id, and a run that another one replaced was not kept. Now runs are kept, by id, start and address, for the same five minutes.

Evidence: TestNamedRateIsForgottenWithAnEarlierRun failed before and passes; the tests of named rates and of the floor pass as before.

--- /dev/null
+++ b/pkg/placement/catalogue.go
@@ -0,0 +1,67 @@
+package placement
+
+import (
+	"maps"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/discovery"
+	"github.com/arbutuslink/arbutuslink/pkg/fleet"
+)
+
+// targetRun identifies one run of a target's process at one address.
+type targetRun struct {
+	id, address string
+	started     int64
+}
+
+func runOf(e *discovery.Entry) targetRun { return targetRun{e.ID, e.Address, e.Started} }
+
+// unlistedMemory is the time for which the state of a target is kept that is not in the
+// catalogue. Its entry may lapse while the target cannot reach the platform's store; its
+// process runs on, and what it stated and the requests that it has open still hold.
+const unlistedMemory = 5 * time.Minute
+
+// update applies a new catalogue or set of serving instances. The caller holds mu.
+func (s *service) update(c *discovery.Catalogue, v *fleet.View, now time.Duration) {
+	s.self = v.Self.Instance
+	if s.catalogueVersion == c.Version && s.viewVersion == v.Version && len(s.ordered) > 0 {
+		if s.reassign || (s.reassignAt > 0 && now >= s.reassignAt) {
+			s.assignPreferred(v, now)
+		}
+		return
+	}
+	s.catalogueVersion, s.viewVersion = c.Version, v.Version
+	s.updateTargets(c.Services[s.name], now)
+	s.assignPreferred(v, now)
+	s.retryBudget.setServing(v.Serving, now)
+	s.outcomes.forget(v)
+}
+
+// updateTargets applies the entries of the catalogue. A target that was restarted or moved
+// to another address begins without evidence. The caller holds mu.
+func (s *service) updateTargets(entries []*discovery.Entry, now time.Duration) {
+	s.ordered = s.ordered[:0]
+	listed := make(map[string]*target, len(entries))
+	for _, entry := range entries {
+		run := runOf(entry)
+		t := s.targets[entry.ID]
+		if t == nil || runOf(t.entry) != run {
+			t = s.unlisted[run]
+		}
+		if t == nil {
+			t = newTarget(entry, now)
+		}
+		delete(s.unlisted, run)
+		t.entry = entry
+		listed[entry.ID] = t
+		s.ordered = append(s.ordered, t)
+	}
+	for id, t := range s.targets {
+		if listed[id] != t {
+			t.unlistedAt = now
+			s.unlisted[runOf(t.entry)] = t
+		}
+	}
+	maps.DeleteFunc(s.unlisted, func(_ targetRun, t *target) bool { return now-t.unlistedAt >= unlistedMemory })
+	s.targets = listed
+}
--- a/pkg/placement/limit_sim_test.go
+++ b/pkg/placement/limit_sim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -229,6 +230,34 @@
 	}
 }
 
+// Guards against a named rate that is forgotten while a restored store lists an earlier run of
+// the target.
+func TestNamedRateIsForgottenWithAnEarlierRun(t *testing.T) {
+	f := newFixture(1)
+	f.send(t, true, answered)
+	s, now := f.service("s"), f.clock.SinceBoot()
+	s.targets["a0"].limit.state(limitStatement{limited: true, perSecond: 3, at: now}, now)
+	entries := func(started int64) []*discovery.Entry {
+		listed := slices.Clone(s.ordered)
+		var entries []*discovery.Entry
+		for _, target := range listed {
+			entry := *target.entry
+			entry.Started = started
+			entries = append(entries, &entry)
+		}
+		return entries
+	}
+	current := s.targets["a0"].entry.Started
+	s.updateTargets(entries(current-1), now)
+	if s.targets["a0"].limit.limited {
+		t.Error("another run has the limit")
+	}
+	s.updateTargets(entries(current), now)
+	if !s.targets["a0"].limit.limited {
+		t.Error("the limit is forgotten")
+	}
+}
+
 // Guards against requests that many instances have saved up, each a few, and send at once.
 func TestSavedAllowancesExceedNamedRate(t *testing.T) {
 	s := newLimitSim(1, 90, 60, 60, 1, 1)
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -1,14 +1,12 @@
 package placement
 
 import (
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/arbutuslink/arbutuslink/pkg/discovery"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
@@ -76,8 +74,8 @@
 	// mu guards the fields below and the state of the targets.
 	mu      sync.Mutex
 	targets map[string]*target
-	// unlisted are the targets that left the catalogue within unlistedMemory, by id.
-	unlisted map[string]*target
+	// unlisted are the targets that left the catalogue within unlistedMemory.
+	unlisted map[targetRun]*target
 	// ordered holds the targets in the order of their ids.
 	ordered []*target
 	// byDistance groups the targets: preferred ones, others of the same zone, and
@@ -156,56 +154,7 @@
 }
 
 func newService(name string, now time.Duration) *service {
-	return &service{name: name, targets: map[string]*target{}, unlisted: map[string]*target{}, sizes: responseSizes{}, retryBudget: newRetryBudget(now)}
-}
-
-// unlistedMemory is the time for which the state of a target is kept that is not in the
-// catalogue. Its entry may lapse while the target cannot reach the platform's store; its
-// process runs on, and what it stated and the requests that it has open still hold.
-const unlistedMemory = 5 * time.Minute
-
-// update applies a new catalogue or set of serving instances. The caller holds mu.
-func (s *service) update(c *discovery.Catalogue, v *fleet.View, now time.Duration) {
-	s.self = v.Self.Instance
-	if s.catalogueVersion == c.Version && s.viewVersion == v.Version && len(s.ordered) > 0 {
-		if s.reassign || (s.reassignAt > 0 && now >= s.reassignAt) {
-			s.assignPreferred(v, now)
-		}
-		return
-	}
-	s.catalogueVersion, s.viewVersion = c.Version, v.Version
-	s.updateTargets(c.Services[s.name], now)
-	s.assignPreferred(v, now)
-	s.retryBudget.setServing(v.Serving, now)
-	s.outcomes.forget(v)
-}
-
-// updateTargets applies the entries of the catalogue. A target that was restarted or moved
-// to another address begins without evidence. The caller holds mu.
-func (s *service) updateTargets(entries []*discovery.Entry, now time.Duration) {
-	s.ordered = s.ordered[:0]
-	listed := make(map[string]*target, len(entries))
-	for _, entry := range entries {
-		t := s.targets[entry.ID]
-		if t == nil {
-			t = s.unlisted[entry.ID]
-			delete(s.unlisted, entry.ID)
-		}
-		if t == nil || t.entry.Started != entry.Started || t.entry.Address != entry.Address {
-			t = newTarget(entry, now)
-		}
-		t.entry = entry
-		listed[entry.ID] = t
-		s.ordered = append(s.ordered, t)
-	}
-	for id, t := range s.targets {
-		if listed[id] == nil {
-			t.unlistedAt = now
-			s.unlisted[id] = t
-		}
-	}
-	maps.DeleteFunc(s.unlisted, func(_ string, t *target) bool { return now-t.unlistedAt >= unlistedMemory })
-	s.targets = listed
+	return &service{name: name, targets: map[string]*target{}, unlisted: map[targetRun]*target{}, sizes: responseSizes{}, retryBudget: newRetryBudget(now)}
 }
 
 // assignPreferred assigns each target to one serving instance of its zone, which
