A small fleet of arbutus-edge to try, and a page that takes a newcomer to a deployment

There was no way to see arbutus-edge run without the users' platform, and the steps of a deployment stood in five pages. arbutus-lab edge starts instances on loopback addresses in two zones, with a simulated store and targets, and prints how to reach them, as arbutus-lab up does for the other program. docs/deploy.md starts there and goes on to settings, ports, checks, changes and what to look at when something fails.

Tried from a clean clone, as the page says: build, start, directory, a request, status and explain. explain reads NAME.log of a directory now: it had counted the settings beside the logs as lines that it could not read.

--- a/pkg/ctl/explain.go
+++ b/pkg/ctl/explain.go
@@ -12,7 +12,7 @@
 
 type explainCommand struct {
 	app  *app
-	Logs []string `long:"logs" required:"true" description:"file, or directory of files, with the log lines of instances; repeatable"`
+	Logs []string `long:"logs" required:"true" description:"file with log lines of instances, or directory with files NAME.log; repeatable"`
 	Args struct {
 		ID string `positional-arg-name:"ID" required:"true" description:"id of the request"`
 	} `positional-args:"true"`
@@ -31,8 +31,8 @@
 	return c.app.print(explanation, func(w io.Writer) { _, _ = io.WriteString(w, explanation.Text()) })
 }
 
-// logFiles returns the files at the paths, those of directories included but not those of
-// directories within them. Errors: *UsageError.
+// logFiles returns the files at the paths, and of directories the files NAME.log. Errors:
+// *UsageError.
 func logFiles(paths []string) ([]string, error) {
 	var files []string
 	for _, path := range paths {
@@ -49,7 +49,7 @@
 			return nil, errors.WithStack(&UsageError{Reason: err.Error()})
 		}
 		for _, entry := range entries {
-			if entry.Type().IsRegular() {
+			if entry.Type().IsRegular() && filepath.Ext(entry.Name()) == ".log" {
 				files = append(files, filepath.Join(path, entry.Name()))
 			}
 		}
--- a/pkg/lab/cli/cli.go
+++ b/pkg/lab/cli/cli.go
@@ -87,6 +87,7 @@
 		{"compare", "compare two reports", &compareCommand{app: a}},
 		{"plot", "draw a report", &plotCommand{app: a}},
 		{"capacity", "measure what control costs as the fleet grows", &capacityCommand{app: a}},
+		{"edge", "start a small fleet of arbutus-edge and run it until interrupted", &edgeCommand{app: a}},
 		{"soak", "inject random faults into a fleet of arbutus-edge and check its guarantees", &soakCommand{app: a}},
 		{"platform", "run the platform simulator", &platformCommand{app: a}},
 		{"targets", "run simulated targets from a file", &targetsCommand{app: a}},
