--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -142,6 +142,8 @@
 	restoredAt time.Duration
 	// departures are the targets that drain or have left, by id.
 	departures map[string]*departure
+	// leftOut is the number of targets that the last own listing had and that were left out.
+	leftOut int
 	outage
 	// storeFailing holds the serving instances that report failing store calls.
 	storeFailing map[string]bool
--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -60,8 +60,12 @@
 	}
 	r.replaceCatalogue(r.lastListing, readAt, now, unsettled)
 	if changed {
-		event.ListingChanged.Log(r.log).Int("targets", len(r.lastListing)).Int("in_use", len(r.Catalogue().byID)).
-			Bool("own", readAt == r.listedAt).Bool("unsettled", unsettled).Dur("age", now-readAt).Send()
+		own := readAt == r.listedAt
+		line := event.ListingChanged.Log(r.log).Int("targets", len(r.lastListing)).Int("in_use", len(r.Catalogue().byID)).Bool("own", own)
+		if own {
+			line = line.Int("left_out", r.leftOut)
+		}
+		line.Bool("unsettled", unsettled).Dur("age", now-readAt).Send()
 	}
 	return changed
 }
--- a/pkg/discovery/restore.go
+++ b/pkg/discovery/restore.go
@@ -71,6 +71,7 @@
 // target whose entry is written again after the restore is taken as it says. rowVersions
 // holds the versions of the entries. The caller holds mu.
 func (r *Registry) correctRevived(listed map[string]Target, rowVersions map[string]int64, now time.Duration) {
+	r.leftOut = 0
 	for id, d := range r.departures {
 		t, ok := listed[id]
 		if !ok || t.Started != d.started || t.Draining || d.at >= r.restoredAt {
@@ -86,6 +87,7 @@
 			listed[id] = t
 		case now-r.restoredAt < revivalDoubt:
 			delete(listed, id)
+			r.leftOut++
 		}
 	}
 }
