Failing tests: live targets whose entries had lapsed are left out after a restore

Both are left out for 6 s: one whose entry the copy lacks and that reports again, and one whose entry counts more reports than were known before.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -53,6 +53,9 @@
 	// RowVersions holds the version of each target's entry by the target's id. It changes
 	// whenever the entry is written.
 	RowVersions map[string]int64
+	// Reports holds by id how often a run of the target had reported when its entry was
+	// written.
+	Reports map[string]int64
 	// Era counts the restores of the store from a copy; 0 if the store does not tell.
 	Era int64
 }
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -21,14 +21,16 @@
 	targets []Target
 	// versions are the versions of the targets' entries.
 	versions map[string]int64
-	era      int64
-	err      error
-	calls    int
+	// reports are the counts in the targets' entries.
+	reports map[string]int64
+	era     int64
+	err     error
+	calls   int
 }
 
 func (s *fakeSource) Targets(context.Context) (Listed, error) {
 	s.calls++
-	return Listed{Targets: s.targets, RowVersions: s.versions, Era: s.era}, s.err
+	return Listed{Targets: s.targets, RowVersions: s.versions, Reports: s.reports, Era: s.era}, s.err
 }
 
 // unreachablePeers fails each request for a listing.
--- a/pkg/discovery/restore_test.go
+++ b/pkg/discovery/restore_test.go
@@ -116,3 +116,38 @@
 	}
 	is.True(r.Catalogue().Find("t2") != nil)
 }
+
+// Guards against a live target that is left out after a restore although the copy did not
+// have its entry, which had lapsed before.
+func TestLapsedTargetReturnsAfterRestore(t *testing.T) {
+	is := is.New(t)
+	r, s, c := newRegistry()
+	list := func(era int64, targets ...Target) {
+		c.Advance(500 * time.Millisecond)
+		s.era, s.targets = era, targets
+		is.NoErr(r.Refresh(context.Background()))
+	}
+	list(1, target("t1"), target("t2"))
+	list(1, target("t1"))
+	list(2, target("t1"))
+	list(2, target("t1"), target("t2"))
+	is.True(r.Catalogue().Find("t2") != nil)
+}
+
+// Guards against a live target that is left out after a restore although the count of its
+// reports shows that its entry is newer than the copy.
+func TestReportedTargetReturnsAfterRestore(t *testing.T) {
+	for _, reports := range []int64{5, 9} {
+		is := is.New(t)
+		r, s, c := newRegistry()
+		list := func(era, reports int64, targets ...Target) {
+			c.Advance(500 * time.Millisecond)
+			s.era, s.targets, s.reports = era, targets, map[string]int64{"t2": reports}
+			is.NoErr(r.Refresh(context.Background()))
+		}
+		list(1, 5, target("t1"), target("t2"))
+		list(1, 0, target("t1"))
+		list(2, reports, target("t1"), target("t2"))
+		is.Equal(r.Catalogue().Find("t2") != nil, reports > 5)
+	}
+}
