Tell live targets from revived ones after a restore by their absence and by their reports

Cause: what had left the listing before the restore is left out of later ones, since the copy may list it as it was before, until its entry is written again. That was told by a change of the row's version between two listings after the restore. A target that the first listing lacks, and one that has reported before the first listing, never change theirs. The class: a rule for what is dead that takes the live for it.

Now a target that a listing after the restore lacks is not one that the copy revives; and an entry counts the reports of its run, so that one with more of them than were known before was written since, also in the first listing.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -145,6 +145,9 @@
 	restoredAt time.Duration
 	// departures are the targets that drain or have left, by id.
 	departures map[string]*departure
+	// reports are the counts of reports in own listings, by id, also of targets that drain or
+	// have left.
+	reports map[string]int64
 	// leftOut is the number of targets that the last own listing had and that were left out.
 	leftOut int
 	outage
@@ -157,7 +160,7 @@
 func NewRegistry(c clock.Clock, source Source, peerListings PeerListings, copySources *fleet.CopySources, log *zerolog.Logger, onChange func(own bool)) *Registry {
 	r := &Registry{
 		clock: c, source: source, peerListings: peerListings, copySources: copySources, log: log, onChange: onChange, lastListing: map[string]Target{}, listedAt: -time.Hour,
-		storeFailing: map[string]bool{}, departures: map[string]*departure{}, changes: map[string]targetChange{},
+		storeFailing: map[string]bool{}, departures: map[string]*departure{}, changes: map[string]targetChange{}, reports: map[string]int64{},
 	}
 	r.current.Store(&Catalogue{ReadAt: -time.Hour, Services: map[string][]*Entry{}, byID: map[string]*Entry{}})
 	return r
@@ -266,7 +269,7 @@
 	r.outOfSync.Store(false)
 	r.observeListing(r.Catalogue().ReadAt, startedAt)
 	restored := r.observeEra(listed.Era, now)
-	r.correctRevived(next, listed.RowVersions, now)
+	r.correctRevived(next, listed, now)
 	changed := r.accept(next, digestOf(next), startedAt, now, now < r.settledAt)
 	r.mu.Unlock()
 	r.announceRestore(restored)
--- a/pkg/discovery/restore.go
+++ b/pkg/discovery/restore.go
@@ -1,6 +1,9 @@
 package discovery
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // firstEra is the era of a store that was never restored.
 const firstEra = 1
@@ -66,22 +69,31 @@
 	}
 }
 
-// correctRevived corrects a listing by the departures from before the last restore: the
+// correctRevived corrects an own listing by the departures from before the last restore: the
 // targets left out are those that had been removed, and those that drained still do. A
-// target whose entry is written again after the restore is taken as it says. rowVersions
-// holds the versions of the entries. The caller holds mu.
-func (r *Registry) correctRevived(listed map[string]Target, rowVersions map[string]int64, now time.Duration) {
+// target whose entry was written after the restore is taken as it says: one that an earlier
+// listing after the restore lacked, that counts more reports than before, or whose entry has
+// another version than in the first listing. The caller holds mu.
+func (r *Registry) correctRevived(listed map[string]Target, entries Listed, now time.Duration) {
 	r.leftOut = 0
 	for id, d := range r.departures {
 		t, ok := listed[id]
-		if !ok || t.Started != d.started || t.Draining || d.at >= r.restoredAt {
+		switch {
+		case d.at >= r.restoredAt:
+			continue
+		case !ok && !d.draining, entries.Reports[id] > r.reports[id] && r.reports[id] > 0:
+			// The copy does not have it as it was before, so that it cannot revive it.
+			delete(r.departures, id)
+			continue
+		case !ok || t.Started != d.started || t.Draining:
 			continue
 		}
+		rowVersion := entries.RowVersions[id]
 		if d.era != r.era {
-			d.era, d.rowVersion = r.era, rowVersions[id]
+			d.era, d.rowVersion = r.era, rowVersion
 		}
 		switch {
-		case d.rowVersion != rowVersions[id]:
+		case d.rowVersion != rowVersion:
 		case d.draining:
 			t.Draining = true
 			listed[id] = t
@@ -90,6 +102,18 @@
 			r.leftOut++
 		}
 	}
+	r.recordReports(entries.Reports)
+}
+
+// recordReports keeps the counts of reports of the targets that drain or have left, and
+// replaces those of the others. The caller holds mu.
+func (r *Registry) recordReports(reports map[string]int64) {
+	for id := range r.reports {
+		if _, ok := reports[id]; !ok && r.departures[id] == nil && r.lastListing[id].ID == "" {
+			delete(r.reports, id)
+		}
+	}
+	maps.Copy(r.reports, reports)
 }
 
 // announceRestore calls OnRestore if the store may have been restored. No lock may be
--- a/pkg/discovery/restore_test.go
+++ b/pkg/discovery/restore_test.go
@@ -142,7 +142,10 @@
 		r, s, c := newRegistry()
 		list := func(era, reports int64, targets ...Target) {
 			c.Advance(500 * time.Millisecond)
-			s.era, s.targets, s.reports = era, targets, map[string]int64{"t2": reports}
+			s.era, s.targets, s.reports = era, targets, map[string]int64{}
+			if reports > 0 {
+				s.reports["t2"] = reports
+			}
 			is.NoErr(r.Refresh(context.Background()))
 		}
 		list(1, 5, target("t1"), target("t2"))
