--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -129,6 +129,7 @@
 	slowFactor float64
 	// rateLimit in requests per second is named in all responses unless it is 0.
 	rateLimit  float64
+	reports    int
 	waiting    int
 	executions []*Execution
 	conns      map[net.Conn]struct{}
@@ -185,10 +186,14 @@
 }
 
 // ListEntry returns the JSON entry that the target writes about itself into the
-// platform's list of targets. address is the address at which it is reached.
+// platform's list of targets. Each is another report of it. address is the address at
+// which it is reached.
 func (s *Server) ListEntry(state, address string) []byte {
-	return fmt.Appendf(nil, `{"address":%q,"born":1,"info":{"service":%q,"zone":%q,"slots":%d,"version":"v1"},"status":{"state":%q,"seq":1,"warmup_left":"0ms"}}`,
-		address, s.Service, s.Zone, s.Slots, state)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports++
+	return fmt.Appendf(nil, `{"address":%q,"born":1,"info":{"service":%q,"zone":%q,"slots":%d,"version":"v1"},"status":{"state":%q,"seq":%d,"warmup_left":"0ms"}}`,
+		address, s.Service, s.Zone, s.Slots, state, s.reports)
 }
 
 // Executions returns copies of all recorded executions in the order of their start.
