--- a/pkg/edge/listen.go
+++ b/pkg/edge/listen.go
@@ -68,14 +68,16 @@
 }
 
 // Send implements fleet.Transport: it sends a datagram to another instance. Failures
-// to send are not reported, as the next heartbeat replaces a lost one.
+// are only logged, as the next heartbeat replaces a lost one.
 func (i *Instance) Send(address string, data []byte) {
 	to, err := netip.ParseAddrPort(address)
 	if err != nil {
 		event.DatagramRejected.Log(i.Log).Err(err).Str("address", address).Send()
 		return
 	}
-	_, _ = i.socket.WriteToUDPAddrPort(data, to)
+	if _, err := i.socket.WriteToUDPAddrPort(data, to); err != nil {
+		event.DatagramNotSent.Log(i.Log).Err(err).Int("bytes", len(data)).Send()
+	}
 }
 
 // maxDatagramBytes is the maximum size of an IPv4 datagram.
