--- a/pkg/discovery/outage_test.go
+++ b/pkg/discovery/outage_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
@@ -74,6 +76,25 @@
 	}
 }
 
+// Guards against heartbeats that no datagram holds, so that instances lose sight of each other
+// when the store has lost the entries of all targets of a large site.
+func TestReturnOfAllTargetsExceedsDatagram(t *testing.T) {
+	const largestDatagram = 65507 // bytes of payload over IPv4
+	f := newOutageFixture(t)
+	targets := []string{"t1", "t2"}
+	for i := range 5400 {
+		targets = append(targets, "i-0123456789abcdef"+strconv.Itoa(i))
+	}
+	f.store(1, nil, targets...)
+	f.advance(time.Second)
+	f.NoErr(f.lister.Refresh(context.Background()))
+	h := &peerpb.Heartbeat{}
+	f.lister.Fill(h, fleet.SameZonePeers)
+	f.True(proto.Size(h) < largestDatagram/2) // the other half is for what the other exchangers add
+	f.pass(f.lister, f.other)
+	f.True(f.other.outOfSync.Load()) // so that it copies the listing
+}
+
 // listAfterOutage lets the store lose t2 in an outage during which only the lister asked, and
 // the other instance list first after it.
 func (f *outageFixture) listAfterOutage() {
