Name at most 64 changes in a heartbeat

Cause: heartbeats named all targets that had changed within 1.2 s, and instances send them at once when they take a listing over. When all targets return, 30 instances send 30 to 100 KB each to all others, several times; heartbeats, copies and calls to the store are lost or late, and instances take each other for gone.

Why this works: with more changes only the digest is sent, which does not match, so that receivers copy the listing once, over a connection, as after a lost change.

--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -18,6 +18,11 @@
 	// changeTTL is how long a change is repeated in heartbeats, in case one is
 	// lost. A listing that is older is not passed on at all.
 	changeTTL = 1200 * time.Millisecond
+	// maxChangesPerHeartbeat is the number of changes that a heartbeat names at most;
+	// they take about 7 KB. Heartbeats must fit into a datagram, and the heartbeats of 30
+	// instances into the buffer of a socket, which mostly has 212 KB. With more changes,
+	// they have only the digest, and receivers copy the listing.
+	maxChangesPerHeartbeat = 64
 	// copyTimeout bounds the fetch of a complete listing from another instance; a
 	// round trip between zones takes 3 ms.
 	copyTimeout = 250 * time.Millisecond
@@ -84,10 +89,9 @@
 }
 
 // recordChanges records the differences between the last listing and next for
-// heartbeats, and drops changes older than changeTTL. Only the last change of a target is
-// kept: heartbeats do not tell the order of changes.
+// heartbeats; Fill drops old ones. Only the last change of a target is kept: heartbeats do
+// not tell the order of changes.
 func (r *Registry) recordChanges(next map[string]Target, now time.Duration) {
-	maps.DeleteFunc(r.changes, func(_ string, c targetChange) bool { return now-c.at >= changeTTL })
 	for id, t := range next {
 		if old, ok := r.lastListing[id]; !ok || old != t {
 			r.changes[id] = targetChange{at: now, target: t}
@@ -129,7 +133,8 @@
 	return xxhash.Sum64(b)
 }
 
-// Fill adds the digest and the recent changes of the listing to a heartbeat.
+// Fill adds the digest and the recent changes of the listing to a heartbeat, and drops
+// changes older than changeTTL.
 // Serving instances receive only listings that this instance read from the store
 // itself; standbys also receive those that other instances passed on.
 func (r *Registry) Fill(h *peerpb.Heartbeat, to fleet.Audience) {
@@ -142,12 +147,14 @@
 		return
 	}
 	h.Listing = r.listingHeader(now)
+	maps.DeleteFunc(r.changes, func(_ string, c targetChange) bool { return now-c.at >= changeTTL })
+	if len(r.changes) > maxChangesPerHeartbeat {
+		return
+	}
 	for _, c := range r.changes {
-		switch {
-		case now-c.at >= changeTTL:
-		case c.removed:
+		if c.removed {
 			h.Listing.Removed = append(h.Listing.Removed, c.target.ID)
-		default:
+		} else {
 			h.Listing.Changed = append(h.Listing.Changed, toMessage(c.target))
 		}
 	}
