--- a/pkg/lab/edgelab/edgelab_test.go
+++ b/pkg/lab/edgelab/edgelab_test.go
@@ -1,6 +1,8 @@
 package edgelab
 
 import (
+	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -11,7 +13,7 @@
 // Guards against a fleet for trying out that does not serve a request.
 func TestFleetServes(t *testing.T) {
 	is := is.New(t)
-	l, err := Start(t.Context(), Options{Instances: 2, Targets: 2, Network: "67.0", Directory: t.TempDir()})
+	l, err := Start(t.Context(), Options{Instances: 2, Targets: 2, Network: fmt.Sprintf("67.%d", os.Getpid()%256), Directory: t.TempDir()})
 	is.NoErr(err)
 	defer l.Close()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/pkg/lab/soak/soak_test.go
+++ b/pkg/lab/soak/soak_test.go
@@ -20,7 +20,7 @@
 	t.Helper()
 	report, err := soak.Run(context.Background(), soak.Options{
 		Seed: seed, Length: time.Duration(seconds * float64(time.Second)), Instances: 8, Targets: 10, Callers: 24,
-		Network: "79.0", Directory: t.TempDir(), Binary: binary,
+		Network: fmt.Sprintf("79.%d", os.Getpid()%256), Directory: t.TempDir(), Binary: binary,
 	})
 	if err != nil {
 		t.Fatal(err)
