Drop old changes of the listing also where no heartbeat is sent

Found by reading the change again. The bound on changes in heartbeats had moved the pruning from recordChanges to Fill, which a standby without state to send does not call: it kept each target that ever changed, for as long as the process runs. TestChangesGrowWithoutHeartbeats failed before. Both prune now.

--- a/pkg/discovery/outage_test.go
+++ b/pkg/discovery/outage_test.go
@@ -76,8 +76,7 @@
 	}
 }
 
-// Guards against heartbeats that no datagram holds, so that instances lose sight of each other
-// when the store has lost the entries of all targets of a large site.
+// Guards against heartbeats that no datagram holds when all targets of a large site return.
 func TestReturnOfAllTargetsExceedsDatagram(t *testing.T) {
 	const largestDatagram = 65507 // bytes of payload over IPv4
 	f := newOutageFixture(t)
@@ -95,6 +94,17 @@
 	f.True(f.other.outOfSync.Load()) // so that it copies the listing
 }
 
+// Guards against a standby, which sends no listing, that keeps each target that ever changed.
+func TestChangesGrowWithoutHeartbeats(t *testing.T) {
+	f := newOutageFixture(t)
+	for n := range 20 {
+		f.advance(changeTTL)
+		f.store(1, nil, "t"+strconv.Itoa(n))
+		f.NoErr(f.lister.Refresh(context.Background()))
+	}
+	f.Equal(len(f.lister.changes), 2) // the last one that left and the last one that came
+}
+
 // listAfterOutage lets the store lose t2 in an outage during which only the lister asked, and
 // the other instance list first after it.
 func (f *outageFixture) listAfterOutage() {
--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -89,9 +89,10 @@
 }
 
 // recordChanges records the differences between the last listing and next for
-// heartbeats; Fill drops old ones. Only the last change of a target is kept: heartbeats do
-// not tell the order of changes.
+// heartbeats, and drops old ones. Only the last change of a target is kept: heartbeats do
+// not tell the order of changes. The caller holds mu.
 func (r *Registry) recordChanges(next map[string]Target, now time.Duration) {
+	r.dropOldChanges(now)
 	for id, t := range next {
 		if old, ok := r.lastListing[id]; !ok || old != t {
 			r.changes[id] = targetChange{at: now, target: t}
@@ -104,6 +105,11 @@
 	}
 }
 
+// dropOldChanges drops the changes that heartbeats no longer repeat. The caller holds mu.
+func (r *Registry) dropOldChanges(now time.Duration) {
+	maps.DeleteFunc(r.changes, func(_ string, c targetChange) bool { return now-c.at >= changeTTL })
+}
+
 // digestOf returns a digest of a listing. It does not depend on the order of the
 // targets, nor on their warm-up, which instances may have learned at different
 // times. It is the sum of the targets' digests, so that a change updates it
@@ -133,10 +139,10 @@
 	return xxhash.Sum64(b)
 }
 
-// Fill adds the digest and the recent changes of the listing to a heartbeat, and drops
-// changes older than changeTTL.
-// Serving instances receive only listings that this instance read from the store
-// itself; standbys also receive those that other instances passed on.
+// Fill adds the digest and the recent changes of the listing to a heartbeat; with more than
+// maxChangesPerHeartbeat, only the digest. Serving instances receive only listings that
+// this instance read from the store itself; standbys also receive those that other
+// instances passed on.
 func (r *Registry) Fill(h *peerpb.Heartbeat, to fleet.Audience) {
 	now := r.clock.SinceBoot()
 	r.mu.Lock()
@@ -147,7 +153,7 @@
 		return
 	}
 	h.Listing = r.listingHeader(now)
-	maps.DeleteFunc(r.changes, func(_ string, c targetChange) bool { return now-c.at >= changeTTL })
+	r.dropOldChanges(now)
 	if len(r.changes) > maxChangesPerHeartbeat {
 		return
 	}
