--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -30,8 +30,8 @@
 	ConfigDelivered = Event{301, "config_delivered", zerolog.InfoLevel, "a version was delivered to a majority of witnesses"}
 	ConfigRejected  = Event{302, "config_rejected", zerolog.ErrorLevel, "a fetched configuration failed validation; the instance keeps the previous one"}
 	CopyFailed      = Event{303, "copy_failed", zerolog.WarnLevel, "the configuration or the list of targets could not be copied from another instance; the store is read instead"}
-	ClaimsWritten   = Event{305, "claims_written_again", zerolog.WarnLevel, "the instance wrote the claims of idempotency keys again that it had recorded before a restore of the table"}
 	HeadLost        = Event{304, "head_lost", zerolog.ErrorLevel, "the head row lacks a version that this instance holds, as after a restore of the table from a copy"}
+	ClaimsWritten   = Event{305, "claims_written_again", zerolog.WarnLevel, "the instance wrote the claims of idempotency keys again that it had recorded before a restore of the table"}
 
 	LoanFailed = Event{400, "loan_failed", zerolog.WarnLevel, "no token issuer of a team answered a loan request; check the network between instances"}
 
