Log requests whose target ended (514)

The logs could not tell three hypotheses of the incident apart: whether one request crashes the targets, whether load does, or the connections. When a connection to a target ends under a request, the instance now connects once more, and logs the request by a digest of team, method, host, path, query and body if the target accepts no connection. Requests that lose their connection to one target together share one such check; the connection goes to the pool if it opens.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -51,6 +51,8 @@
 	TargetUnreached  = Event{512, "target_unreached", zerolog.InfoLevel, "this instance could not connect to a target of its zone and leaves it to another one; check the network between them"}
 	TargetReached    = Event{513, "target_reached", zerolog.InfoLevel, "this instance reaches a target again"}
 
+	TargetEnded = Event{514, "target_ended", zerolog.WarnLevel, "a target accepts no connection after it lost that of a request; the same digest at several targets tells that the request crashes them"}
+
 	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
 	AnswerIncomplete = Event{601, "answer_incomplete", zerolog.WarnLevel, "a target's answer was cut short and not passed on"}
 	CallerTooSlow    = Event{603, "caller_too_slow", zerolog.WarnLevel, "a caller left or did not read a large response in time; the exchange with the target was ended"}
@@ -83,7 +85,7 @@
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed, HeadLost, ClaimsWritten,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
-		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached,
+		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded,
 		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -301,6 +301,9 @@
 		return refusal.New(refusal.TargetTimeout, err)
 	default:
 		x.reportResult(Broken)
+		if connectionLost(err) {
+			x.observeLoss()
+		}
 		if errors.As(err, &failed) && failed.Stage == ReadingBody {
 			event.AnswerIncomplete.Log(x.p.Log).Str("request_id", x.requestID).
 				Str("target", x.attempt.Target()).AnErr("cause", err).Send()
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -118,6 +118,7 @@
 	options      Options
 	dialect      *Dialect
 	pool         *connPool
+	lossChecks   *lossChecks
 	budget       *bytebudget.Budget
 	callPool     sync.Pool
 	openRequests atomic.Int64
@@ -132,6 +133,7 @@
 		ports.Log = &nop
 	}
 	p := &Proxy{Ports: ports, options: options, dialect: options.Dialect, pool: newConnPool(ports.Clock, options), budget: bytebudget.New(options.BodyBudget)}
+	p.lossChecks = newLossChecks(p.pool)
 	p.callPool.New = func() any { return &call{buffers: &buffers{}} }
 	return p
 }
