--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -100,6 +100,10 @@
 	IdleTimeout time.Duration
 	// Seed drives the faults and the durations of requests.
 	Seed uint64
+	// Crashes reports whether a request with this path and query crashes the target while
+	// it runs; nil means that none does. OnCrash, if not nil, is called afterwards.
+	Crashes func(path string) bool
+	OnCrash func(*Server)
 }
 
 // Execution is the execution of one request, recorded when it starts.
@@ -218,6 +222,17 @@
 	}
 }
 
+// crash ends the target because of a request.
+func (s *Server) crash() {
+	s.mu.Lock()
+	first := !s.closed
+	s.mu.Unlock()
+	s.Close()
+	if first && s.OnCrash != nil {
+		go s.OnCrash(s)
+	}
+}
+
 // reset closes the connection with a TCP reset.
 func reset(c net.Conn) {
 	if tcp, ok := c.(*net.TCPConn); ok {
@@ -318,6 +333,11 @@
 		time.Sleep(time.Duration(timeout) * time.Millisecond)
 		return false
 	}
+	if s.Crashes != nil && s.Crashes(r.URL.RequestURI()) {
+		time.Sleep(duration / 2)
+		s.crash()
+		return false
+	}
 	time.Sleep(duration)
 	if injected == loseResponse {
 		reset(c)
