Keep requests that crash targets from reaching further ones

What callers saw: while one request came again and again, 26 targets ended 27 to 47 times in 20 s. Everything open at a target was lost with it (69 to 157 non-idempotent requests with 502 and an unknown outcome), and the others got their load.

Cause: a lost connection counted against the target alone. Nothing was kept of the request, so each instance sent it to the next target, and admitted it whenever it came again. The class of fault is work that takes its worker down, retried without a bound over all workers.

pkg/quarantine now counts, by the digest of a request, the targets that it has crashed one after the other. An instance counts a crash when the target accepts no connection after it lost that of the request. Of several requests that were open there, those with the most crashes so far are held responsible. A request that was sent before its instance knew of a crash counts one at most, so that targets which end together (a zone without power) put nobody in quarantine. After two crashes an instance does not retry it; after three, all instances refuse it at once as not run (request_quarantined) and say when it is tried again. A success that began after a crash clears it everywhere. Heartbeats carry the counts at once; the greater one holds, so that late and repeated ones do no harm. One instance tries the request again after 10 min, then 1 h and 6 h.

Ruled out: a bound on retries alone (the request comes again at any instance), and counting lost connections without the check whether the target still accepts any (targets that reset or break off some of their responses would put requests in quarantine).

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -24,6 +24,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
 	"github.com/arbutuslink/arbutuslink/pkg/placement"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 	"github.com/arbutuslink/arbutuslink/pkg/settings"
 	"github.com/arbutuslink/arbutuslink/pkg/usage"
 )
@@ -90,6 +91,8 @@
 	balancer  *placement.Balancer
 	proxy     *proxy.Proxy
 	recorder  *recorder
+	// suspects holds the requests that crash targets.
+	suspects *quarantine.List
 	// socket sends and receives heartbeats.
 	socket       *net.UDPConn
 	stateFetcher *stateFetcher
@@ -114,18 +117,20 @@
 	i.freshness = &freshness{pauses: clock.NewPauseDetector(i.clock, pauseThreshold), follower: i.follower, registry: i.registry, instance: i}
 	i.limiter = usage.New(i.clock, i.follower, func() int { return len(i.fleet.View().Peers) }, s.FirstStart)
 	i.balancer = placement.New(i.clock, i.registry, fleetViewer{i}, o.Log)
+	i.suspects = quarantine.New(i.clock, o.Log)
+	i.suspects.Owns, i.suspects.OnChange = i.ownsSuspect, func() { i.fleet.Push(true) }
 	i.fleet = fleet.New(fleet.Options{
 		Self: fleet.Member{
 			Instance: s.Instance, Incarnation: uint64(i.started.UnixMilli()), Zone: s.AvailabilityZone,
 			CallerAddress: s.CallerAddress, GossipAddress: s.GossipAddress, Capacity: s.Capacity(),
 			DiagnosticsAddress: s.MetricsAddress,
 		},
-		Clock: i.clock, Roster: o.Platform, Transport: i, StateExchangers: []fleet.StateExchanger{i.limiter, i.balancer, i.registry, i.follower},
-		FirstStart: s.FirstStart, Rate: i.balancer.Rate, Ready: i.ready, OnStep: func() { i.freshness.observe() }, Log: o.Log,
+		Clock: i.clock, Roster: o.Platform, Transport: i, StateExchangers: []fleet.StateExchanger{i.limiter, i.balancer, i.registry, i.follower, suspectExchange{i.suspects}},
+		FirstStart: s.FirstStart, Rate: i.balancer.Rate, Ready: i.ready, OnStep: func() { i.freshness.observe() }, HasNews: i.suspects.HasNews, Log: o.Log,
 	})
 	i.proxy = proxy.New(proxy.Ports{
 		Viewer: i.follower, ServeChecker: i.freshness, Clock: i.clock, Limiter: i.limiter, Queue: noQueue{},
-		Balancer: i.balancer, Recorder: i.recorder, Log: o.Log,
+		Balancer: i.balancer, Recorder: i.recorder, Quarantine: i.suspects, Log: o.Log,
 	}, proxy.Options{
 		Dialect: o.Dialect, ConnectTimeout: connectTimeout, NonIdempotentMaxIdle: maxReuseIdle, IdleTimeout: targetIdleTimeout,
 		PollInterval: pollInterval, CallerIdleTimeout: callerIdleTimeout, MaxRequestBody: maxBodyBytes,
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -59,6 +59,10 @@
 	BudgetExhausted  = Event{604, "budget_exhausted", zerolog.WarnLevel, "the memory for bodies is in use; requests with large bodies are refused and large responses are passed on without a first part in memory"}
 	RequestEnded     = Event{602, "request_ended", zerolog.InfoLevel, "a request was answered or refused; the line lists its attempts and the cause of a refusal"}
 
+	RequestQuarantined = Event{605, "request_quarantined", zerolog.WarnLevel, "a request has crashed three targets one after the other and is refused from now on; look at the targets, and at the request by its digest"}
+	RequestCleared     = Event{606, "request_cleared", zerolog.InfoLevel, "a request in quarantine was run by a target without a crash and is admitted again"}
+	RequestTried       = Event{607, "request_tried", zerolog.WarnLevel, "a request in quarantine is sent to one target as a trial"}
+
 	PlatformUnavailable = Event{700, "platform_unavailable", zerolog.WarnLevel, "the platform does not answer; requests are still served, but changes are delayed until it answers again"}
 	PlatformAvailable   = Event{701, "platform_available", zerolog.InfoLevel, "the platform answers again"}
 	ListingFailed       = Event{702, "listing_failed", zerolog.WarnLevel, "the targets could not be listed; the last listing stays in use"}
@@ -86,7 +90,7 @@
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
 		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded,
-		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted,
+		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -97,7 +97,10 @@
 	// OnStep, if not nil, is called at each step, which follow each other within
 	// checkInterval while the process runs.
 	OnStep func()
-	Log    *zerolog.Logger
+	// HasNews, if not nil, reports whether a StateExchanger has state that others may not
+	// know yet: a standby sends it, too.
+	HasNews func() bool
+	Log     *zerolog.Logger
 }
 
 // Fleet tracks the other instances by their heartbeats and decides whether this
--- a/pkg/fleet/send.go
+++ b/pkg/fleet/send.go
@@ -57,7 +57,7 @@
 	f.announcedServing = serving
 	// An instance that served until recently still gets requests from callers that
 	// know its address, so it goes on reporting what it admits.
-	sendsState := serving || f.Rate() >= minStateRate
+	sendsState := serving || f.Rate() >= minStateRate || (f.HasNews != nil && f.HasNews())
 	var addresses [IdentityOnly + 1][]string
 	for _, k := range f.members {
 		interval, send := f.interval(k, sendsState, now)
--- a/pkg/proxy/admit.go
+++ b/pkg/proxy/admit.go
@@ -194,6 +194,9 @@
 	if c.p.Clock.SinceBoot() >= admitted.Deadline {
 		return refusal.New(refusal.Overloaded, nil)
 	}
+	if err := c.recheckSuspect(); err != nil {
+		return err
+	}
 	if !c.p.ServeChecker.MayServe() {
 		return refusal.New(refusal.InstanceNotFresh, nil)
 	}
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
@@ -45,7 +46,7 @@
 			c.releaseUnwritten(conn, attempt)
 			return err
 		}
-		x := exchange{call: c, conn: conn, attempt: attempt}
+		x := exchange{call: c, conn: conn, attempt: attempt, suspicion: c.suspicion}
 		err = x.run()
 		if err == nil {
 			return nil
@@ -127,7 +128,7 @@
 // after x failed with err, and spends one retry of the budget if so.
 func (c *call) mayTryAnotherTarget(x *exchange, err error) bool {
 	if !x.provenNotRun {
-		return c.takeRetry(err)
+		return x.mayRetryAfterLoss() && c.takeRetry(err)
 	}
 	limit := c.maxAttempts
 	if !c.request.Idempotent {
@@ -156,6 +157,10 @@
 	retryGranted bool
 	// mayHaveRunBefore is the value of call.mayHaveRun before this exchange wrote.
 	mayHaveRunBefore bool
+	// suspicion is what was known of the request before the write. loss is the check of
+	// a target that lost its connection; nil otherwise.
+	suspicion quarantine.Suspicion
+	loss      *lossCheck
 	// provenNotRun is set when the target proved that it did not run the request.
 	provenNotRun bool
 	// respondedEarly is set when the response began before the request was
@@ -318,6 +323,9 @@
 	if a, ok := x.attempt.(AttemptWithSize); ok && result == Answered {
 		a.ObserveSize(x.bodyBytes)
 	}
+	if result == Answered && x.suspicion.Crashes > 0 && x.caller.Response.StatusCode() < fasthttp.StatusBadRequest {
+		x.p.Quarantine.RecordSuccess(x.requestDigest(), x.suspicion)
+	}
 	latency := x.p.Clock.SinceBoot() - x.beganAt
 	x.attempt.Done(result, latency, x.responseInfo.Load)
 	attemptRecord := AttemptRecord{Target: x.attempt.Target(), Result: result, Latency: latency}
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -6,7 +6,7 @@
 // returns nil if the retry budget, the time left or the lack of a usable target
 // prevents it; the first attempt then continues alone.
 func (x *exchange) hedge(now time.Time) *exchange {
-	if !x.hasTimeForRetry() || !x.p.Balancer.TakeRetry(x.request) {
+	if !x.hasTimeForRetry() || x.suspicion.Crashes > 0 || !x.p.Balancer.TakeRetry(x.request) {
 		return nil
 	}
 	attempt, err := x.p.Balancer.Acquire(x.request, x.triedTargets)
@@ -24,7 +24,7 @@
 		x.releaseUnwritten(conn, attempt)
 		return nil
 	}
-	second := &exchange{call: x.call, conn: conn, attempt: attempt, beganAt: x.p.Clock.SinceBoot()}
+	second := &exchange{call: x.call, conn: conn, attempt: attempt, beganAt: x.p.Clock.SinceBoot(), suspicion: x.call.suspicion}
 	if err := second.write(); err != nil {
 		second.abort(err)
 		return nil
@@ -75,7 +75,7 @@
 			if e.x == second {
 				other = &first
 			}
-			x.conn, x.attempt, x.beganAt = e.x.conn, e.x.attempt, e.x.beganAt
+			x.conn, x.attempt, x.beganAt, x.suspicion = e.x.conn, e.x.attempt, e.x.beganAt, e.x.suspicion
 			if e.err == nil && pending == 1 {
 				_ = other.conn.Close()
 				<-events
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
@@ -39,6 +40,8 @@
 	Reporter Reporter
 	// Recorder may be nil.
 	Recorder Recorder
+	// Quarantine holds the requests that crash targets; with nil, the proxy has its own.
+	Quarantine *quarantine.List
 	// Log may be nil.
 	Log *zerolog.Logger
 }
@@ -132,8 +135,11 @@
 		nop := zerolog.Nop()
 		ports.Log = &nop
 	}
+	if ports.Quarantine == nil {
+		ports.Quarantine = quarantine.New(ports.Clock, ports.Log)
+	}
 	p := &Proxy{Ports: ports, options: options, dialect: options.Dialect, pool: newConnPool(ports.Clock, options), budget: bytebudget.New(options.BodyBudget)}
-	p.lossChecks = newLossChecks(p.pool)
+	p.lossChecks = newLossChecks(p.pool, ports.Quarantine)
 	p.callPool.New = func() any { return &call{buffers: &buffers{}} }
 	return p
 }
@@ -186,6 +192,11 @@
 	// must close.
 	status                 int
 	streaming, closeCaller bool
+	// digest identifies equal requests, once hasDigest is set. suspicion is what was known
+	// of them before the next write, and trial says that this request is one.
+	digest           quarantine.Digest
+	hasDigest, trial bool
+	suspicion        quarantine.Suspicion
 	// reserved is the number of bytes of the budget that the call holds.
 	reserved int64
 	// releaseClaim deletes the request's claim; nil without a claim that can be deleted.
@@ -308,6 +319,9 @@
 	if err := c.receiveBody(); err != nil {
 		return err
 	}
+	if err := c.admitSuspect(); err != nil {
+		return err
+	}
 	if err := c.claim(ctx); err != nil {
 		return err
 	}
--- a/pkg/quarantine/digest.go
+++ b/pkg/quarantine/digest.go
@@ -6,6 +6,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Digest identifies equal requests: those of one team with the same method, host,
@@ -28,3 +30,18 @@
 	h.Write(body)
 	return Digest(h.Sum(nil)[:len(Digest{})])
 }
+
+// Owner returns the one of some names that is responsible for the digest, the same at all
+// instances that know the same names; "" without any.
+func (d Digest) Owner(names []string) (owner string) {
+	var highest uint64
+	for _, name := range names {
+		h := xxhash.New()
+		_, _ = h.Write(d[:])
+		_, _ = h.WriteString(name)
+		if sum := h.Sum64(); owner == "" || sum > highest {
+			owner, highest = name, sum
+		}
+	}
+	return owner
+}
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -89,6 +89,7 @@
 	TargetFailed     = Kind{"target_failed", fasthttp.StatusBadGateway, OutcomeUnknown, "the target's answer was broken or missing"}
 	TargetTimeout    = Kind{"target_timeout", fasthttp.StatusGatewayTimeout, OutcomeUnknown, "the target did not answer before the deadline"}
 	RequestTooLarge  = Kind{"request_too_large", fasthttp.StatusRequestEntityTooLarge, OutcomeNotRun, "the request body exceeds the limit"}
+	Quarantined      = Kind{"request_quarantined", fasthttp.StatusServiceUnavailable, OutcomeNotRun, "the request has crashed the targets that ran it and is not sent to further ones"}
 	ShuttingDown     = Kind{"shutting_down", fasthttp.StatusServiceUnavailable, OutcomeNotRun, "the instance is shutting down; use another address"}
 )
 
@@ -97,6 +98,6 @@
 	return []Kind{
 		KeyMissing, KeyInvalid, KeyMisplaced, RequestInvalid, BatchExpired, RouteUnknown, RouteClosed,
 		RateExceeded, RateUnavailable, InstanceNotFresh, DuplicateRequest, ClaimUnavailable, Overloaded, NoTarget,
-		ConnectFailed, TargetShed, TargetFailed, TargetTimeout, RequestTooLarge, ShuttingDown,
+		ConnectFailed, TargetShed, TargetFailed, TargetTimeout, RequestTooLarge, Quarantined, ShuttingDown,
 	}
 }
