Keep the quarantine in the platform's store

What callers would see: after the loss of all instances, a request in quarantine crashes three targets again, each time. The bound counts these: it has no end for a restart.

Cause: the counts were only in the memory of the instances. State that must outlive all of them belongs into the platform's store.

Each instance reads the rows once at its start. Rows are few: suspects below three crashes are not written.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -53,11 +53,12 @@
 )
 
 // Platform is what an instance reads from and writes to its platform's store: the
-// configuration, the targets and the roster of members.
+// configuration, the targets, the roster of members and the requests in quarantine.
 type Platform interface {
 	follow.Source
 	discovery.Source
 	fleet.Roster
+	quarantine.Store
 }
 
 // Options are the parts of an instance that depend on the platform.
@@ -110,7 +111,10 @@
 	i := &Instance{Options: o, clock: c, started: c.Now(), startedAt: c.SinceBoot(), recorder: newRecorder(o.Log)}
 	i.stateFetcher = &stateFetcher{instance: s.Instance, client: drpcpeer.NewClientFrom(hostOf(s.GossipAddress))}
 	i.registry = discovery.NewRegistry(i.clock, o.Platform, i.stateFetcher, fleet.NewCopySources(i.copyDelay), o.Log, func(own bool) { i.fleet.Push(own) })
-	i.registry.OnRestore = func() { i.fleet.Rejoin() }
+	i.registry.OnRestore = func() {
+		i.fleet.Rejoin()
+		i.suspects.WriteAgain()
+	}
 	i.follower = follow.New(i.clock, o.Platform, i.stateFetcher, fleet.NewCopySources(i.copyDelay), membership.Member{
 		Instance: s.Instance, Zone: s.AvailabilityZone, CallerAddress: s.CallerAddress,
 	}, o.Log, func(own bool) { i.fleet.Push(own) })
@@ -181,6 +185,8 @@
 	group.Go(func() error { return i.receive(groupCtx) })
 	group.Go(func() error { return i.serveState(groupCtx, l.state) })
 	group.Go(func() error { return i.fleet.Run(groupCtx) })
+	keeper := &quarantine.Keeper{List: i.suspects, Store: i.Platform, Clock: i.clock, Log: i.Log, Empty: i.Settings.FirstStart}
+	group.Go(func() error { return keeper.Run(groupCtx) })
 
 	callers := i.proxy.NewServer(i.serveCaller)
 	handler := i.Endpoints(i.acceptsRequests, func(zone string) []string { return i.fleet.View().Addresses(zone) }, i.Settings.DirectoryTTL())
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -14,6 +14,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/follow"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 	"github.com/arbutuslink/arbutuslink/pkg/settings"
 )
 
@@ -38,6 +39,14 @@
 	return context.DeadlineExceeded
 }
 
+func (unavailablePlatform) ReadQuarantine(context.Context) ([]quarantine.Record, error) {
+	return nil, context.DeadlineExceeded
+}
+
+func (unavailablePlatform) WriteQuarantine(context.Context, []quarantine.Record) error {
+	return context.DeadlineExceeded
+}
+
 // FuzzDatagram guards against a datagram that ends the process: it is passed to all
 // parts of an instance without the containment around it.
 func FuzzDatagram(f *testing.F) {
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -95,6 +95,9 @@
 	// changedAt is the time since boot of the last crash or clearing, or of the last
 	// trial; seenAt that of the last arrival.
 	changedAt, seenAt time.Duration
+	// unwritten says that the store may lack the last change, as far as it concerns the
+	// quarantine.
+	unwritten bool
 }
 
 // List holds the requests that may crash targets. It is safe for concurrent use.
@@ -158,13 +161,16 @@
 		return forgetAfter
 	case wait > 0:
 		return wait
-	case l.Owns != nil && !l.Owns(e.digest):
+	case !l.owns(e):
 		return trialRetryAfter
 	default:
 		return 0
 	}
 }
 
+// owns reports whether this instance is responsible for a request.
+func (l *List) owns(e *entry) bool { return l.Owns == nil || l.Owns(e.digest) }
+
 // Lookup returns what is known of a request that has been admitted. Errors:
 // *QuarantinedError, if it was not for a trial and must not be sent any more.
 func (l *List) Lookup(d Digest) (Suspicion, error) {
@@ -249,6 +255,7 @@
 	if now-changedAt < changeTTL {
 		l.recent.MoveToFront(l.entries[d])
 	}
+	e.unwritten = e.unwritten || e.quarantined() || before.quarantined()
 	switch {
 	case e.quarantined() && !before.quarantined():
 		event.RequestQuarantined.Log(l.log).Stringer("digest", d).Uint32("crashes", e.Crashes).Str("from", from).Send()
