Tell other instances of arbutus-entry of requests that crash targets

The data path is shared, so that each instance by itself stops after three targets, but each of them starts anew, and so does each process after a restart.

Reports to health evaluators, which each instance with traffic sends each 250 ms, and their replies carry the suspects. The member that is responsible for a request writes it into a row of the table, under a condition on the last write.

Targets of the stand-in can crash on a path, and scripts can do without the relays, behind which a target that has ended seems to accept connections.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/peer"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 	"github.com/arbutuslink/arbutuslink/pkg/settings"
 )
 
@@ -62,9 +63,11 @@
 	dispatcher        *dispatch.Dispatcher
 	reservingBalancer *dispatch.Balancer
 	proxy             *proxy.Proxy
-	counters          *counters
-	lifecycle         lifecycle
-	startedAt         time.Time
+	// suspects holds the requests that crash targets.
+	suspects  *quarantine.List
+	counters  *counters
+	lifecycle lifecycle
+	startedAt time.Time
 }
 
 // New builds an instance. It opens no connections or listeners; Run does.
@@ -108,10 +111,12 @@
 	balancer := i.buildBalancer()
 	claims := proxy.NewTableClaims(i.platform.table, i.clock, i.settings.Platform.Timeout())
 	i.claims = newKeptClaims(claims, i.platform.table, i.clock, &i.log)
+	i.suspects = quarantine.New(i.clock, &i.log)
+	i.suspects.Owns = i.ownsSuspect
 	i.proxy = proxy.New(proxy.Ports{
 		Viewer: i.control, ServeChecker: i.control, Clock: i.clock, Limiter: i.limiter, Queue: i.queue,
 		Balancer: &countingBalancer{Balancer: balancer, counters: i.counters},
-		Claims:   i.claims, Reporter: i.queue, Log: &i.log,
+		Claims:   i.claims, Reporter: i.queue, Quarantine: i.suspects, Log: &i.log,
 	}, proxy.Options{
 		ClockError:     i.settings.Timings.BatchClockError(),
 		MaxHeaderBytes: i.settings.Limits.MaxHeaderBytes, MaxRequestBody: i.settings.Limits.MaxBodyBytes,
@@ -207,6 +212,8 @@
 	group.Go(func() error { return i.reporter.Run(ctx, i) })
 	group.Go(func() error { return i.evaluator.Run(ctx, newListedProber(httpprobe.New(), i.platform.list, i.clock)) })
 	group.Go(func() error { return i.pruneObservations(ctx) })
+	keeper := &quarantine.Keeper{List: i.suspects, Store: quarantineTable{i.platform.table}, Clock: i.clock, Log: &i.log}
+	group.Go(func() error { return keeper.Run(ctx) })
 }
 
 func ignoreCanceled(err error) error {
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -16,9 +16,10 @@
 	if to.Incarnation == i.control.View().Self.Incarnation {
 		return i.evaluator.HandleReport(request), nil
 	}
-	request.Versions = i.control.Versions()
+	request.Versions, request.SuspectRequests = i.control.Versions(), i.suspects.Messages()
 	reply, err := i.transport.Report(ctx, to.PeerAddress, request)
 	if err == nil {
+		i.suspects.Merge(to.Instance, reply.GetSuspectRequests())
 		i.control.Observe(to.Incarnation, to.PeerAddress, reply.GetVersions())
 	}
 	return reply, err
@@ -26,8 +27,9 @@
 
 func (i *Instance) handleReport(_ context.Context, request *peerpb.ReportRequest) (*peerpb.ReportReply, error) {
 	i.observeSender(request.GetFrom(), request.GetVersions())
+	i.suspects.Merge(request.GetFrom(), request.GetSuspectRequests())
 	reply := i.evaluator.HandleReport(request)
-	reply.Versions = i.control.Versions()
+	reply.Versions, reply.SuspectRequests = i.control.Versions(), i.suspects.Messages()
 	return reply, nil
 }
 
--- a/pkg/lab/scenario/testbed.go
+++ b/pkg/lab/scenario/testbed.go
@@ -98,6 +98,7 @@
 	rate, burst := a.number("rate", defaultRate), a.number("burst", defaultBurst)
 	expires := a.duration("green-expires", 0)
 	timeout, fenceValidity := a.duration("timeout", 0), a.duration("fence", 0)
+	direct := a.number("direct", 0) == 1
 	if err := a.validate(); err != nil {
 		return err
 	}
@@ -123,7 +124,7 @@
 	if err := tb.fleet.Start(ctx); err != nil {
 		return err
 	}
-	addresses, err := tb.relayTargets()
+	addresses, err := tb.targetAddresses(direct)
 	if err != nil {
 		return err
 	}
@@ -206,6 +207,19 @@
 // targetRelayPort is the port of the relay on the address of each target.
 const targetRelayPort = "7008"
 
+// targetAddresses returns the addresses of the targets by their ID: those of their relays, or
+// their own. A target that ends behind its relay seems to accept connections.
+func (tb *testbed) targetAddresses(direct bool) (map[string]string, error) {
+	if !direct {
+		return tb.relayTargets()
+	}
+	addresses := map[string]string{}
+	for _, t := range tb.fleet.Targets {
+		addresses[t.ID] = t.Address
+	}
+	return addresses, nil
+}
+
 // relayTargets starts a relay in front of each target and returns the relays'
 // addresses by target ID. A script that kills a target closes only its relay, so
 // that the records of the target remain readable.
--- a/pkg/lab/targetsim/faults.go
+++ b/pkg/lab/targetsim/faults.go
@@ -42,6 +42,9 @@
 	// HalfResponse is the fraction of requests, in [0, 1], that are executed and
 	// whose connection is closed after half of the response body.
 	HalfResponse float64 `json:"half_response"`
+	// CrashPath, if not empty, is the end of the path of requests that crash the target
+	// halfway through their execution. It is back after a second.
+	CrashPath string `json:"crash_path"`
 	// Health overrides the status that the health path reports.
 	Health HealthReport `json:"health"`
 }
--- a/pkg/lab/targetsim/serve.go
+++ b/pkg/lab/targetsim/serve.go
@@ -69,6 +69,14 @@
 	}
 	defer s.slots.release()
 	execution := s.records.begin(e)
+	if p.faults.crashes(e) {
+		time.Sleep(p.serviceTime / 2)
+		s.records.end(execution, Cancelled)
+		go func() { _ = s.service.crash() }() // without a restart, the target stays down
+		<-connCtx.Done()
+		httpserver.Drop(ctx)
+		return
+	}
 	outcome := s.execute(requestCtx, connCtx, p)
 	s.records.end(execution, outcome)
 	s.answer(ctx, p, outcome)
