Requests that crash targets in the soak

Random requests crash the targets that run them, at random instances and gaps, beside the other faults; the targets are back after 0.5 to 2 s under another id. The soak checks the bound, and that no other request is refused for a quarantine.

--- a/pkg/lab/soak/check.go
+++ b/pkg/lab/soak/check.go
@@ -49,6 +49,7 @@
 		tb.checkLimit(team, runs)
 	}
 	tb.checkRates(runs, requestsByID)
+	tb.checkDeadlyRequests(runs, requestsByID)
 	end := lastEnd(c.requests)
 	tb.checkRecovery(c.requests, end)
 	tb.checkTargetsUsed(runs, end)
--- a/pkg/lab/soak/testbed.go
+++ b/pkg/lab/soak/testbed.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -147,7 +148,7 @@
 	}
 	s, err := upstreamsim.Start(upstreamsim.Options{
 		ID: fmt.Sprintf("i-%d", tb.targetCount), Service: service, Zone: zone, Slots: 3, MeanDuration: 60 * time.Millisecond,
-		Seed: tb.Seed + uint64(tb.targetCount),
+		Seed: tb.Seed + uint64(tb.targetCount), Crashes: func(path string) bool { return strings.Contains(path, deadlyMark) }, OnCrash: tb.crash,
 	})
 	if err != nil {
 		return nil, err
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -101,7 +101,7 @@
 	// Seed drives the faults and the durations of requests.
 	Seed uint64
 	// Crashes reports whether a request with this path and query crashes the target while
-	// it runs; nil means that none does. OnCrash, if not nil, is called afterwards.
+	// it runs; nil means that none does. OnCrash ends the target then, with Close.
 	Crashes func(path string) bool
 	OnCrash func(*Server)
 }
@@ -137,7 +137,8 @@
 	waiting    int
 	executions []*Execution
 	conns      map[net.Conn]struct{}
-	closed     bool
+	// closed is set once Close was called, crashed once a request has crashed the target.
+	closed, crashed bool
 }
 
 // Start opens the listener and serves it in the background until Close.
@@ -225,11 +226,11 @@
 // crash ends the target because of a request.
 func (s *Server) crash() {
 	s.mu.Lock()
-	first := !s.closed
+	first := !s.crashed && !s.closed
+	s.crashed = true
 	s.mu.Unlock()
-	s.Close()
-	if first && s.OnCrash != nil {
-		go s.OnCrash(s)
+	if first {
+		s.OnCrash(s)
 	}
 }
 
