--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -15,6 +15,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/metrics"
 	"github.com/arbutuslink/arbutuslink/pkg/placement"
+	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 )
 
 const (
@@ -37,6 +38,10 @@
 	// BodyBudget is the memory for bodies.
 	BodyBudget bytebudget.State        `json:"body_budget"`
 	Targets    []placement.TargetState `json:"targets"`
+	// Quarantine lists the requests that crash targets, SuspectRequests counts those that
+	// may.
+	Quarantine      []quarantine.State `json:"quarantine"`
+	SuspectRequests int                `json:"suspect_requests"`
 }
 
 func (i *Instance) dump() *dump {
@@ -46,6 +51,7 @@
 		ListingAgeMS: (i.clock.SinceBoot() - i.registry.Catalogue().ReadAt).Milliseconds(),
 		Fleet:        i.fleet.View(), Teams: map[string]float64{}, Targets: i.balancer.Dump(), BodyBudget: i.proxy.Budget(),
 	}
+	d.Quarantine, d.SuspectRequests = i.suspects.Dump()
 	for team := range i.follower.View().Config.Config.Teams {
 		d.Teams[team] = i.limiter.Level(team)
 	}
--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -12,6 +12,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/health"
 	"github.com/arbutuslink/arbutuslink/pkg/limit"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
+	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 	"github.com/arbutuslink/arbutuslink/pkg/version"
 )
 
@@ -44,6 +45,10 @@
 	// Baseline lists the targets, by service, that the policy baseline has ejected.
 	Baseline    map[string][]string        `json:"baseline_ejected,omitempty"`
 	Queue       map[string]fairqueue.State `json:"queue"`
+	// Quarantine lists the requests that crash targets, SuspectRequests counts those that
+	// may.
+	Quarantine      []quarantine.State `json:"quarantine"`
+	SuspectRequests int                `json:"suspect_requests"`
 	PeerTraffic PeerTraffic                `json:"peer_traffic"`
 }
 
@@ -66,6 +71,7 @@
 		Limits: i.limiter.Dump(), Evaluator: i.evaluator.Dump(), Follower: i.follower.Dump(), Queue: i.queue.Dump(),
 		PeerTraffic: PeerTraffic{Made: i.transport.Traffic(), Served: i.servedCalls.Snapshot()},
 	}
+	dump.Quarantine, dump.SuspectRequests = i.suspects.Dump()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if c, err := i.control.Dump(ctx); err == nil {
--- a/pkg/proxy/fixture_test.go
+++ b/pkg/proxy/fixture_test.go
@@ -90,10 +90,12 @@
 	view     atomic.Pointer[control.View]
 	mayServe func() bool
 	take     func() error
-	targets  []string
-	mu       sync.Mutex
-	results  []Result
-	load     Load
+	// onAcquire, if not nil, is called when a request asks for a target.
+	onAcquire func()
+	targets   []string
+	mu        sync.Mutex
+	results   []Result
+	load      Load
 }
 
 func (r *testProxy) View() *control.View                { return r.view.Load() }
@@ -105,6 +107,9 @@
 func (r *testProxy) TakeRetry(Request) bool { return true }
 
 func (r *testProxy) Acquire(_ Request, tried []string) (Attempt, error) {
+	if r.onAcquire != nil {
+		r.onAcquire()
+	}
 	if len(tried) >= len(r.targets) {
 		return nil, refusal.New(refusal.NoTarget, nil)
 	}
--- a/pkg/proxy/loss_test.go
+++ b/pkg/proxy/loss_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
@@ -69,3 +70,40 @@
 	time.Sleep(20 * time.Millisecond)
 	is.True(r.proxy.Quarantine.Empty())
 }
+
+// Guards against a suspicion that outlives a success, and against one that a success from
+// before the crash ends.
+func TestSuccessEndsSuspicion(t *testing.T) {
+	is := is.New(t)
+	var crashes atomic.Int64
+	good := newTarget(t, respond(okText)).ln.Addr().String()
+	r := newTestProxy(t, Options{}, newCrashingTarget(t, &crashes), newCrashingTarget(t, &crashes))
+	send := func() int {
+		response, _ := r.dial(t).send("POST", "/get", "deadly", r.keyLine())
+		return response.StatusCode
+	}
+	is.Equal(send(), http.StatusBadGateway)
+	is.Equal(crashes.Load(), int64(2))
+	r.targets = []string{good}
+	is.Equal(send(), http.StatusOK)
+	r.targets = []string{newCrashingTarget(t, &crashes), newCrashingTarget(t, &crashes)}
+	is.Equal(send(), http.StatusBadGateway)
+	is.Equal(crashes.Load(), int64(4)) // it counts anew
+}
+
+// Guards against a request that was admitted before its quarantine and is sent after it.
+func TestQuarantineHoldsForWaitingRequests(t *testing.T) {
+	is := is.New(t)
+	var crashes atomic.Int64
+	r := newTestProxy(t, Options{}, newCrashingTarget(t, &crashes))
+	r.onAcquire = func() {
+		d := quarantine.DigestOf("school", "POST", "h", "/get", []byte("deadly"))
+		for known := (quarantine.Suspicion{}); known.Crashes < 3; known.Crashes++ {
+			r.proxy.Quarantine.RecordCrash([]quarantine.Loss{{Digest: d, Known: known}})
+		}
+	}
+	response, _ := r.dial(t).send("POST", "/get", "deadly", r.keyLine())
+	is.Equal(response.Header.Get(refusal.CodeHeader), "request_quarantined")
+	is.Equal(response.Header.Get(refusal.OutcomeHeader), string(refusal.OutcomeNotRun))
+	is.Equal(crashes.Load(), int64(0))
+}
--- a/pkg/quarantine/list.go
+++ b/pkg/quarantine/list.go
@@ -302,3 +302,28 @@
 	l.recent.Remove(element)
 	l.size.Store(int64(l.recent.Len()))
 }
+
+// State is a request in quarantine in a dump.
+type State struct {
+	Digest  string `json:"digest"`
+	Crashes uint32 `json:"crashes"`
+	// TrialInSeconds is the time until this instance would try the request.
+	TrialInSeconds float64 `json:"trial_in_seconds"`
+}
+
+// Dump returns the requests in quarantine, the last one first, and the number of others that
+// may crash targets.
+func (l *List) Dump() (quarantined []State, suspects int) {
+	now := l.clock.SinceBoot()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for el := l.recent.Front(); el != nil; el = el.Next() {
+		e := el.Value.(*entry)
+		if !e.quarantined() {
+			suspects++
+			continue
+		}
+		quarantined = append(quarantined, State{Digest: e.digest.String(), Crashes: e.Crashes, TrialInSeconds: l.trialWait(e, now).Seconds()})
+	}
+	return quarantined, suspects
+}
