--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -43,13 +43,13 @@
 	Dispatcher   map[string]dispatch.ServiceDump `json:"dispatcher,omitempty"`
 	Reservations *dispatch.BalancerDump          `json:"reservations,omitempty"`
 	// Baseline lists the targets, by service, that the policy baseline has ejected.
-	Baseline    map[string][]string        `json:"baseline_ejected,omitempty"`
-	Queue       map[string]fairqueue.State `json:"queue"`
+	Baseline map[string][]string        `json:"baseline_ejected,omitempty"`
+	Queue    map[string]fairqueue.State `json:"queue"`
 	// Quarantine lists the requests that crash targets, SuspectRequests counts those that
 	// may.
 	Quarantine      []quarantine.State `json:"quarantine"`
 	SuspectRequests int                `json:"suspect_requests"`
-	PeerTraffic PeerTraffic                `json:"peer_traffic"`
+	PeerTraffic     PeerTraffic        `json:"peer_traffic"`
 }
 
 // PeerTraffic counts the calls between instances by kind since the process
