--- a/pkg/proxy/dialect_test.go
+++ b/pkg/proxy/dialect_test.go
@@ -221,7 +221,9 @@
 	is := is.New(t)
 	failed := newTarget(t, respond("HTTP/1.1 500 No\nContent-Length: 0\n\n"))
 	good := newTarget(t, respond(okText))
-	r := newDialectTestProxy(t, 0, failed.ln.Addr().String(), good.ln.Addr().String())
+	closed := newTarget(t, respond(okText))
+	is.NoErr(closed.ln.Close())
+	r := newDialectTestProxy(t, 0, failed.ln.Addr().String(), closed.ln.Addr().String(), good.ln.Addr().String())
 	seen := records{make(chan Record, 1)}
 	r.proxy.Recorder = seen
 	r.dial(t).send("GET", "/get", "", r.keyLine(), "X-Request-Id: r-1")
@@ -229,9 +231,10 @@
 	is.Equal(got.Request.ID, "r-1")
 	is.Equal(got.Request.Team, "school")
 	is.Equal(got.Status, 200)
-	is.Equal(len(got.Attempts), 2)
+	is.Equal(len(got.Attempts), 3)
 	is.Equal(got.Attempts[0].Result, ServerError)
-	is.Equal(got.Attempts[1].Result, Answered)
+	is.Equal(got.Attempts[1].Result, NotSent)
+	is.Equal(got.Attempts[2].Result, Answered)
 	r.take = func() error { return refusal.WithRetryAfter(refusal.RateExceeded, time.Second) }
 	r.dial(t).send("GET", "/get", "", r.keyLine())
 	got = <-seen.last
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -29,9 +29,11 @@
 		if c.firstAttemptAt == 0 {
 			c.firstAttemptAt = c.p.Clock.SinceBoot()
 		}
+		began := c.p.Clock.SinceBoot()
 		conn, err := c.p.pool.get(attempt.Address(), c.maxIdleForNextWrite(), c.ioDeadline)
 		if err != nil {
 			attempt.Done(NotSent, 0, Load{})
+			c.recordAttempt(attempt, NotSent, c.p.Clock.SinceBoot()-began)
 			connects++
 			if connects >= c.p.options.MaxConnectAttempts || !c.hasTimeForRetry() {
 				return refusal.New(refusal.ConnectFailed, err)
@@ -328,12 +330,17 @@
 	}
 	latency := x.p.Clock.SinceBoot() - x.beganAt
 	x.attempt.Done(result, latency, x.responseInfo.Load)
-	attemptRecord := AttemptRecord{Target: x.attempt.Target(), Result: result, Latency: latency}
-	if r, ok := x.attempt.(AttemptWithReason); ok && x.p.Recorder != nil {
-		attemptRecord.Reason = r.Reason()
-	}
-	x.attemptRecords = append(x.attemptRecords, attemptRecord)
+	x.recordAttempt(x.attempt, result, latency)
 	if x.p.Reporter != nil {
 		x.p.Reporter.Report(x.request.Service, result, latency)
 	}
 }
+
+// recordAttempt adds an attempt to the request's record.
+func (c *call) recordAttempt(a Attempt, result Result, latency time.Duration) {
+	record := AttemptRecord{Target: a.Target(), Result: result, Latency: latency}
+	if r, ok := a.(AttemptWithReason); ok && c.p.Recorder != nil {
+		record.Reason = r.Reason()
+	}
+	c.attemptRecords = append(c.attemptRecords, record)
+}
--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -174,7 +174,8 @@
 	// Elapsed is the time from the complete request to the response, Queued the
 	// part of it before the first attempt; 0 without an attempt.
 	Elapsed, Queued time.Duration
-	// Attempts lists the attempts that wrote to a target.
+	// Attempts lists the attempts that wrote to a target, and those that got no
+	// connection to one.
 	Attempts []AttemptRecord
 }
 
