--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -136,7 +136,7 @@
 		Viewer: i.follower, ServeChecker: i.freshness, Clock: i.clock, Limiter: i.limiter, Queue: noQueue{},
 		Balancer: i.balancer, Recorder: i.recorder, Quarantine: i.suspects, Log: o.Log,
 	}, proxy.Options{
-		Dialect: o.Dialect, ConnectTimeout: connectTimeout, NonIdempotentMaxIdle: maxReuseIdle, IdleTimeout: targetIdleTimeout,
+		Dialect: o.Dialect, ConnectTimeout: connectTimeout, DialTarget: targetDialer{faultFile: s.TargetFaultFile}.dial, NonIdempotentMaxIdle: maxReuseIdle, IdleTimeout: targetIdleTimeout,
 		PollInterval: pollInterval, CallerIdleTimeout: callerIdleTimeout, MaxRequestBody: maxBodyBytes,
 		BodyBudget: settings.BodyBudget(o.Memory),
 	})
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -92,12 +92,11 @@
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
-	// Addresses are IP:port, so the resolver and its allocations are not needed.
-	remote, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, errors.WithStack(&ConnectError{Address: address, Cause: err})
+	dial := p.options.DialTarget
+	if dial == nil {
+		dial = p.dialDirect
 	}
-	raw, err := p.dialer.DialTCP(ctx, "tcp", netip.AddrPort{}, remote)
+	raw, err := dial(ctx, address)
 	if err != nil {
 		return nil, errors.WithStack(&ConnectError{Address: address, Cause: err})
 	}
@@ -106,6 +105,15 @@
 	return conn, nil
 }
 
+func (p *connPool) dialDirect(ctx context.Context, address string) (net.Conn, error) {
+	// Addresses are IP:port, so the resolver and its allocations are not needed.
+	remote, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	return p.dialer.DialTCP(ctx, "tcp", netip.AddrPort{}, remote)
+}
+
 func (p *connPool) attachReader(conn *targetConn) {
 	conn.reader = p.readers.Get().(*bufio.Reader)
 	conn.reader.Reset(conn)
--- a/pkg/settings/edge.go
+++ b/pkg/settings/edge.go
@@ -47,6 +47,9 @@
 	LogLevel       string `json:"log_level"`
 	// ClockOffsetMS is added to the wall clock, in ms, to test with wrong clocks.
 	ClockOffsetMS int `json:"clock_offset_ms"`
+	// TargetFaultFile is a file that, while it exists, makes connections to targets fail, to
+	// test partitions: those that hold "hang" get no answer, others are refused.
+	TargetFaultFile string `json:"target_fault_file"`
 }
 
 // DefaultEdge returns the values of settings that are missing in a file.
