Reach targets through other instances, and serve only with a path to them

Cause: two decisions did not know the paths. Whether an instance serves followed from its rank, its configuration and its listing; and a request was tried on the paths of its own instance only. The class of fault is an instance that is healthy in all that is asked of it, and useless.

pkg/detour: connections that fail at several targets make the instance test its paths. If none of some targets can be connected to, and a heartbeat tells that another instance has connected to one since, the paths are lost: the instance ceases to serve, others of its zone or of other zones take over, and its connections to targets lead through an instance that reaches them. That instance copies bytes; all decisions stay where the request is. An instance without paths takes no place in the ranking, and one that is selected tests its paths first. Also before the paths count as lost, and for single targets, a connection that fails twice takes a detour. Without a witness, the targets are taken to be lost, and nothing changes: all instances would leave otherwise.

Ruled out: leaving the directory alone (callers keep addresses for up to three times its TTL), passing whole requests on (the other instance would count them against the team once more, and an answer that is lost between the two would be unknown), and deciding without a witness.

--- /dev/null
+++ b/pkg/detour/detour_test.go
@@ -0,0 +1,255 @@
+package detour
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+)
+
+// listen serves connections on loopback with f and returns the address.
+func listen(t *testing.T, f func(net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
+			go f(c)
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func echo(c net.Conn) {
+	_, _ = io.Copy(c, c)
+	_ = c.Close()
+}
+
+// newPeer returns the address of an instance that connects to the listed targets for others.
+func newPeer(t *testing.T, listed ...string) string {
+	nop := zerolog.Nop()
+	s := &Server{
+		Listed: func(a string) bool {
+			for _, l := range listed {
+				if a == l {
+					return true
+				}
+			}
+			return false
+		},
+		Direct: dialTCP, Timeout: 200 * time.Millisecond, Log: &nop,
+	}
+	return listen(t, func(c net.Conn) {
+		prefix := make([]byte, len(Prefix))
+		if _, err := io.ReadFull(c, prefix); err == nil && string(prefix) == Prefix {
+			s.serve(c)
+		}
+	})
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
+func connect(t *testing.T, peer, target string) (net.Conn, error) {
+	t.Helper()
+	conn, err := Connect(context.Background(), peer, target, 200*time.Millisecond)
+	if err == nil {
+		t.Cleanup(func() { _ = conn.Close() })
+		is.New(t).NoErr(conn.SetDeadline(time.Now().Add(2 * time.Second)))
+	}
+	return conn, err
+}
+
+// Guards against bytes that are lost or changed on a detour, and against an end of one
+// direction that ends the other.
+func TestBytesPassUnchanged(t *testing.T) {
+	is := is.New(t)
+	target := listen(t, echo)
+	conn, err := connect(t, newPeer(t, target), target)
+	is.NoErr(err)
+	sent := make([]byte, 3*copyBufferBytes+7)
+	for i := range sent {
+		sent[i] = byte(i * 31)
+	}
+	go func() {
+		_, _ = conn.Write(sent)
+		_ = conn.(*net.TCPConn).CloseWrite()
+	}()
+	got, err := io.ReadAll(conn)
+	is.NoErr(err)
+	is.Equal(got, sent)
+}
+
+// Guards against a response that breaks off and looks complete: a reset by the target, or the
+// loss of the instance in between, must not look like its end.
+func TestResetPassesAsReset(t *testing.T) {
+	is := is.New(t)
+	target := listen(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, "half")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	conn, err := connect(t, newPeer(t, target), target)
+	is.NoErr(err)
+	got, err := io.ReadAll(conn)
+	is.Equal(string(got), "half")
+	is.True(err != nil)
+}
+
+// Guards against an instance that connects anybody to any address, and against a connection
+// that seems open although the target did not accept it.
+func TestTargetsAreRefused(t *testing.T) {
+	is := is.New(t)
+	other := listen(t, echo)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(closed.Close())
+	peer := newPeer(t, closed.Addr().String())
+	for target, answer := range map[string]byte{other: answerUnknown, closed.Addr().String(): answerFailed} {
+		_, err = connect(t, peer, target)
+		var refused *RefusedError
+		is.True(errors.As(err, &refused))
+		is.Equal(refused.Answer, answer)
+	}
+	_, err = connect(t, closed.Addr().String(), other)
+	is.True(err != nil)
+}
+
+// testDialer is a Dialer whose direct connections fail while cut is set.
+type testDialer struct {
+	*Dialer
+	cut     atomic.Bool
+	direct  atomic.Int64
+	reached atomic.Bool
+	changes atomic.Int64
+}
+
+func newTestDialer(t *testing.T, peers []Peer, targets ...string) *testDialer {
+	nop := zerolog.Nop()
+	d := &testDialer{}
+	dial := func(ctx context.Context, address string) (net.Conn, error) {
+		d.direct.Add(1)
+		if d.cut.Load() {
+			return nil, io.ErrClosedPipe
+		}
+		return dialTCP(ctx, address)
+	}
+	d.Dialer = &Dialer{Zone: "a", Direct: dial, Timeout: 100 * time.Millisecond, Peers: func() []Peer { return append([]Peer(nil), peers...) }, Monitor: &Monitor{
+		Paths: &Paths{}, Clock: clock.System{}, Log: &nop, Targets: func() []string { return targets }, Reached: func(time.Duration) bool { return d.reached.Load() },
+		OnChange: func() { d.changes.Add(1) },
+		Connect: func(ctx context.Context, address string) error {
+			conn, err := dial(ctx, address)
+			if err == nil {
+				_ = conn.Close()
+			}
+			return err
+		},
+	}}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = d.Run(ctx) }()
+	return d
+}
+
+func (d *testDialer) dial(t *testing.T, address string) (*Conn, error) {
+	conn, err := d.Dial(context.Background(), address)
+	if err != nil {
+		return nil, err
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn.(*Conn), nil
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 200 {
+		if ok() {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("not within 4 s: " + what)
+}
+
+// Guards against connections that are tried directly while the paths are lost, against an
+// instance that does not notice the loss or the end of it, and against connections from
+// before either that are used after it.
+func TestDialerTakesDetoursWhileThePathsAreLost(t *testing.T) {
+	is := is.New(t)
+	a, b, c := listen(t, echo), listen(t, echo), listen(t, echo)
+	peers := []Peer{{Instance: "far", Zone: "b", Address: newPeer(t, a, b, c)}, {Instance: "near", Zone: "a", Address: newPeer(t, a, b, c)}}
+	d := newTestDialer(t, peers, a, b, c)
+	before, err := d.dial(t, a)
+	is.NoErr(err)
+	is.Equal(before.Detour(), "")
+	d.cut.Store(true)
+	_, err = d.dial(t, a)
+	is.True(err != nil) // the target may have failed
+	for _, target := range []string{b, c} {
+		conn, err := d.dial(t, target)
+		is.NoErr(err)
+		is.Equal(conn.Detour(), "near")
+	}
+	time.Sleep(4 * witnessInterval)
+	is.True(!d.Lost()) // all targets may be lost
+	d.reached.Store(true)
+	eventually(t, "paths lost", d.Lost)
+	is.True(!before.Usable())
+	direct := d.direct.Load()
+	during, err := d.dial(t, a)
+	is.NoErr(err)
+	is.Equal(during.Detour(), "near")
+	is.True(during.Usable())
+	is.True(d.direct.Load() <= direct+regainedTestConnections) // only tests are direct
+	d.cut.Store(false)
+	eventually(t, "paths regained", func() bool { return !d.Lost() })
+	after, err := d.dial(t, b)
+	is.NoErr(err)
+	is.Equal(after.Detour(), "")
+	is.Equal(d.changes.Load(), int64(2))
+}
+
+// Guards against the loss of all paths being declared where a few targets have failed, and
+// where no other instance reaches any.
+func TestLossOfTargetsIsNoLossOfPaths(t *testing.T) {
+	is := is.New(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(closed.Close())
+	gone := closed.Addr().String()
+	peer := newPeer(t, gone)
+	d := newTestDialer(t, []Peer{{Instance: "p", Zone: "a", Address: peer}}, gone, listen(t, echo))
+	d.reached.Store(true)
+	for range 2 * testTargets {
+		_, err := d.dial(t, gone)
+		is.True(err != nil)
+	}
+	is.True(d.Check(context.Background()))
+	time.Sleep(4 * witnessInterval)
+	is.True(!d.Lost())
+}
+
+// Guards against requests that fail because an instance that takes detours finds no other
+// one, though it reaches the target itself again.
+func TestDirectIsTheLastResort(t *testing.T) {
+	is := is.New(t)
+	target := listen(t, echo)
+	d := newTestDialer(t, nil, target)
+	d.setLost(true)
+	conn, err := d.dial(t, target)
+	is.NoErr(err)
+	is.Equal(conn.Detour(), "")
+}
--- a/pkg/edge/copies.go
+++ b/pkg/edge/copies.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"io"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"time"
 
@@ -15,7 +14,6 @@
 
 	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
-	"github.com/arbutuslink/arbutuslink/pkg/peer"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
@@ -158,9 +156,3 @@
 	reply.Config = s.encoded
 	return reply, nil
 }
-
-// serveState answers the fetch requests of other instances until ctx ends.
-func (i *Instance) serveState(ctx context.Context, listener net.Listener) error {
-	server := &stateServer{viewer: i.follower, listing: i.registry.Listing}
-	return drpcpeer.Serve(ctx, listener, peer.Handlers{OnFetch: server.fetch})
-}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -16,6 +16,7 @@
 
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/daemon"
+	"github.com/arbutuslink/arbutuslink/pkg/detour"
 	"github.com/arbutuslink/arbutuslink/pkg/discovery"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
@@ -94,6 +95,8 @@
 	recorder  *recorder
 	// suspects holds the requests that crash targets.
 	suspects *quarantine.List
+	// paths opens connections to targets, through other instances if necessary.
+	paths *detour.Dialer
 	// socket sends and receives heartbeats.
 	socket       *net.UDPConn
 	stateFetcher *stateFetcher
@@ -123,6 +126,7 @@
 	i.balancer = placement.New(i.clock, i.registry, fleetViewer{i}, o.Log)
 	i.suspects = quarantine.New(i.clock, o.Log)
 	i.suspects.Owns, i.suspects.OnChange = i.ownsSuspect, func() { i.fleet.Push(true) }
+	i.paths = i.newPaths()
 	i.fleet = fleet.New(fleet.Options{
 		Self: fleet.Member{
 			Instance: s.Instance, Incarnation: uint64(i.started.UnixMilli()), Zone: s.AvailabilityZone,
@@ -130,13 +134,14 @@
 			DiagnosticsAddress: s.MetricsAddress,
 		},
 		Clock: i.clock, Roster: o.Platform, Transport: i, StateExchangers: []fleet.StateExchanger{i.limiter, i.balancer, i.registry, i.follower, suspectExchange{i.suspects}},
-		FirstStart: s.FirstStart, Rate: i.balancer.Rate, Ready: i.ready, OnStep: func() { i.freshness.observe() }, HasNews: i.suspects.HasNews, Log: o.Log,
+		FirstStart: s.FirstStart, Rate: i.balancer.Rate, Ready: i.ready, OnStep: func() { i.freshness.observe() }, HasNews: i.suspects.HasNews,
+		PathsLost: i.paths.Lost, ConnectedAt: i.paths.ConnectedAt, Log: o.Log,
 	})
 	i.proxy = proxy.New(proxy.Ports{
 		Viewer: i.follower, ServeChecker: i.freshness, Clock: i.clock, Limiter: i.limiter, Queue: noQueue{},
 		Balancer: i.balancer, Recorder: i.recorder, Quarantine: i.suspects, Log: o.Log,
 	}, proxy.Options{
-		Dialect: o.Dialect, ConnectTimeout: connectTimeout, DialTarget: targetDialer{faultFile: s.TargetFaultFile}.dial, NonIdempotentMaxIdle: maxReuseIdle, IdleTimeout: targetIdleTimeout,
+		Dialect: o.Dialect, DialTarget: i.paths.Dial, NonIdempotentMaxIdle: maxReuseIdle, IdleTimeout: targetIdleTimeout,
 		PollInterval: pollInterval, CallerIdleTimeout: callerIdleTimeout, MaxRequestBody: maxBodyBytes,
 		BodyBudget: settings.BodyBudget(o.Memory),
 	})
@@ -159,9 +164,10 @@
 func (noQueue) Enter(context.Context, proxy.Request) (func(), error) { return func() {}, nil }
 
 // ready reports whether this instance, once selected to serve, can serve callers: it
-// is prepared, knows a configuration and a listing, and is not shutting down.
+// is prepared, knows a configuration and a listing, has a path to targets, and is not
+// shutting down.
 func (i *Instance) ready() bool {
-	return !i.leaving.Load() && i.prepared.Load() && i.follower.MayServe() && i.registry.Catalogue().Version > 0
+	return !i.leaving.Load() && i.prepared.Load() && !i.paths.Lost() && i.follower.MayServe() && i.registry.Catalogue().Version > 0
 }
 
 // acceptsRequests reports whether a request that arrives here is served. Standbys
@@ -183,7 +189,8 @@
 	group.Go(func() error { return i.followStore(groupCtx) })
 	group.Go(func() error { return i.prepareWhenSelected(groupCtx) })
 	group.Go(func() error { return i.receive(groupCtx) })
-	group.Go(func() error { return i.serveState(groupCtx, l.state) })
+	group.Go(func() error { return i.servePeers(groupCtx, l.state) })
+	group.Go(func() error { return i.paths.Run(groupCtx) })
 	group.Go(func() error { return i.fleet.Run(groupCtx) })
 	keeper := &quarantine.Keeper{List: i.suspects, Store: i.Platform, Clock: i.clock, Log: i.Log, Empty: i.Settings.FirstStart}
 	group.Go(func() error { return keeper.Run(groupCtx) })
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -69,12 +69,14 @@
 	}
 }
 
-// prepare refreshes the configuration and the targets. If one cannot be read in
-// time, the previous state stays in use, and the follower or the registry logs it.
+// prepare refreshes the configuration and the targets, and tests the path to these. If one
+// cannot be read in time, the previous state stays in use, and the follower or the registry
+// logs it.
 func (i *Instance) prepare(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
 	defer cancel()
 	i.freshness.refresh(ctx, standbyMaxAge)
+	i.paths.Check(ctx)
 }
 
 // followStore keeps the configuration and the listing recent while this instance is
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -98,6 +98,9 @@
 		b.WriteString(strconv.FormatInt(t.Latency.Microseconds(), 10))
 		b.WriteByte(':')
 		b.WriteString(t.Reason)
+		if t.Via != "" {
+			b.WriteString(",via=" + t.Via)
+		}
 	}
 	return b.String()
 }
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -25,6 +25,8 @@
 	DatagramRejected = Event{210, "datagram_rejected", zerolog.WarnLevel, "a datagram could not be read or built; check who sends to the gossip address"}
 	QuietChanged     = Event{211, "quiet_changed", zerolog.InfoLevel, "the instance began or ceased to own targets; one with few requests leaves them to others of its zone"}
 	DatagramNotSent  = Event{212, "datagram_not_sent", zerolog.WarnLevel, "a heartbeat could not be sent; if it is too long, others take this instance for gone"}
+	PathsLost        = Event{213, "paths_lost", zerolog.WarnLevel, "this instance connects to no target, though others do; it takes no callers and sends requests through the others; check its network"}
+	PathsRegained    = Event{214, "paths_regained", zerolog.InfoLevel, "this instance connects to targets again, or no instance does"}
 
 	ConfigApplied   = Event{300, "config_applied", zerolog.InfoLevel, "a configuration version is in use at this instance"}
 	ConfigDelivered = Event{301, "config_delivered", zerolog.InfoLevel, "a version was delivered to a majority of witnesses"}
@@ -86,7 +88,7 @@
 	return []Event{
 		Started, Draining, Stopped, StopTimedOut, PanicContained,
 		Joined, MemberRemoved, FenceLost, FenceRegained, GuestStarted, MajorityReplaced, LeftMembership, RemovedSelf,
-		ServingChanged, JoinFailed, DatagramRejected, QuietChanged, DatagramNotSent,
+		ServingChanged, JoinFailed, DatagramRejected, QuietChanged, DatagramNotSent, PathsLost, PathsRegained,
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed, HeadLost, ClaimsWritten,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -58,7 +58,7 @@
 // serving instances, not from each other, so a standby gives those ahead of it in
 // rank time to take over.
 func (f *Fleet) shouldServe(now time.Duration, wasCalled bool) bool {
-	if f.leaving.Load() || !f.joined.Load() {
+	if f.leaving.Load() || !f.joined.Load() || f.pathsLost() {
 		f.promotableSince = 0
 		return false
 	}
@@ -70,13 +70,13 @@
 			continue
 		}
 		size++
-		alive := now-k.lastReceived < unresponsiveTimeout && !k.leaving
+		alive := now-k.lastReceived < unresponsiveTimeout && !k.leaving && !k.pathsLost
 		if alive && k.serving {
 			rate += k.rate
 		}
 		// An instance from which nothing is received may be a healthy standby that is
 		// about to take over.
-		if !alive && !k.leaving && compareRank(k, self) < 0 {
+		if !alive && !k.leaving && !k.pathsLost && compareRank(k, self) < 0 {
 			unresponsiveAhead++
 		}
 		if alive {
@@ -104,6 +104,27 @@
 	return now-f.promotableSince >= time.Duration(min(unresponsiveAhead, maxPromotionSteps))*promotionStep
 }
 
+func (f *Fleet) pathsLost() bool { return f.Options.PathsLost != nil && f.Options.PathsLost() }
+
+// Connecting returns the serving instances that are known to have connected to a target
+// since the given time since boot.
+func (f *Fleet) Connecting(since time.Duration) []Member {
+	now := f.Clock.SinceBoot()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var members []Member
+	for _, k := range f.members {
+		timeout := unresponsiveTimeout
+		if k.Zone != f.Self.Zone {
+			timeout = otherZoneUnresponsiveTimeout
+		}
+		if k.serving && !k.leaving && !k.pathsLost && k.connectedAt > 0 && k.connectedAt >= since && now-k.lastReceived < timeout {
+			members = append(members, k.Member)
+		}
+	}
+	return members
+}
+
 // demotionRateFactor multiplies the rate of the zone when a serving instance checks
 // whether it is still needed (hysteresis).
 const demotionRateFactor = 1.4
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -94,6 +94,12 @@
 	// Ready reports whether this instance, when it should serve, is prepared to do
 	// so.
 	Ready func() bool
+	// PathsLost, if not nil, reports whether this instance connects to no target, though
+	// others do. It does not serve then.
+	PathsLost func() bool
+	// ConnectedAt, if not nil, returns the time since boot at which this instance last
+	// connected to a target; 0 if it never has.
+	ConnectedAt func() time.Duration
 	// OnStep, if not nil, is called at each step, which follow each other within
 	// checkInterval while the process runs.
 	OnStep func()
@@ -327,7 +333,7 @@
 	if k != nil && h.Incarnation < k.Incarnation && now-k.lastReceived < unresponsiveTimeout {
 		return false
 	}
-	changed := k == nil || k.serving != h.Serving || k.leaving != h.Leaving || k.quiet != h.Quiet || now-k.lastReceived >= unresponsiveTimeout
+	changed := k == nil || k.serving != h.Serving || k.leaving != h.Leaving || k.quiet != h.Quiet || k.pathsLost != h.PathsLost || now-k.lastReceived >= unresponsiveTimeout
 	if k == nil {
 		k = &memberState{}
 		f.members[h.Instance] = k
@@ -336,7 +342,10 @@
 		Instance: h.Instance, Incarnation: h.Incarnation, Zone: h.Zone, CallerAddress: h.CallerAddress,
 		GossipAddress: h.GossipAddress, Capacity: h.Capacity, DiagnosticsAddress: k.DiagnosticsAddress,
 	}
-	k.lastReceived, k.serving, k.leaving, k.quiet, k.rate = now, h.Serving, h.Leaving, h.Quiet, float64(h.Rate)
+	k.lastReceived, k.serving, k.leaving, k.quiet, k.pathsLost, k.rate = now, h.Serving, h.Leaving, h.Quiet, h.PathsLost, float64(h.Rate)
+	if h.ConnectedAgeMs != nil {
+		k.connectedAt = max(k.connectedAt, now-time.Duration(*h.ConnectedAgeMs)*time.Millisecond)
+	}
 	if changed {
 		f.updateView(now)
 	}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -31,6 +31,9 @@
 	down      bool
 	ready     bool
 	rate      float64
+	// lost says that the instance has no path to targets, connectedAt when it last had one.
+	lost        bool
+	connectedAt time.Duration
 }
 
 // Send delivers the datagram synchronously.
@@ -63,6 +66,7 @@
 			Instance: name, Incarnation: incarnation, Zone: zone, CallerAddress: "c-" + name, GossipAddress: name, Capacity: capacity,
 		},
 		Clock: tf.clock, Roster: tf, Transport: n, Rate: func() float64 { return n.rate }, Ready: func() bool { return n.ready }, Log: &nop,
+		PathsLost: func() bool { return n.lost }, ConnectedAt: func() time.Duration { return n.connectedAt },
 	})
 	tf.instances[name] = n
 	return n
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -55,7 +55,11 @@
 	serving      bool
 	leaving      bool
 	quiet        bool
-	rate         float64
+	// pathsLost says that it connects to no target, connectedAt is the time since boot at
+	// which it last connected to one, as far as it is known.
+	pathsLost   bool
+	connectedAt time.Duration
+	rate        float64
 	// lastSent is the time since boot of the last heartbeat to it.
 	lastSent time.Duration
 }
--- a/pkg/fleet/send.go
+++ b/pkg/fleet/send.go
@@ -127,7 +127,13 @@
 	h := &peerpb.Heartbeat{
 		Instance: f.Self.Instance, Incarnation: f.Self.Incarnation, Zone: f.Self.Zone,
 		CallerAddress: f.Self.CallerAddress, GossipAddress: f.Self.GossipAddress, Capacity: f.Self.Capacity,
-		Serving: view.Serving, Leaving: f.leaving.Load(), Rate: float32(f.Rate()), Quiet: view.Quiet[f.Self.Instance],
+		Serving: view.Serving, Leaving: f.leaving.Load(), Rate: float32(f.Rate()), Quiet: view.Quiet[f.Self.Instance], PathsLost: f.pathsLost(),
+	}
+	if f.ConnectedAt != nil {
+		if at := f.ConnectedAt(); at > 0 {
+			age := uint32((f.Clock.SinceBoot() - at).Milliseconds())
+			h.ConnectedAgeMs = &age
+		}
 	}
 	if to == IdentityOnly {
 		return h
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -33,7 +33,7 @@
 		conn, err := c.p.pool.get(attempt.Address(), c.maxIdleForNextWrite(), c.ioDeadline)
 		if err != nil {
 			attempt.Done(NotSent, 0, Load{})
-			c.recordAttempt(attempt, NotSent, c.p.Clock.SinceBoot()-began)
+			c.recordAttempt(attempt, NotSent, c.p.Clock.SinceBoot()-began, "")
 			connects++
 			if connects >= c.p.options.MaxConnectAttempts || !c.hasTimeForRetry() {
 				return refusal.New(refusal.ConnectFailed, err)
@@ -330,15 +330,15 @@
 	}
 	latency := x.p.Clock.SinceBoot() - x.beganAt
 	x.attempt.Done(result, latency, x.responseInfo.Load)
-	x.recordAttempt(x.attempt, result, latency)
+	x.recordAttempt(x.attempt, result, latency, x.conn.via())
 	if x.p.Reporter != nil {
 		x.p.Reporter.Report(x.request.Service, result, latency)
 	}
 }
 
 // recordAttempt adds an attempt to the request's record.
-func (c *call) recordAttempt(a Attempt, result Result, latency time.Duration) {
-	record := AttemptRecord{Target: a.Target(), Result: result, Latency: latency}
+func (c *call) recordAttempt(a Attempt, result Result, latency time.Duration, via string) {
+	record := AttemptRecord{Target: a.Target(), Result: result, Latency: latency, Via: via}
 	if r, ok := a.(AttemptWithReason); ok && c.p.Recorder != nil {
 		record.Reason = r.Reason()
 	}
--- a/pkg/proxy/peek.go
+++ b/pkg/proxy/peek.go
@@ -52,14 +52,7 @@
 // withDescriptor calls f with the file descriptor of a connection, if it has one. It fails
 // if the connection has been closed.
 func withDescriptor(conn net.Conn, f func(fd uintptr)) error {
-	for {
-		wrapped, ok := conn.(interface{ NetConn() net.Conn })
-		if !ok {
-			break
-		}
-		conn = wrapped.NetConn()
-	}
-	sc, ok := conn.(syscall.Conn)
+	sc, ok := unwrap(conn).(syscall.Conn)
 	if !ok {
 		return nil
 	}
@@ -73,3 +66,14 @@
 // openWithoutData reports whether an idle connection is open and has received
 // nothing, so that it can be reused.
 func openWithoutData(conn net.Conn) bool { return peek(conn) == nothingReceived }
+
+// unwrap returns the connection below wrappers.
+func unwrap(conn net.Conn) net.Conn {
+	for {
+		wrapped, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return conn
+		}
+		conn = wrapped.NetConn()
+	}
+}
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -33,12 +33,27 @@
 // local port for a minute, and with the default of 28,232 local ports only 470
 // connections per second could be closed.
 func (c *targetConn) closeIdle() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := unwrap(c.Conn).(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = c.Close()
 }
 
+// usable reports whether a new request may use an idle connection.
+func (c *targetConn) usable() bool {
+	u, ok := c.Conn.(interface{ Usable() bool })
+	return (!ok || u.Usable()) && openWithoutData(c.Conn)
+}
+
+// via returns the name of the instance through which the connection leads; empty for a
+// direct one.
+func (c *targetConn) via() string {
+	if d, ok := c.Conn.(interface{ Detour() string }); ok {
+		return d.Detour()
+	}
+	return ""
+}
+
 // connPool keeps idle connections to targets and opens new ones. It is safe for
 // concurrent use.
 type connPool struct {
@@ -76,7 +91,7 @@
 		if conn == nil {
 			break
 		}
-		if now-conn.idleSince <= maxIdle && openWithoutData(conn.Conn) {
+		if now-conn.idleSince <= maxIdle && conn.usable() {
 			p.attachReader(conn)
 			return conn, nil
 		}
@@ -85,17 +100,16 @@
 	return p.dial(address, deadline)
 }
 
-// dial opens a connection within ConnectTimeout and before deadline.
+// dial opens a connection before deadline, and within ConnectTimeout unless DialTarget has
+// limits of its own.
 func (p *connPool) dial(address string, deadline time.Time) (*targetConn, error) {
-	if limit := time.Now().Add(p.options.ConnectTimeout); limit.Before(deadline) {
-		deadline = limit
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), deadline)
-	defer cancel()
 	dial := p.options.DialTarget
 	if dial == nil {
 		dial = p.dialDirect
+		deadline = earliest(time.Now().Add(p.options.ConnectTimeout), deadline)
 	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
 	raw, err := dial(ctx, address)
 	if err != nil {
 		return nil, errors.WithStack(&ConnectError{Address: address, Cause: err})
--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -158,6 +158,9 @@
 	Reason  string
 	Result  Result
 	Latency time.Duration
+	// Via is the name of the instance through which the connection led; empty for a direct
+	// one.
+	Via string
 }
 
 // Record describes how one request ended, for logs and metrics.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -57,8 +57,8 @@
 	// far above the typical 1 ms and below the 1 s after which the kernel
 	// resends a lost SYN.
 	ConnectTimeout time.Duration
-	// DialTarget, if not nil, opens the connections to targets. ctx ends after ConnectTimeout
-	// or with the request.
+	// DialTarget, if not nil, opens the connections to targets, within limits of its own
+	// in place of ConnectTimeout. ctx ends with the request.
 	DialTarget func(ctx context.Context, address string) (net.Conn, error)
 	// MaxConnectAttempts bounds the failed connection attempts of one request; default 3.
 	MaxConnectAttempts int
