Do not charge a team for what was admitted while the instance was a standby

Cause: heartbeats to standbys carry no counts, which was read as nothing admitted. The first count after the return was then deducted as a whole, 12 s of requests at once, and left a debt of up to three bursts. Any instance that becomes a standby and serves again did so.

A peer whose heartbeats arrived without counts for 2.2 s is known to have admitted something, but not when: the level begins at three quarters of the burst, as for a new process, less what the peer admitted in the last second beyond its equal part of the rate. A peer that was unresponsive, and charged an equal part meanwhile, is corrected as before.

--- a/pkg/usage/exchange.go
+++ b/pkg/usage/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
@@ -69,12 +70,12 @@
 		reported[use.Team] = true
 		t := l.team(use.Team, teamConfig, now)
 		l.refill(t, teamConfig, now)
-		t.applyCount(from, use.Admitted, uint64(use.Lately), now)
+		l.applyCount(t, teamConfig, from, use, now)
 	}
 	for name, t := range l.teams {
 		if c := t.peers[from]; c != nil && !reported[name] && c.assumedRate > 0 {
 			l.refill(t, teams[name], now)
-			t.applyCount(from, c.admitted, 0, now)
+			t.correct(c, c.admitted, now)
 		}
 	}
 	if h.Leaving || (!h.Serving && len(h.Teams) == 0) {
@@ -86,14 +87,34 @@
 // applyCount corrects the level by what a peer really admitted. The level must be
 // up to date. For a peer that is new to the team, only what it admitted recently
 // counts.
-func (t *team) applyCount(from string, admitted, recentlyAdmitted uint64, now time.Duration) {
-	c := t.peers[from]
-	if c == nil {
-		t.peers[from] = &peerCount{admitted: admitted, receivedAt: now, rateSince: now}
-		t.level -= float64(recentlyAdmitted)
-		t.setAssumedRate(t.peers[from], float64(recentlyAdmitted)/reportWindow.Seconds(), now)
+func (l *Limiter) applyCount(t *team, teamConfig config.Team, from string, use *peerpb.TeamUse, now time.Duration) {
+	c, recently := t.peers[from], float64(use.Lately)
+	if c != nil && t.missedCounts(c, use, now) {
+		// How the tokens of that time were spent is not known. Those that the peer admitted
+		// recently were spent from an equal fraction of what came in meanwhile.
+		t.level = min(t.level, initialBurstFraction*float64(teamConfig.Burst))
+		t.level -= max(0, recently-teamConfig.RatePerSecond*reportWindow.Seconds()/l.instanceCount())
+		t.setAssumedRate(c, 0, now)
+	} else if c != nil {
+		t.correct(c, use.Admitted, now)
+		c.countedAt, c.charged = now, false
 		return
+	} else {
+		t.level -= recently
 	}
+	t.peers[from] = &peerCount{admitted: use.Admitted, receivedAt: now, countedAt: now, rateSince: now}
+	t.setAssumedRate(t.peers[from], recently/reportWindow.Seconds(), now)
+}
+
+// missedCounts reports whether a peer has admitted requests of which this instance was not
+// told although the peer's heartbeats arrived: standbys are told no counts.
+func (t *team) missedCounts(c *peerCount, use *peerpb.TeamUse, now time.Duration) bool {
+	return !c.charged && now-c.countedAt >= maxCountGap && use.Admitted > c.admitted+uint64(use.Lately)
+}
+
+// correct replaces what a peer was assumed to have admitted since its last heartbeat by
+// what it did.
+func (t *team) correct(c *peerCount, admitted uint64, now time.Duration) {
 	assumedRate := c.assumedRate
 	if elapsed := (now - c.receivedAt).Seconds(); elapsed > 0 && admitted >= c.admitted {
 		delta := float64(admitted - c.admitted)
@@ -147,6 +168,7 @@
 				c = &peerCount{receivedAt: now, rateSince: now}
 				t.peers[name] = c
 			}
+			c.charged = true
 			t.setAssumedRate(c, teamConfigs[id].RatePerSecond/l.instanceCount(), now)
 		}
 	}
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -54,6 +54,9 @@
 	// reportWindow is the time for which a changed count is repeated in heartbeats, in
 	// case one is lost: two heartbeats between zones.
 	reportWindow = 1100 * time.Millisecond
+	// maxCountGap is the time without a count of a peer whose heartbeats arrive, after which
+	// this instance was probably a standby, to which no counts are told.
+	maxCountGap = 2 * reportWindow
 	// rateSmoothingWeight is the weight of the newest interval in the moving average
 	// of a peer's rate.
 	rateSmoothingWeight = 0.5
@@ -104,8 +107,11 @@
 // instance assumes that the peer has admitted since.
 type peerCount struct {
 	admitted uint64
-	// receivedAt is the time since boot of that report.
-	receivedAt time.Duration
+	// receivedAt is the time since boot of that report, or of a later heartbeat that names
+	// no count. countedAt is that of the report.
+	receivedAt, countedAt time.Duration
+	// charged says that an equal fraction of the rate was assumed meanwhile.
+	charged bool
 	// assumedRate is what the peer is assumed to admit per second from rateSince on;
 	// deductedBefore is what was deducted from the level for it between its last
 	// report and rateSince.
