Do not charge for counts missed from instances of other zones either

Peers of other zones send to standbys each 3 s, and so counted as unresponsive, and charged, just before their first count arrived; then the whole of it was deducted as before.

What tells missed counts now is the time up to which the peer was responsive. A heartbeat without counts ends the charge. The level is estimated once for all peers, so that what each of them admitted more or less than an equal part evens out.

--- a/pkg/usage/exchange.go
+++ b/pkg/usage/exchange.go
@@ -76,6 +76,7 @@
 		if c := t.peers[from]; c != nil && !reported[name] && c.assumedRate > 0 {
 			l.refill(t, teams[name], now)
 			t.correct(c, c.admitted, now)
+			c.chargedAt = 0
 		}
 	}
 	if h.Leaving || (!h.Serving && len(h.Teams) == 0) {
@@ -90,14 +91,16 @@
 func (l *Limiter) applyCount(t *team, teamConfig config.Team, from string, use *peerpb.TeamUse, now time.Duration) {
 	c, recently := t.peers[from], float64(use.Lately)
 	if c != nil && t.missedCounts(c, use, now) {
-		// How the tokens of that time were spent is not known. Those that the peer admitted
-		// recently were spent from an equal fraction of what came in meanwhile.
-		t.level = min(t.level, initialBurstFraction*float64(teamConfig.Burst))
-		t.level -= max(0, recently-teamConfig.RatePerSecond*reportWindow.Seconds()/l.instanceCount())
+		// How the tokens of that time were spent is not known. What the peers admitted
+		// recently was spent from what came in meanwhile.
+		if t.estimatedAt == 0 || now-t.estimatedAt >= maxCountGap {
+			t.level, t.estimatedAt = min(t.level, initialBurstFraction*float64(teamConfig.Burst)), now
+		}
+		t.level -= recently - teamConfig.RatePerSecond*reportWindow.Seconds()/l.instanceCount()
 		t.setAssumedRate(c, 0, now)
 	} else if c != nil {
 		t.correct(c, use.Admitted, now)
-		c.countedAt, c.charged = now, false
+		c.countedAt, c.chargedAt = now, 0
 		return
 	} else {
 		t.level -= recently
@@ -109,7 +112,11 @@
 // missedCounts reports whether a peer has admitted requests of which this instance was not
 // told although the peer's heartbeats arrived: standbys are told no counts.
 func (t *team) missedCounts(c *peerCount, use *peerpb.TeamUse, now time.Duration) bool {
-	return !c.charged && now-c.countedAt >= maxCountGap && use.Admitted > c.admitted+uint64(use.Lately)
+	responsiveUntil := now
+	if c.chargedAt > 0 {
+		responsiveUntil = c.chargedAt
+	}
+	return responsiveUntil-c.countedAt >= maxCountGap && use.Admitted > c.admitted+uint64(use.Lately)
 }
 
 // correct replaces what a peer was assumed to have admitted since its last heartbeat by
@@ -168,7 +175,7 @@
 				c = &peerCount{receivedAt: now, rateSince: now}
 				t.peers[name] = c
 			}
-			c.charged = true
+			c.chargedAt = now
 			t.setAssumedRate(c, teamConfigs[id].RatePerSecond/l.instanceCount(), now)
 		}
 	}
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -101,6 +101,9 @@
 	peers map[string]*peerCount
 	// assumedRate is the sum of the assumed rates of peers.
 	assumedRate float64
+	// estimatedAt is the time since boot at which the level was last taken to be that of a
+	// new process, because counts were missed; 0 if it never was.
+	estimatedAt time.Duration
 }
 
 // peerCount is the last count of a team that one peer reported, and what this
@@ -110,8 +113,9 @@
 	// receivedAt is the time since boot of that report, or of a later heartbeat that names
 	// no count. countedAt is that of the report.
 	receivedAt, countedAt time.Duration
-	// charged says that an equal fraction of the rate was assumed meanwhile.
-	charged bool
+	// chargedAt is the time since boot from which an equal fraction of the rate was assumed,
+	// because the peer was unresponsive; 0 if it was not since its last heartbeat.
+	chargedAt time.Duration
 	// assumedRate is what the peer is assumed to admit per second from rateSince on;
 	// deductedBefore is what was deducted from the level for it between its last
 	// report and rateSince.
