Report no failures of targets from instances without paths

What callers saw: while instances were cut off from the targets, the others sent fewer requests to healthy targets.

Cause: an instance whose path is cut takes the timeouts for failures of the targets, and its heartbeats tell the others.

An instance that knows that its paths are lost now reports no evidence, no outcomes and no unreachable targets, and forgets the failures that it has met when its paths change.

What is sent in the first 0.4 s, before the loss is noticed, still counts and decays within 10 s.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -127,6 +127,7 @@
 	i.suspects = quarantine.New(i.clock, o.Log)
 	i.suspects.Owns, i.suspects.OnChange = i.ownsSuspect, func() { i.fleet.Push(true) }
 	i.paths = i.newPaths()
+	i.balancer.PathsLost = i.paths.Lost
 	i.fleet = fleet.New(fleet.Options{
 		Self: fleet.Member{
 			Instance: s.Instance, Incarnation: uint64(i.started.UnixMilli()), Zone: s.AvailabilityZone,
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -57,6 +57,10 @@
 // Balancer implements proxy.Balancer and fleet.StateExchanger. It is safe for
 // concurrent use. The mutex of a service is never held while a request waits.
 type Balancer struct {
+	// PathsLost, if not nil, reports whether this instance has no path to any target of its
+	// own. What it meets says nothing about the targets then.
+	PathsLost func() bool
+
 	clock   clock.Clock
 	targets CatalogueSource
 	peers   ViewSource
@@ -215,30 +219,37 @@
 	if !to.Serving() {
 		return
 	}
-	now := b.clock.SinceBoot()
+	now, lost := b.clock.SinceBoot(), b.PathsLost != nil && b.PathsLost()
 	for _, s := range b.allServices() {
 		s.mu.Lock()
-		for _, t := range s.ordered {
-			if now-t.lastResultAt >= maxReportAge {
-				continue
-			}
-			t.own.decay(now)
-			if !t.shouldReport(to, now) {
-				continue
-			}
-			h.Targets = append(h.Targets, &peerpb.TargetEvidence{
-				Target: t.entry.ID, FailingPermille: uint32(math.Round(1000 * t.own.failProb)), Slowness: int32(math.Round(100 * t.own.slowness)),
-			})
-		}
 		s.fillRateLimits(h, now)
-		s.fillOutcomes(h, now)
-		if to == fleet.SameZonePeers {
-			s.fillUnreachable(h, now)
+		if !lost {
+			s.fillEvidence(h, to, now)
+			s.fillOutcomes(h, now)
+			if to == fleet.SameZonePeers {
+				s.fillUnreachable(h, now)
+			}
 		}
 		s.mu.Unlock()
 	}
 }
 
+// fillEvidence adds this instance's evidence on the targets. The caller holds mu.
+func (s *service) fillEvidence(h *peerpb.Heartbeat, to fleet.Audience, now time.Duration) {
+	for _, t := range s.ordered {
+		if now-t.lastResultAt >= maxReportAge {
+			continue
+		}
+		t.own.decay(now)
+		if !t.shouldReport(to, now) {
+			continue
+		}
+		h.Targets = append(h.Targets, &peerpb.TargetEvidence{
+			Target: t.entry.ID, FailingPermille: uint32(math.Round(1000 * t.own.failProb)), Slowness: int32(math.Round(100 * t.own.slowness)),
+		})
+	}
+}
+
 // Evidence against a target is reported to other instances only from these
 // thresholds on and up to maxReportAge; other evidence does not justify the traffic.
 // Instances of the same zone also receive all targets with a result within
--- a/pkg/placement/reach.go
+++ b/pkg/placement/reach.go
@@ -143,14 +143,17 @@
 	}
 }
 
-// ForgetPaths forgets which targets this instance could not connect to: it connects to them
-// in another way from now on.
+// ForgetPaths forgets which targets this instance could not connect to, and its failures at
+// targets: it reaches them in another way from now on.
 func (b *Balancer) ForgetPaths() {
 	now := b.clock.SinceBoot()
 	for _, s := range b.allServices() {
 		s.mu.Lock()
 		for _, t := range s.ordered {
 			t.failedDials, t.blockedUntil = 0, 0
+			if !t.lastAnswered {
+				t.own, t.failedProb = newEvidence(now), 0
+			}
 			s.reassign = t.reach.clear(s.self, now) || s.reassign
 		}
 		s.queue.wakeFirst()
--- a/pkg/placement/reach_test.go
+++ b/pkg/placement/reach_test.go
@@ -93,3 +93,34 @@
 	a0.limit.state(limitStatement{at: now}, now)
 	is.Equal(s.reachTest(now), a0)
 }
+
+// Guards against other instances that avoid healthy targets because one without a path to
+// them reports its failures.
+func TestInstanceWithoutPathsReportsNoFailures(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(4)
+	lost := false
+	f.PathsLost = func() bool { return lost }
+	fail := func(string) proxy.Result { return proxy.TimedOut }
+	report := func() *peerpb.Heartbeat {
+		h := &peerpb.Heartbeat{}
+		f.Fill(h, fleet.SameZonePeers)
+		return h
+	}
+	for range 20 {
+		f.send(t, true, fail)
+	}
+	is.True(len(report().Targets) > 0)
+	lost = true
+	f.ForgetPaths()
+	for range 20 {
+		f.send(t, true, fail)
+	}
+	h := report()
+	is.Equal(len(h.Targets)+len(h.UnreachableTargets)+len(h.Outcomes), 0)
+	lost = false
+	f.ForgetPaths()
+	for _, e := range report().Targets {
+		is.True(e.FailingPermille < 1000*reportThreshold) // what was seen meanwhile is forgotten
+	}
+}
