Publish the view before telling that the instance was selected

What callers would see: a zone with too few instances. One that is selected to serve and reads the view from before does not prepare, and is not told again.

Cause: updateView sent the notice before it stored the view. The window is the time to compare two views, longest in large fleets.

--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -35,17 +35,18 @@
 		}
 	}
 	sortByName(next.Peers)
+	samePeers := next.Serving == old.Serving && slices.Equal(next.Peers, old.Peers)
+	if !samePeers || !maps.Equal(next.Quiet, old.Quiet) {
+		next.Version++
+	}
+	f.view.Store(next)
 	if next.Called != old.Called {
+		// The receiver reads the view that was stored before.
 		select {
 		case f.calledChanged <- struct{}{}:
 		default:
 		}
 	}
-	samePeers := next.Serving == old.Serving && slices.Equal(next.Peers, old.Peers)
-	if !samePeers || !maps.Equal(next.Quiet, old.Quiet) {
-		next.Version++
-	}
-	f.view.Store(next)
 	if samePeers {
 		return
 	}
