Ask standbys for a path when no serving instance has one

Cause: an instance takes its paths for lost only if another one is known to have connected to a target since. Standbys do not connect, so that nobody knew any, and nobody left.

An instance whose test of its paths has failed says so in its heartbeats, at once. Those that receive it test their own paths, unless they have connected within half a second, and answer at once if they have any.

--- a/pkg/detour/detour_test.go
+++ b/pkg/detour/detour_test.go
@@ -253,3 +253,27 @@
 	is.NoErr(err)
 	is.Equal(conn.Detour(), "")
 }
+
+// Guards against an instance that does not ask while it knows none that reaches targets, and
+// against answers from instances that reach none.
+func TestInstancesAnswerWhetherTheyReachTargets(t *testing.T) {
+	is := is.New(t)
+	target := listen(t, echo)
+	asks, standby, cutOff := newTestDialer(t, nil, target), newTestDialer(t, nil, target), newTestDialer(t, nil, target)
+	asks.cut.Store(true)
+	cutOff.cut.Store(true)
+	asked := make(chan struct{}, 1)
+	asks.OnAsk = func() { asked <- struct{}{} }
+	go asks.Check(context.Background())
+	<-asked
+	is.True(asks.Asking())
+	var answers atomic.Int64
+	cutOff.Answer(context.Background(), func() { answers.Add(100) })
+	standby.Answer(context.Background(), func() { answers.Add(1); asks.reached.Store(true) })
+	eventually(t, "paths lost", asks.Lost)
+	is.Equal(answers.Load(), int64(1))
+	direct := standby.direct.Load()
+	standby.Answer(context.Background(), func() { answers.Add(1) })
+	is.Equal(answers.Load(), int64(2))
+	is.Equal(standby.direct.Load(), direct) // a recent connection answers
+}
--- a/pkg/detour/monitor.go
+++ b/pkg/detour/monitor.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,8 @@
 	// witnessInterval is the time between two looks for another instance that reaches
 	// targets. Heartbeats arrive each 250 or 500 ms.
 	witnessInterval = 50 * time.Millisecond
+	// answerMemory is the time for which a connection answers other instances that ask.
+	answerMemory = 500 * time.Millisecond
 	// WitnessMemory is the time for which another instance's connection to a target counts:
 	// standbys receive heartbeats from other zones each 3 s.
 	WitnessMemory = 4 * time.Second
@@ -42,11 +45,14 @@
 	// Reached reports whether another instance is known to have connected to a target
 	// since the given time.
 	Reached func(since time.Duration) bool
-	// OnChange, if not nil, is called when the paths are lost or regained.
-	OnChange func()
+	// OnChange, if not nil, is called when the paths are lost or regained, and OnAsk when
+	// other instances should be asked whether they reach targets.
+	OnChange, OnAsk func()
 
 	once sync.Once
 	wake chan struct{}
+	// asking says that the instance asks others, testing that a test for another one runs.
+	asking, testing atomic.Bool
 }
 
 func (m *Monitor) wakeUp() chan struct{} {
@@ -98,6 +104,8 @@
 		return
 	}
 	began := m.Clock.SinceBoot()
+	m.ask()
+	defer m.asking.Store(false)
 	for m.ConnectedAt() < began && m.Clock.SinceBoot()-began < failureMemory {
 		if m.Reached(since) {
 			m.change(true, "no connection to any target")
@@ -109,6 +117,36 @@
 	}
 }
 
+// ask begins to ask other instances whether they reach targets: those that serve may all
+// have lost their paths, and standbys do not use theirs.
+func (m *Monitor) ask() {
+	m.asking.Store(true)
+	if m.OnAsk != nil {
+		m.OnAsk()
+	}
+}
+
+// Asking reports whether other instances should be asked whether they reach targets.
+func (m *Monitor) Asking() bool { return m.asking.Load() }
+
+// Answer tests the paths because another instance asks, unless a connection is known from
+// lately, and calls reached if there are any. It does not wait.
+func (m *Monitor) Answer(ctx context.Context, reached func()) {
+	if at := m.ConnectedAt(); at > 0 && m.Clock.SinceBoot()-at < answerMemory {
+		reached()
+		return
+	}
+	if m.testing.Swap(true) {
+		return
+	}
+	go func() {
+		defer m.testing.Store(false)
+		if m.connectAny(ctx) && m.ConnectedAt() > 0 {
+			reached()
+		}
+	}()
+}
+
 // connectAny reports whether one of some targets can be connected to, or there is none.
 func (m *Monitor) connectAny(ctx context.Context) bool {
 	sample := m.sample(lostTestConnections, m.suspected())
@@ -157,11 +195,15 @@
 // testRegained ends the loss of the paths if the instance connects to targets again, or if
 // no other instance does.
 func (m *Monitor) testRegained(ctx context.Context) {
+	m.asking.Store(false)
 	sample := m.sample(regainedTestConnections, nil)
-	switch {
+	switch now := m.Clock.SinceBoot(); {
 	case m.connect(ctx, sample) == len(sample):
 		m.change(false, "connected to targets again")
-	case !m.Reached(m.Clock.SinceBoot() - WitnessMemory):
+	case m.Reached(now - WitnessMemory/2):
+	case m.Reached(now - WitnessMemory):
+		m.ask()
+	default:
 		m.change(false, "no other instance reaches targets")
 	}
 }
--- a/pkg/edge/detour.go
+++ b/pkg/edge/detour.go
@@ -23,7 +23,7 @@
 func (i *Instance) newPaths() *detour.Dialer {
 	dial := targetDialer{faultFile: i.Settings.TargetFaultFile}.dial
 	monitor := &detour.Monitor{
-		Paths: &detour.Paths{}, Clock: i.clock, Log: i.Log, Targets: i.targetAddresses, OnChange: i.pathsChanged,
+		Paths: &detour.Paths{}, Clock: i.clock, Log: i.Log, Targets: i.targetAddresses, OnChange: i.pathsChanged, OnAsk: func() { i.fleet.Push(true) },
 		Reached: func(since time.Duration) bool { return len(i.fleet.Connecting(since)) > 0 },
 		Connect: func(ctx context.Context, address string) error {
 			limited, cancel := context.WithTimeout(ctx, connectTimeout)
@@ -38,6 +38,11 @@
 	return &detour.Dialer{Monitor: monitor, Zone: i.Settings.AvailabilityZone, Direct: dial, Peers: i.detourPeers, Timeout: connectTimeout}
 }
 
+// answerPaths tells another instance that this one reaches targets, if it does.
+func (i *Instance) answerPaths(address string) {
+	i.paths.Answer(context.Background(), func() { i.fleet.Greet(address) })
+}
+
 // pathsChanged is called when the paths to the targets are lost or regained.
 func (i *Instance) pathsChanged() {
 	i.balancer.ForgetPaths()
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -136,7 +136,7 @@
 		},
 		Clock: i.clock, Roster: o.Platform, Transport: i, StateExchangers: []fleet.StateExchanger{i.limiter, i.balancer, i.registry, i.follower, suspectExchange{i.suspects}},
 		FirstStart: s.FirstStart, Rate: i.balancer.Rate, Ready: i.ready, OnStep: func() { i.freshness.observe() }, HasNews: i.suspects.HasNews,
-		PathsLost: i.paths.Lost, ConnectedAt: i.paths.ConnectedAt, Log: o.Log,
+		PathsLost: i.paths.Lost, ConnectedAt: i.paths.ConnectedAt, AsksForPaths: i.paths.Asking, OnAsked: i.answerPaths, Log: o.Log,
 	})
 	i.proxy = proxy.New(proxy.Ports{
 		Viewer: i.follower, ServeChecker: i.freshness, Clock: i.clock, Limiter: i.limiter, Queue: noQueue{},
--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -107,8 +107,8 @@
 
 func (f *Fleet) pathsLost() bool { return f.Options.PathsLost != nil && f.Options.PathsLost() }
 
-// Connecting returns the serving instances that are known to have connected to a target
-// since the given time since boot.
+// Connecting returns the instances, standbys included, that are known to have connected to a
+// target since the given time since boot.
 func (f *Fleet) Connecting(since time.Duration) []Member {
 	now := f.Clock.SinceBoot()
 	f.mu.Lock()
@@ -119,7 +119,7 @@
 		if k.Zone != f.Self.Zone {
 			timeout = otherZoneUnresponsiveTimeout
 		}
-		if k.serving && !k.leaving && !k.pathsLost && k.connectedAt > 0 && k.connectedAt >= since && now-k.lastReceived < timeout {
+		if !k.leaving && !k.pathsLost && k.connectedAt > 0 && k.connectedAt >= since && now-k.lastReceived < timeout {
 			members = append(members, k.Member)
 		}
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -100,6 +100,10 @@
 	// ConnectedAt, if not nil, returns the time since boot at which this instance last
 	// connected to a target; 0 if it never has.
 	ConnectedAt func() time.Duration
+	// AsksForPaths, if not nil, reports whether others should test whether they reach
+	// targets. OnAsked, if not nil, is called with the gossip address of one that asks.
+	AsksForPaths func() bool
+	OnAsked      func(address string)
 	// OnStep, if not nil, is called at each step, which follow each other within
 	// checkInterval while the process runs.
 	OnStep func()
@@ -316,8 +320,16 @@
 		x.Merge(h.Instance, h)
 	}
 	if h.Hello {
-		f.Transport.Send(h.GossipAddress, f.encode(f.heartbeat(IdentityOnly)))
+		f.Greet(h.GossipAddress)
 	}
+	if h.AsksForPaths && f.OnAsked != nil {
+		f.OnAsked(h.GossipAddress)
+	}
+}
+
+// Greet sends a heartbeat to one instance at once.
+func (f *Fleet) Greet(address string) {
+	f.Transport.Send(address, f.encode(f.heartbeat(IdentityOnly)))
 }
 
 // recordHeartbeat updates the state of the sender. It returns false for an
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -34,6 +34,9 @@
 	// lost says that the instance has no path to targets, connectedAt when it last had one.
 	lost        bool
 	connectedAt time.Duration
+	// asks says that the instance asks others for paths; onAsked, if not nil, answers.
+	asks    bool
+	onAsked func(address string)
 }
 
 // Send delivers the datagram synchronously.
@@ -67,6 +70,11 @@
 		},
 		Clock: tf.clock, Roster: tf, Transport: n, Rate: func() float64 { return n.rate }, Ready: func() bool { return n.ready }, Log: &nop,
 		PathsLost: func() bool { return n.lost }, ConnectedAt: func() time.Duration { return n.connectedAt },
+		AsksForPaths: func() bool { return n.asks }, OnAsked: func(address string) {
+			if n.onAsked != nil {
+				n.onAsked(address)
+			}
+		},
 	})
 	tf.instances[name] = n
 	return n
--- a/pkg/fleet/send.go
+++ b/pkg/fleet/send.go
@@ -129,6 +129,7 @@
 		CallerAddress: f.Self.CallerAddress, GossipAddress: f.Self.GossipAddress, Capacity: f.Self.Capacity,
 		Serving: view.Serving, Leaving: f.leaving.Load(), Rate: float32(f.Rate()), Quiet: view.Quiet[f.Self.Instance], PathsLost: f.pathsLost(),
 	}
+	h.AsksForPaths = f.AsksForPaths != nil && f.AsksForPaths()
 	if f.ConnectedAt != nil {
 		if at := f.ConnectedAt(); at > 0 {
 			age := uint32((f.Clock.SinceBoot() - at).Milliseconds())
