--- a/pkg/edge/target_dial.go
+++ b/pkg/detour/direct.go
@@ -1,4 +1,4 @@
-package edge
+package detour
 
 import (
 	"context"
@@ -7,18 +7,20 @@
 	"os"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// targetDialer opens direct connections to targets.
-type targetDialer struct {
-	// faultFile is the setting target_fault_file.
-	faultFile string
+// Direct opens direct connections to targets.
+type Direct struct {
+	// FaultFile is the setting target_fault_file; empty injects no faults.
+	FaultFile string
 }
 
-func (d targetDialer) dial(ctx context.Context, address string) (net.Conn, error) {
-	if d.faultFile != "" {
+// Dial connects to the target at an address (IP:port).
+func (d Direct) Dial(ctx context.Context, address string) (net.Conn, error) {
+	if d.FaultFile != "" {
 		if err := d.injectFault(ctx); err != nil {
 			return nil, err
 		}
@@ -37,9 +39,23 @@
 	return conn, nil
 }
 
+// Test returns a function that opens a connection to a target, within the timeout, and
+// closes it.
+func (d Direct) Test(timeout time.Duration) func(ctx context.Context, address string) error {
+	return func(ctx context.Context, address string) error {
+		limited, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		conn, err := d.Dial(limited, address)
+		if err != nil {
+			return err
+		}
+		return errors.WithStack(conn.Close())
+	}
+}
+
 // injectFault fails as the fault file says, if it exists.
-func (d targetDialer) injectFault(ctx context.Context) error {
-	fault, err := os.ReadFile(d.faultFile)
+func (d Direct) injectFault(ctx context.Context) error {
+	fault, err := os.ReadFile(d.FaultFile)
 	switch {
 	case err != nil:
 		return nil
