arbutus-entry: reach targets through other members, and leave the own directory answers without a path

What callers would see: an instance that is cut off from all targets answers each request with connect_failed, for as long as the cut lasts.

The dialer of pkg/detour is used here, too. Reports to health evaluators and their replies tell who has connected to a target lately; members serve detours at their peer address. Members still name a member that is cut off to callers; its requests take detours.

--- a/pkg/entry/caller.go
+++ b/pkg/entry/caller.go
@@ -62,7 +62,7 @@
 		return
 	}
 	answer := i.directory.Answer(view, team, ctx.RemoteIP().String(), directory.State{
-		MayServe: i.control.MayServe(), Leaving: i.lifecycle.leaving.Load(),
+		MayServe: i.control.MayServe() && !i.paths.Lost(), Leaving: i.lifecycle.leaving.Load(),
 	})
 	data, err := answer.JSON()
 	if err != nil {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
 	"github.com/arbutuslink/arbutuslink/pkg/daemon"
+	"github.com/arbutuslink/arbutuslink/pkg/detour"
 	"github.com/arbutuslink/arbutuslink/pkg/directory"
 	"github.com/arbutuslink/arbutuslink/pkg/dispatch"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
@@ -63,6 +64,10 @@
 	dispatcher        *dispatch.Dispatcher
 	reservingBalancer *dispatch.Balancer
 	proxy             *proxy.Proxy
+	// paths opens connections to targets, through other instances if necessary; connecting
+	// tells which of these reach targets.
+	paths      *detour.Dialer
+	connecting connections
 	// suspects holds the requests that crash targets.
 	suspects  *quarantine.List
 	counters  *counters
@@ -111,6 +116,7 @@
 	balancer := i.buildBalancer()
 	claims := proxy.NewTableClaims(i.platform.table, i.clock, i.settings.Platform.Timeout())
 	i.claims = newKeptClaims(claims, i.platform.table, i.clock, &i.log)
+	i.paths = i.newPaths()
 	i.suspects = quarantine.New(i.clock, &i.log)
 	i.suspects.Owns = i.ownsSuspect
 	i.proxy = proxy.New(proxy.Ports{
@@ -119,6 +125,7 @@
 		Claims:   i.claims, Reporter: i.queue, Quarantine: i.suspects, Log: &i.log,
 	}, proxy.Options{
 		ClockError:     i.settings.Timings.BatchClockError(),
+		DialTarget:     i.paths.Dial,
 		MaxHeaderBytes: i.settings.Limits.MaxHeaderBytes, MaxRequestBody: i.settings.Limits.MaxBodyBytes,
 	})
 }
@@ -205,7 +212,10 @@
 		OnExchange: i.control.HandleExchange, OnFetch: i.control.HandleFetch,
 		OnBorrow: i.handleBorrow, OnReport: i.handleReport, OnReserve: i.handleReserve,
 	}
-	group.Go(func() error { return drpcpeer.ServeCounted(ctx, listener, handlers, &i.servedCalls) })
+	tunnels := &detour.Server{Listed: i.listsTarget, Direct: i.paths.Direct, Timeout: targetConnectTimeout, Log: &i.log}
+	calls := detour.Split(ctx, listener, tunnels)
+	group.Go(func() error { return drpcpeer.ServeCounted(ctx, calls, handlers, &i.servedCalls) })
+	group.Go(func() error { return i.paths.Run(ctx) })
 	group.Go(func() error { return i.control.Run(ctx) })
 	group.Go(func() error { return i.limiter.Run(ctx) })
 	group.Go(func() error { return i.claims.run(ctx) })
--- a/pkg/entry/peers.go
+++ b/pkg/entry/peers.go
@@ -16,9 +16,10 @@
 	if to.Incarnation == i.control.View().Self.Incarnation {
 		return i.evaluator.HandleReport(request), nil
 	}
-	request.Versions, request.SuspectRequests = i.control.Versions(), i.suspects.Messages()
+	request.Versions, request.SuspectRequests, request.ConnectedAgeMs = i.control.Versions(), i.suspects.Messages(), i.connectedAge()
 	reply, err := i.transport.Report(ctx, to.PeerAddress, request)
 	if err == nil {
+		i.connecting.record(to.Incarnation, reply.ConnectedAgeMs, i.clock.SinceBoot())
 		i.suspects.Merge(to.Instance, reply.GetSuspectRequests())
 		i.control.Observe(to.Incarnation, to.PeerAddress, reply.GetVersions())
 	}
@@ -27,9 +28,10 @@
 
 func (i *Instance) handleReport(_ context.Context, request *peerpb.ReportRequest) (*peerpb.ReportReply, error) {
 	i.observeSender(request.GetFrom(), request.GetVersions())
+	i.connecting.record(request.GetFrom(), request.ConnectedAgeMs, i.clock.SinceBoot())
 	i.suspects.Merge(request.GetFrom(), request.GetSuspectRequests())
 	reply := i.evaluator.HandleReport(request)
-	reply.Versions, reply.SuspectRequests = i.control.Versions(), i.suspects.Messages()
+	reply.Versions, reply.SuspectRequests, reply.ConnectedAgeMs = i.control.Versions(), i.suspects.Messages(), i.connectedAge()
 	return reply, nil
 }
 
--- a/pkg/lab/scenario/commands.go
+++ b/pkg/lab/scenario/commands.go
@@ -14,7 +14,7 @@
 // that the script starts end with it.
 func Setup(o Options) func(*testscript.Env) error {
 	return func(env *testscript.Env) error {
-		tb := newTestbed(o)
+		tb := newTestbed(o, env.WorkDir)
 		env.Values[testbedKey{}] = tb
 		env.Defer(tb.close)
 		return nil
@@ -32,6 +32,7 @@
 //	members N within=D             each instance that runs and is not frozen reports N members and is fresh
 //	fresh LIST within=D, not-fresh LIST within=D
 //	cut LIST LIST, cut-one-way LIST LIST, heal LIST LIST
+//	cut-targets LIST hang|refuse, heal-targets LIST
 //	platform down|up|slow by=D|lose-answers next=N [before-effect=1 table-only=1]
 //	platform copy, platform restore [objects=1]
 //	patch JSON [via=N] [version=N] [is=OUTCOMES] [within=D]
@@ -155,7 +156,12 @@
 		"start":  onList((*testbed).restartInstances),
 		"race":   onList((*testbed).raceCommand),
 		"freeze": each((*testbed).freezeInstance), "resume": each((*testbed).resumeInstance), "shutdown": each((*testbed).shutDownInstance),
-		"cut": link(true, false), "cut-one-way": link(true, true), "heal": link(false, false),
+		"cut-targets": func(tb *testbed, a *arguments) error {
+			list, how := tb.instances(a, a.word(0)), a.word(1)
+			return checkIfValid(a.validate(), func() error { return tb.cutTargets(list, how) })
+		},
+		"heal-targets": onList((*testbed).healTargets),
+		"cut":          link(true, false), "cut-one-way": link(true, true), "heal": link(false, false),
 		"fresh": fresh(true), "not-fresh": fresh(false),
 	}
 }
--- a/pkg/lab/scenario/faults.go
+++ b/pkg/lab/scenario/faults.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/arbutuslink/arbutuslink/pkg/lab/experiment"
 	"github.com/arbutuslink/arbutuslink/pkg/lab/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/lab/relay"
@@ -42,6 +45,25 @@
 	return firstErr
 }
 
+// cutTargets makes the new connections of instances to all targets hang or be refused.
+func (tb *testbed) cutTargets(instances []int, how string) error {
+	for _, n := range instances {
+		if err := os.WriteFile(tb.fleet.Instances[n].Settings.TargetFaultFile, []byte(how), 0o600); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
+
+func (tb *testbed) healTargets(instances []int) error {
+	for _, n := range instances {
+		if err := os.Remove(tb.fleet.Instances[n].Settings.TargetFaultFile); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return nil
+}
+
 func (tb *testbed) freezeInstance(n int) {
 	tb.frozen[n] = true
 	tb.fleet.Instances[n].Process.Freeze()
--- a/pkg/lab/scenario/testbed.go
+++ b/pkg/lab/scenario/testbed.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"os"
+	"path/filepath"
 	"strconv"
 	"sync"
 	"time"
@@ -31,7 +32,9 @@
 // testbed is the state of one script.
 type testbed struct {
 	options Options
-	logf    func(format string, args ...any)
+	// directory is the working directory of the script.
+	directory string
+	logf      func(format string, args ...any)
 
 	fleet *fleet.Fleet
 	// config is the first configuration of the fleet.
@@ -62,9 +65,9 @@
 	nextID int
 }
 
-func newTestbed(o Options) *testbed {
+func newTestbed(o Options, directory string) *testbed {
 	return &testbed{
-		options: o, relays: map[string]*relay.Relay{}, conns: map[string]*connection{},
+		options: o, directory: directory, relays: map[string]*relay.Relay{}, conns: map[string]*connection{},
 		shutdowns: map[int]chan error{}, frozen: map[int]bool{}, cuts: map[string]bool{}, marks: map[string]time.Time{},
 	}
 }
@@ -105,6 +108,7 @@
 	tb.fleet, err = fleet.New(fleet.Options{
 		Deployment: d, Instances: instances, Relays: true, EntryBinary: tb.options.EntryBinary, Seed: tb.options.Seed,
 		Adjust: func(s *settings.Entry) {
+			s.TargetFaultFile = filepath.Join(tb.directory, s.Instance+".fault")
 			if issuers > 0 {
 				s.Limits.IssuersPerTeam = issuers
 			}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -41,6 +41,9 @@
 	// BalancePolicy is one of the Policy constants.
 	BalancePolicy string `json:"balance_policy"`
 	LogLevel      string `json:"log_level"`
+	// TargetFaultFile is a file that, while it exists, makes connections to targets fail, to
+	// test partitions: those that hold "hang" get no answer, others are refused.
+	TargetFaultFile string `json:"target_fault_file"`
 }
 
 // Load-balancing policies.
