Instances without paths stay peers of the others

Cause: an instance without paths became a standby, and standbys have no share of the rates that targets name. It also lost the counts of the others.

Such an instance is detached instead: it serves those who know its address, keeps its shares and goes on exchanging state, but callers are not sent there, it owns no targets, and it takes no place in the ranking. A zone whose instances are all detached has its targets owned by others.

--- a/pkg/edge/detour.go
+++ b/pkg/edge/detour.go
@@ -52,7 +52,7 @@
 func (i *Instance) detourPeers() []detour.Peer {
 	members := i.fleet.Connecting(i.clock.SinceBoot() - detour.WitnessMemory)
 	if len(members) == 0 {
-		members = i.fleet.View().Peers
+		members = i.fleet.View().Attached(i.fleet.View().Peers)
 	}
 	var peers []detour.Peer
 	for _, m := range members {
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -165,10 +165,9 @@
 func (noQueue) Enter(context.Context, proxy.Request) (func(), error) { return func() {}, nil }
 
 // ready reports whether this instance, once selected to serve, can serve callers: it
-// is prepared, knows a configuration and a listing, has a path to targets, and is not
-// shutting down.
+// is prepared, knows a configuration and a listing, and is not shutting down.
 func (i *Instance) ready() bool {
-	return !i.leaving.Load() && i.prepared.Load() && !i.paths.Lost() && i.follower.MayServe() && i.registry.Catalogue().Version > 0
+	return !i.leaving.Load() && i.prepared.Load() && i.follower.MayServe() && i.registry.Catalogue().Version > 0
 }
 
 // acceptsRequests reports whether a request that arrives here is served. Standbys
--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -12,11 +12,14 @@
 // caller holds mu.
 func (f *Fleet) updateView(now time.Duration) {
 	old := f.View()
-	next := &View{Version: old.Version, Self: f.Self, Quiet: map[string]bool{}}
+	next := &View{Version: old.Version, Self: f.Self, Quiet: map[string]bool{}, Detached: map[string]bool{}}
 	next.Called = f.shouldServe(now, old.Called)
 	next.Serving = next.Called && f.Ready()
 	if next.Serving {
 		next.Peers = append(next.Peers, f.Self)
+		if f.pathsLost() {
+			next.Detached[f.Self.Instance] = true
+		}
 	}
 	f.quiet.update(f, next.Serving, now)
 	if f.quiet.value {
@@ -32,10 +35,13 @@
 			if k.quiet {
 				next.Quiet[k.Instance] = true
 			}
+			if k.pathsLost {
+				next.Detached[k.Instance] = true
+			}
 		}
 	}
 	sortByName(next.Peers)
-	samePeers := next.Serving == old.Serving && slices.Equal(next.Peers, old.Peers)
+	samePeers := next.Serving == old.Serving && slices.Equal(next.Peers, old.Peers) && maps.Equal(next.Detached, old.Detached)
 	if !samePeers || !maps.Equal(next.Quiet, old.Quiet) {
 		next.Version++
 	}
@@ -50,7 +56,7 @@
 	if samePeers {
 		return
 	}
-	event.ServingChanged.Log(f.Log).Bool("self", next.Serving).Int("serving", len(next.Peers)).
+	event.ServingChanged.Log(f.Log).Bool("self", next.Serving).Int("serving", len(next.Peers)).Int("detached", len(next.Detached)).
 		Int("serving_in_zone", len(next.InZone(f.Self.Zone))).Int("known", len(f.members)+1).Send()
 }
 
@@ -59,10 +65,15 @@
 // serving instances, not from each other, so a standby gives those ahead of it in
 // rank time to take over.
 func (f *Fleet) shouldServe(now time.Duration, wasCalled bool) bool {
-	if f.leaving.Load() || !f.joined.Load() || f.pathsLost() {
+	if f.leaving.Load() || !f.joined.Load() {
 		f.promotableSince = 0
 		return false
 	}
+	if f.pathsLost() {
+		// Callers keep its address, and requests take detours: it stays a peer of the others.
+		f.promotableSince = 0
+		return wasCalled
+	}
 	self := &memberState{Member: f.Self, serving: wasCalled, rate: f.Rate()}
 	zone := []*memberState{self}
 	rate, size, unresponsiveAhead := self.rate, 1, 0
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -95,7 +95,7 @@
 	// so.
 	Ready func() bool
 	// PathsLost, if not nil, reports whether this instance connects to no target, though
-	// others do. It does not serve then.
+	// others do. Callers are not sent to it then.
 	PathsLost func() bool
 	// ConnectedAt, if not nil, returns the time since boot at which this instance last
 	// connected to a target; 0 if it never has.
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -98,11 +98,15 @@
 	Peers []Member
 	// Quiet holds the names of the peers that get too few requests to own targets.
 	Quiet map[string]bool
+	// Detached holds the names of the peers that connect to no target. They go on serving
+	// those who know their address, but callers are not sent there.
+	Detached map[string]bool
 }
 
-// Owners returns the serving instances of a zone that own targets.
+// Owners returns the serving instances of a zone that own targets; none if no instance of the
+// zone connects to any.
 func (v *View) Owners(zone string) []Member {
-	members := v.InZone(zone)
+	members := v.Attached(v.InZone(zone))
 	owners := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return v.Quiet[m.Instance] })
 	if len(owners) == 0 {
 		return members
@@ -110,6 +114,11 @@
 	return owners
 }
 
+// Attached returns those of some peers that connect to targets.
+func (v *View) Attached(members []Member) []Member {
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return v.Detached[m.Instance] })
+}
+
 // InZone returns the serving instances of a zone.
 func (v *View) InZone(zone string) []Member {
 	var members []Member
@@ -130,7 +139,7 @@
 // no instance is known to serve, it returns this instance's own address.
 func (v *View) Addresses(zone string) []string {
 	var sameZone, otherZones []string
-	for _, m := range v.Peers {
+	for _, m := range v.Attached(v.Peers) {
 		if m.Zone == zone {
 			sameZone = append(sameZone, m.CallerAddress)
 		} else {
--- a/pkg/fleet/quiet.go
+++ b/pkg/fleet/quiet.go
@@ -69,7 +69,7 @@
 func (f *Fleet) meanRateWith(own float64, now time.Duration) float64 {
 	sum, count := own, 1.0
 	for _, k := range f.members {
-		if k.Zone == f.Self.Zone && k.serving && !k.leaving && now-k.lastReceived < unresponsiveTimeout {
+		if k.Zone == f.Self.Zone && k.serving && !k.leaving && !k.pathsLost && now-k.lastReceived < unresponsiveTimeout {
 			sum += k.rate
 			count++
 		}
--- a/pkg/placement/reach_test.go
+++ b/pkg/placement/reach_test.go
@@ -124,3 +124,35 @@
 		is.True(e.FailingPermille < 1000*reportThreshold) // what was seen meanwhile is forgotten
 	}
 }
+
+// Guards against callers of an instance without paths who are refused because it has no
+// share of the rates that targets name, and against targets that it owns and cannot reach.
+func TestDetachedInstanceKeepsItsShares(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(4)
+	f.view = &fleet.View{
+		Version: 2, Self: f.view.Self, Serving: true, Peers: f.view.Peers, Detached: map[string]bool{"e1": true},
+	}
+	limited := 0
+	for n := range 4 {
+		name := []string{"a0", "a1", "a2", "a3"}[n]
+		is.True(!f.owns(name))
+		target := f.service("s").targets[name]
+		target.limit.state(limitStatement{limited: true, perSecond: 40, at: f.clock.SinceBoot()}, f.clock.SinceBoot())
+		if target.limit.rate() > 0 {
+			limited++
+		}
+	}
+	is.Equal(limited, 4)
+	// Where no instance of the fleet connects to targets, they have owners nonetheless.
+	f.view = &fleet.View{
+		Version: 3, Self: f.view.Self, Serving: true, Peers: f.view.Peers, Detached: map[string]bool{"e1": true, "e2": true, "e3": true},
+	}
+	owned := 0
+	for _, name := range []string{"a0", "a1", "a2", "b0", "b1", "b2"} {
+		if f.owns(name) {
+			owned++
+		}
+	}
+	is.Equal(owned, 2)
+}
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -179,8 +179,11 @@
 	}
 	for zone, targets := range byZone {
 		sharing, owners := v.InZone(zone), v.Owners(zone)
-		if len(sharing) == 0 {
-			sharing, owners = v.Peers, v.Peers
+		if len(owners) == 0 {
+			sharing, owners = v.Peers, v.Attached(v.Peers)
+		}
+		if len(owners) == 0 {
+			owners = v.Peers
 		}
 		for i, t := range targets {
 			if len(owners) == 0 {
