Instances without a path to targets in the soak

Random instances, some, most or all of a zone, are cut off from all targets for 1 to 8 s: new connections hang or are refused.

--- a/pkg/lab/soak/check.go
+++ b/pkg/lab/soak/check.go
@@ -50,6 +50,7 @@
 	}
 	tb.checkRates(runs, requestsByID)
 	tb.checkDeadlyRequests(runs, requestsByID)
+	tb.checkPathCuts(c.requests)
 	end := lastEnd(c.requests)
 	tb.checkRecovery(c.requests, end)
 	tb.checkTargetsUsed(runs, end)
--- a/pkg/lab/soak/testbed.go
+++ b/pkg/lab/soak/testbed.go
@@ -91,6 +91,7 @@
 	activeStoreFaults int
 	storeFaultSpans   []span
 	rateSpans         []rateSpan
+	pathCuts          []pathCut
 	targetCount       int
 	violations        []Violation
 }
@@ -183,7 +184,7 @@
 		"instance": i.name, "availability_zone": i.zone, "caller_address": i.address(callerPort), "ready_address": i.address(readyPort),
 		"directory_address": i.address(directoryPort), "gossip_address": i.address(gossipPort), "metrics_address": i.address(metricsPort),
 		"store_address": i.store.Addr(), "grace": gracePeriod.String(), "first_start": first,
-		"clock_offset_ms": i.clockOffset.Milliseconds(),
+		"clock_offset_ms": i.clockOffset.Milliseconds(), "target_fault_file": tb.faultFile(i),
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
