Reject targets whose id cannot stand in a header

What targets would see: the id of a listed target is written into a header of each request to it. An entry of another writer under the id "i-9\r\nX-Smuggled: 1", with the address of a live target, added a header to three requests; a longer one would have added a request that no caller sent.

Cause: ids were taken to be the platform's own. The list has other writers.

An id has 1 to 200 visible ASCII characters, or the entry is rejected (703).

Evidence: TestOddEntriesDoNotStopTheListing/header_in_id failed with 3 smuggled headers at a target; 6 cases of TestInvalidIDs failed.

--- a/pkg/discovery/validate.go
+++ b/pkg/discovery/validate.go
@@ -29,8 +29,8 @@
 func (t Target) Validate() error {
 	reason := ""
 	switch {
-	case !validText(t.ID):
-		reason = "the id is not 1 to 200 bytes long"
+	case !validID(t.ID):
+		reason = "the id is not 1 to 200 visible ASCII characters long"
 	case !validText(t.Service):
 		reason = "the service is not 1 to 200 bytes long"
 	case !validText(t.Zone):
@@ -49,6 +49,16 @@
 
 func validText(s string) bool { return len(s) > 0 && len(s) <= maxTextBytes }
 
+// validID reports whether an id can stand in a header line of a request.
+func validID(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return validText(s)
+}
+
 // validAddress reports whether an IP:port names one machine.
 func validAddress(address string) bool {
 	a, err := netip.ParseAddrPort(address)
