--- a/pkg/lab/upstreamsim/faults.go
+++ b/pkg/lab/upstreamsim/faults.go
@@ -27,6 +27,8 @@
 	earlyResponse
 	connectionClose
 	endless
+	refuse
+	repeatRefusal
 )
 
 // pickFault returns the fault of one request; draw is a random number, uniform
@@ -36,6 +38,7 @@
 		fail - 1: m.Fail, hang - 1: m.Hang, loseResponse - 1: m.LoseResponse, truncate - 1: m.Truncate, resetDuringResponse - 1: m.ResetDuringResponse,
 		trailingBytes - 1: m.TrailingBytes, duplicate - 1: m.DuplicateResponse, lateDuplicate - 1: m.LateDuplicate, noContentLength - 1: m.NoContentLength, garbage - 1: m.Garbage,
 		earlyResponse - 1: m.EarlyResponse, connectionClose - 1: m.Close, endless - 1: m.Endless,
+		refuse - 1: m.Refuse, repeatRefusal - 1: m.RepeatRefusal,
 	}
 	for i, fraction := range fractions {
 		if draw < fraction {
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -55,6 +55,11 @@
 	EarlyResponse float64
 	// Close responds with Connection: close.
 	Close float64
+	// Refuse responds with 503 that the request was not executed. RepeatRefusal writes the
+	// last such response on the connection once more while it executes the request; with
+	// AnonymousRefusals, refusals that are repeated do not name their request.
+	Refuse, RepeatRefusal float64
+	AnonymousRefusals     bool
 	// Endless sends bytes in the given form until the caller closes the connection.
 	Endless float64
 	Form    EndlessForm
@@ -268,10 +273,11 @@
 		_ = c.Close()
 	}()
 	reader := bufio.NewReader(c)
+	refused := ""
 	for {
 		_ = c.SetReadDeadline(time.Now().Add(s.IdleTimeout))
 		r, err := http.ReadRequest(reader)
-		if err != nil || !s.handle(c, r) {
+		if err != nil || !s.handle(c, r, &refused) {
 			return
 		}
 	}
@@ -302,8 +308,8 @@
 }
 
 // handle answers one request. It reports whether the connection stays open for
-// further requests.
-func (s *Server) handle(c net.Conn, r *http.Request) bool {
+// further requests. refused is the id of the last request that was refused on it.
+func (s *Server) handle(c net.Conn, r *http.Request, refused *string) bool {
 	id := r.Header.Get(RequestIDHeader)
 	s.mu.Lock()
 	injected, duration := s.faults.pickFault(s.rng.Float64()), time.Duration(float64(s.MeanDuration)*s.slowFactor*(0.5+s.rng.Float64()))
@@ -321,7 +327,8 @@
 		return s.writeNotExecuted(c, id, http.StatusBadRequest)
 	case r.Header.Get(TargetHeader) != s.ID:
 		return s.writeNotExecuted(c, id, http.StatusMisdirectedRequest)
-	case !s.acquireSlot():
+	case injected == refuse || !s.acquireSlot():
+		*refused = id
 		return s.writeNotExecuted(c, id, http.StatusServiceUnavailable)
 	}
 	defer func() { <-s.slots }()
@@ -339,6 +346,17 @@
 		s.crash()
 		return false
 	}
+	if injected == repeatRefusal && *refused != "" {
+		s.mu.Lock()
+		anonymous := s.faults.AnonymousRefusals
+		s.mu.Unlock()
+		if anonymous {
+			*refused = ""
+		}
+		if !s.writeNotExecuted(c, *refused, http.StatusServiceUnavailable) {
+			return false
+		}
+	}
 	time.Sleep(duration)
 	if injected == loseResponse {
 		reset(c)
@@ -389,6 +407,9 @@
 
 // writeNotExecuted responds that the request was not executed.
 func (s *Server) writeNotExecuted(c net.Conn, id string, status int) bool {
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%s: 1\r\n%s: %s\r\n%sContent-Length: 0\r\n\r\n", status, NotExecutedHeader, RequestIDHeader, id, s.rateLimitLine())
+	if id != "" {
+		id = fmt.Sprintf("%s: %s\r\n", RequestIDHeader, id)
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%s: 1\r\n%s%sContent-Length: 0\r\n\r\n", status, NotExecutedHeader, id, s.rateLimitLine())
 	return err == nil
 }
--- a/pkg/proxy/dialect.go
+++ b/pkg/proxy/dialect.go
@@ -60,7 +60,7 @@
 	// Misdirected means that another target than the chosen one has the address;
 	// the request has not run.
 	Misdirected
-	// Mismatched means that the response belongs to another request, such as an
+	// Mismatched means that the response belongs to another request, or may, such as an
 	// earlier one on the same connection.
 	Mismatched
 	// Unusable means that the response must not reach the caller.
