--- a/pkg/lab/soak/faults.go
+++ b/pkg/lab/soak/faults.go
@@ -220,6 +220,7 @@
 		{"sends headers without end", upstreamsim.Faults{Endless: 0.3, Form: upstreamsim.EndlessHeaders}, 1},
 		{"sends a chunk extension without end", upstreamsim.Faults{Endless: 0.3, Form: upstreamsim.EndlessChunkExtension}, 1},
 		{"responds without a length", upstreamsim.Faults{NoContentLength: 0.5, Close: 0.3}, 1},
+		{"stops within its headers", upstreamsim.Faults{TruncateHeader: 0.3}, 1},
 		{"refuses, and writes refusals again", upstreamsim.Faults{Refuse: 0.3, RepeatRefusal: 0.4}, 1},
 		{"refuses, and writes refusals again without id", upstreamsim.Faults{Refuse: 0.3, RepeatRefusal: 0.4, AnonymousRefusals: true}, 1},
 		{"responds with garbage or early", upstreamsim.Faults{Garbage: 0.2, EarlyResponse: 0.3}, 1},
--- a/pkg/lab/upstreamsim/faults.go
+++ b/pkg/lab/upstreamsim/faults.go
@@ -29,6 +29,7 @@
 	endless
 	refuse
 	repeatRefusal
+	truncateHeader
 )
 
 // pickFault returns the fault of one request; draw is a random number, uniform
@@ -38,7 +39,7 @@
 		fail - 1: m.Fail, hang - 1: m.Hang, loseResponse - 1: m.LoseResponse, truncate - 1: m.Truncate, resetDuringResponse - 1: m.ResetDuringResponse,
 		trailingBytes - 1: m.TrailingBytes, duplicate - 1: m.DuplicateResponse, lateDuplicate - 1: m.LateDuplicate, noContentLength - 1: m.NoContentLength, garbage - 1: m.Garbage,
 		earlyResponse - 1: m.EarlyResponse, connectionClose - 1: m.Close, endless - 1: m.Endless,
-		refuse - 1: m.Refuse, repeatRefusal - 1: m.RepeatRefusal,
+		refuse - 1: m.Refuse, repeatRefusal - 1: m.RepeatRefusal, truncateHeader - 1: m.TruncateHeader,
 	}
 	for i, fraction := range fractions {
 		if draw < fraction {
@@ -72,6 +73,13 @@
 		complete := withLength("")
 		_, _ = c.Write(complete[:len(complete)-len(body)/2])
 		return false
+	case truncateHeader:
+		complete := withLength("")
+		s.mu.Lock()
+		cut := s.rng.IntN(len(complete) - len(body))
+		s.mu.Unlock()
+		_, _ = c.Write(complete[:cut])
+		return false
 	case resetDuringResponse:
 		complete := withLength("")
 		s.mu.Lock()
@@ -146,3 +154,23 @@
 		_, err = c.Write(block)
 	}
 }
+
+// repeatRefusal writes the last refusal on the connection once more.
+func (s *Server) repeatRefusal(c net.Conn, refused *string) bool {
+	s.mu.Lock()
+	anonymous := s.faults.AnonymousRefusals
+	s.mu.Unlock()
+	if anonymous {
+		*refused = ""
+	}
+	return s.writeNotExecuted(c, *refused, http.StatusServiceUnavailable)
+}
+
+// writeNotExecuted responds that the request was not executed.
+func (s *Server) writeNotExecuted(c net.Conn, id string, status int) bool {
+	if id != "" {
+		id = fmt.Sprintf("%s: %s\r\n", RequestIDHeader, id)
+	}
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%s: 1\r\n%s%sContent-Length: 0\r\n\r\n", status, NotExecutedHeader, id, s.rateLimitLine())
+	return err == nil
+}
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -53,6 +53,8 @@
 	Garbage float64
 	// EarlyResponse responds with 503 before the request body has been read.
 	EarlyResponse float64
+	// TruncateHeader closes the connection within the header of the response.
+	TruncateHeader float64
 	// Close responds with Connection: close.
 	Close float64
 	// Refuse responds with 503 that the request was not executed. RepeatRefusal writes the
@@ -346,16 +348,8 @@
 		s.crash()
 		return false
 	}
-	if injected == repeatRefusal && *refused != "" {
-		s.mu.Lock()
-		anonymous := s.faults.AnonymousRefusals
-		s.mu.Unlock()
-		if anonymous {
-			*refused = ""
-		}
-		if !s.writeNotExecuted(c, *refused, http.StatusServiceUnavailable) {
-			return false
-		}
+	if injected == repeatRefusal && *refused != "" && !s.repeatRefusal(c, refused) {
+		return false
 	}
 	time.Sleep(duration)
 	if injected == loseResponse {
@@ -404,12 +398,3 @@
 	s.executions = append(s.executions, execution)
 	return execution
 }
-
-// writeNotExecuted responds that the request was not executed.
-func (s *Server) writeNotExecuted(c net.Conn, id string, status int) bool {
-	if id != "" {
-		id = fmt.Sprintf("%s: %s\r\n", RequestIDHeader, id)
-	}
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%s: 1\r\n%s%sContent-Length: 0\r\n\r\n", status, NotExecutedHeader, id, s.rateLimitLine())
-	return err == nil
-}
