Responses through an instance that ends are not taken as whole

What callers would see: 200 with a part of the body, framed as whole, for a response without a length that came on a detour (MIXED).

Cause: the detour copied bytes, and the connections of a process that exits or is killed end in the orderly way, just as a target's that has sent all.

Evidence: TestEndOfTheInstanceBetweenIsNoEndOfTheResponse failed: the reader got the end of the response although the target had its connection open.

Why this works: bytes of the target pass in frames, and an end by the target is a frame of its own. Resets instead would depend on how the system closes the connections of a killed process.

--- a/pkg/detour/detour_test.go
+++ b/pkg/detour/detour_test.go
@@ -39,8 +39,23 @@
 
 // newPeer returns the address of an instance that connects to the listed targets for others.
 func newPeer(t *testing.T, listed ...string) string {
+	s := newServer(listed...)
+	return listen(t, func(c net.Conn) {
+		if readPrefix(c) {
+			s.serve(c)
+		}
+	})
+}
+
+func readPrefix(c net.Conn) bool {
+	prefix := make([]byte, len(Prefix))
+	_, err := io.ReadFull(c, prefix)
+	return err == nil && string(prefix) == Prefix
+}
+
+func newServer(listed ...string) *Server {
 	nop := zerolog.Nop()
-	s := &Server{
+	return &Server{
 		Listed: func(a string) bool {
 			for _, l := range listed {
 				if a == l {
@@ -51,12 +66,6 @@
 		},
 		Direct: dialTCP, Timeout: 200 * time.Millisecond, Log: &nop,
 	}
-	return listen(t, func(c net.Conn) {
-		prefix := make([]byte, len(Prefix))
-		if _, err := io.ReadFull(c, prefix); err == nil && string(prefix) == Prefix {
-			s.serve(c)
-		}
-	})
 }
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
@@ -86,15 +95,15 @@
 	}
 	go func() {
 		_, _ = conn.Write(sent)
-		_ = conn.(*net.TCPConn).CloseWrite()
+		half, _ := tcpOf(conn)
+		_ = half.CloseWrite()
 	}()
 	got, err := io.ReadAll(conn)
 	is.NoErr(err)
 	is.Equal(got, sent)
 }
 
-// Guards against a response that breaks off and looks complete: a reset by the target, or the
-// loss of the instance in between, must not look like its end.
+// Guards against a response that the target resets and that looks complete.
 func TestResetPassesAsReset(t *testing.T) {
 	is := is.New(t)
 	target := listen(t, func(c net.Conn) {
@@ -110,6 +119,29 @@
 	is.True(err != nil)
 }
 
+// Guards against a response without a length that looks complete because the instance in
+// between has ended: its connections close in the orderly way then.
+func TestEndOfTheInstanceBetweenIsNoEndOfTheResponse(t *testing.T) {
+	is := is.New(t)
+	target := listen(t, func(c net.Conn) { _, _ = io.WriteString(c, "half") })
+	serve := newServer(target).serve
+	accepted := make(chan net.Conn, 1)
+	peer := listen(t, func(c net.Conn) {
+		if readPrefix(c) {
+			accepted <- c
+			serve(c)
+		}
+	})
+	conn, err := connect(t, peer, target)
+	is.NoErr(err)
+	got := make([]byte, 4)
+	_, err = io.ReadFull(conn, got)
+	is.NoErr(err)
+	is.NoErr((<-accepted).Close())
+	_, err = conn.Read(got)
+	is.True(errors.Is(err, io.ErrUnexpectedEOF))
+}
+
 // Guards against an instance that connects anybody to any address, and against a connection
 // that seems open although the target did not accept it.
 func TestTargetsAreRefused(t *testing.T) {
--- a/pkg/detour/tunnel.go
+++ b/pkg/detour/tunnel.go
@@ -18,6 +18,7 @@
 
 // Prefix are the first bytes of a connection that asks for a target; calls between instances
 // begin otherwise. The address of the target and a line feed follow; the answer is one byte.
+// After it bytes to the target pass as they are, those from it in frames.
 const Prefix = "DETOUR1\n"
 
 // Answers to the request for a target.
@@ -80,7 +81,7 @@
 		_ = conn.Close()
 		return nil, errors.WithStack(err)
 	}
-	return conn, nil
+	return &framedConn{Conn: conn}, nil
 }
 
 // ask requests a target and returns the answer.
@@ -146,8 +147,8 @@
 	}
 	defer func() { _ = target.Close() }()
 	var directions sync.WaitGroup
-	directions.Go(func() { s.copy(target, conn) })
-	directions.Go(func() { s.copy(conn, target) })
+	directions.Go(func() { s.copy(target, conn, copyBytes) })
+	directions.Go(func() { s.copy(conn, target, copyFrames) })
 	directions.Wait()
 }
 
@@ -175,18 +176,17 @@
 	return target, answerConnected
 }
 
-// copy passes bytes on until from ends. Its end is passed on as it is: an orderly one ends
-// only this direction, a reset both, since what was read may be incomplete then.
-func (s *Server) copy(to, from net.Conn) {
+// copy passes bytes on by means of pass until from ends. Its end is passed on as it is: an
+// orderly one ends only this direction, a reset both, since what was read may be incomplete
+// then.
+func (s *Server) copy(to, from net.Conn, pass func(to io.Writer, from io.Reader, buffer []byte) error) {
 	buffer, ok := s.buffers.Get().(*[]byte)
 	if !ok {
 		b := make([]byte, copyBufferBytes)
 		buffer = &b
 	}
 	defer s.buffers.Put(buffer)
-	// Only Read and Write are used: a copy inside the kernel would bypass the buffer.
-	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, *buffer)
-	if err != nil {
+	if pass(to, from, *buffer) != nil {
 		reset(to)
 		reset(from)
 		return
@@ -196,6 +196,13 @@
 	}
 }
 
+// copyBytes passes bytes to a target on as they are.
+func copyBytes(to io.Writer, from io.Reader, buffer []byte) error {
+	// Only Read and Write are used: a copy inside the kernel would bypass the buffer.
+	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, buffer)
+	return err
+}
+
 // reset closes a connection so that its other end sees a failure, and no end.
 func reset(conn net.Conn) {
 	if tcp, ok := tcpOf(conn); ok {
