Test that a reset by the caller reaches the target of a detour

The guard "a reset stays a reset" was no longer noticed: frames tell resets by the target, so only the other direction needs it, and no test had it.

--- a/pkg/detour/detour_test.go
+++ b/pkg/detour/detour_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -119,6 +120,20 @@
 	is.True(err != nil)
 }
 
+// Guards against a target that takes a broken off request for one whose caller has sent all.
+func TestResetByTheCallerReachesTheTarget(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 1)
+	target := listen(t, func(c net.Conn) {
+		_, err := c.Read(make([]byte, 1))
+		ended <- err
+	})
+	conn, err := connect(t, newPeer(t, target), target)
+	is.NoErr(err)
+	reset(conn)
+	is.True(errors.Is(<-ended, syscall.ECONNRESET))
+}
+
 // Guards against a response without a length that looks complete because the instance in
 // between has ended: its connections close in the orderly way then.
 func TestEndOfTheInstanceBetweenIsNoEndOfTheResponse(t *testing.T) {
