One answer to whether a target may get a request now

The four ways to choose a target each combined what the listing says, the back-off after a failed connection, the named rate and the load; the named rate and a shed request hid in the load. obstacle.go has them in one order of precedence. No change of behaviour, except that the load in dumps and in the reason of a choice no longer counts a target without allowance as twice full.

--- a/pkg/placement/floor.go
+++ b/pkg/placement/floor.go
@@ -68,14 +68,15 @@
 	usable := 0
 	var trusted, doubtful *target
 	for _, t := range s.byDistance[distancePreferred] {
-		if !t.usable(now) {
+		o := t.obstacle(idleLoadPerSlot, now)
+		if o.excludes() {
 			continue
 		}
 		usable++
 		idle := now - t.lastUsedAt
 		switch {
 		case idle < due:
-		case t.load(now) >= float64(t.entry.Slots):
+		case o != noObstacle:
 		case t.neverUsed():
 			// A trial comes first.
 		case t.failedProb == 0:
--- a/pkg/placement/reach.go
+++ b/pkg/placement/reach.go
@@ -108,7 +108,7 @@
 // Another instance keeps the target in use meanwhile.
 func (s *service) reachTest(now time.Duration) *target {
 	for _, t := range s.unreached {
-		if now >= t.reach.testAt && t.reach.lost(s.self, now) && t.usable(now) && t.load(now) < float64(t.entry.Slots) {
+		if now >= t.reach.testAt && t.reach.lost(s.self, now) && t.obstacle(idleLoadPerSlot, now) == noObstacle {
 			t.reach.testAt = now + minReachTestDelay
 			return t
 		}
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -49,11 +49,6 @@
 // trial: one for the trial, and one for a request that fails meanwhile.
 const trialRetryReserve = 2
 
-// maxLoadPerSlot times the slots is the load up to which targets take requests.
-// Requests beyond the slot count queue at the target for about one request's
-// duration.
-const maxLoadPerSlot = 1.5
-
 const (
 	// typicalLatencyWeight is the weight of one latency in the exponentially weighted
 	// typical latency of a service. The first ones weigh more: the assumed latency at the
@@ -237,11 +232,12 @@
 		compared := 0
 		for i, first := 0, randomOffset(len(targets)); i < len(targets) && (d == distancePreferred || compared < maxCompared); i++ {
 			t := targets[(first+i)%len(targets)]
-			if !t.usable(now) || slices.Contains(tried, t.entry.ID) {
+			o := t.obstacle(maxLoadPerSlot, now)
+			if o.excludes() || slices.Contains(tried, t.entry.ID) {
 				continue
 			}
 			noneUsable = false
-			if t.load(now) < maxLoadPerSlot*float64(t.entry.Slots) {
+			if o == noObstacle {
 				compared++
 				cost := zoneCost + s.cost(t, r.Idempotent && len(tried) == 0, now)
 				s.candidates = append(s.candidates, candidate{t, cost})
@@ -304,7 +300,7 @@
 	}
 	var oldest *target
 	for _, t := range s.byDistance[distancePreferred] {
-		if !t.usable(now) || !t.trialDue(r.Idempotent, now) || t.load(now) >= float64(t.entry.Slots) {
+		if t.obstacle(idleLoadPerSlot, now) != noObstacle || !t.trialDue(r.Idempotent, now) {
 			continue
 		}
 		if oldest == nil || max(t.lastTrialAt, t.lastUsedAt) < max(oldest.lastTrialAt, oldest.lastUsedAt) {
--- a/pkg/placement/target.go
+++ b/pkg/placement/target.go
@@ -119,9 +119,6 @@
 	return &target{entry: entry, own: newEvidence(now), peer: newPeerEvidence(now), listedAt: now, lastResultAt: -time.Hour, lastReportAt: -time.Hour, lastUsedAt: -time.Hour, lastTrialAt: -trialInterval}
 }
 
-// usable reports whether the target may get requests at all.
-func (t *target) usable(now time.Duration) bool { return !t.entry.Draining && now >= t.blockedUntil }
-
 // failProb returns the probability that the target fails a large fraction of its
 // requests. A request that has been open for long enough lowers this instance's own
 // estimate, but not that of the peers.
@@ -159,17 +156,12 @@
 	return slowdown
 }
 
-// load returns the number of requests at the target, by this instance and others. It
-// is at least twice the slots while the target counts as full or its rate limit leaves
-// no request for this instance.
+// load returns the number of requests at the target, by this instance and others.
 func (t *target) load(now time.Duration) float64 {
 	load := float64(len(t.openStarts))
 	if age := now - t.otherLoadAt; t.otherLoad > 0 && age < 4*otherLoadDecay {
 		load += t.otherLoad * (1 - float64(age)/float64(4*otherLoadDecay))
 	}
-	if now < t.fullUntil || t.limit.exhausted(now) {
-		load = max(load, float64(2*t.entry.Slots))
-	}
 	return load
 }
 
