Soak: a target that nobody needed is asked for before it counts as lost

Trace: the targets were listed, had no limit and no failures; they were the preferred targets of e-3 and e-5, which had no callers, as callers keep their connections and had left these instances while their paths were cut. The callers of the zone were at e-1, whose own preferred targets had free slots ("home,load=0"). Ruled out: a listing without them (event 505 6 s before), ejection, a named rate (ended 7 s before), an address backing off.

--- a/pkg/lab/soak/callers.go
+++ b/pkg/lab/soak/callers.go
@@ -25,6 +25,11 @@
 	// meanRequestInterval is the mean time between the end of a request of
 	// a caller and the start of its next one.
 	meanRequestInterval = 60 * time.Millisecond
+	// visitorsPerInstance callers send requests to each instance after the end of the load;
+	// two at once need more than the target that suits the instance best.
+	visitorsPerInstance = 2
+	// firstVisitor is the number of the first of them, above those of the other callers.
+	firstVisitor = 1000
 )
 
 // request is one request of a caller and its result.
@@ -70,6 +75,24 @@
 
 func (c *callers) wait() { c.group.Wait() }
 
+// visitAll sends requests to every instance for a length of time, as callers that keep their
+// connections may have left some without any.
+func (c *callers) visitAll(ctx context.Context, tb *testbed, length time.Duration) {
+	ctx, stop := context.WithTimeout(ctx, length)
+	defer stop()
+	for n, i := range tb.instances {
+		for k := range visitorsPerInstance {
+			number := firstVisitor + n*visitorsPerInstance + k
+			client := &caller{
+				callers: c, testbed: tb, zone: i.zone, team: teams[number%len(teams)], number: number,
+				rng: rand.New(rand.NewPCG(tb.Seed, uint64(100+number))), pinned: i,
+			}
+			c.group.Go(func() { client.run(ctx) })
+		}
+	}
+	c.wait()
+}
+
 func (c *callers) add(r *request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -86,6 +109,8 @@
 	number       int
 	requestCount int
 	rng          *rand.Rand
+	// pinned, if not nil, is the instance that all requests are sent to.
+	pinned *instance
 
 	conn   net.Conn
 	reader *bufio.Reader
@@ -199,6 +224,10 @@
 // refreshAddresses asks up to three random instances for addresses when the last
 // response of the directory has expired.
 func (c *caller) refreshAddresses() {
+	if c.pinned != nil {
+		c.addresses = []string{c.pinned.address(callerPort)}
+		return
+	}
 	if time.Now().Before(c.addressesExpire) {
 		return
 	}
--- a/pkg/lab/soak/soak.go
+++ b/pkg/lab/soak/soak.go
@@ -109,6 +109,9 @@
 	}
 	stop()
 	callers.wait()
+	end := lastEnd(callers.requests)
+	tb.checkRecovery(callers.requests, end)
+	tb.checkTargetsUsed(ctx, callers, end.Add(-recoveryWindow))
 	callers.check(tb, report)
 	tb.checkProcesses(report)
 	return report, nil
