A target that says in its responses that it leaves gets no further requests

What callers saw: requests went on to a target that answers with Server-Leaving: 1 until the listing said so, and failed when it ended.

Cause: the code did not read the header. What holds now: a response to this request that is signed, or the target's own rejection, marks the run of the target (id, start, address) as leaving. It ends with the run only, since responses arrive in another order than they were written: one without the header may be older. It comes right after the listing's draining in the order of obstacles, so it also holds for trials, targets kept in use, hedges, retries and requests that waited. Instances tell each other what they heard from a target themselves, for 10 s, at most 16 of a service in a heartbeat. Idle connections to the target are closed, those in use with their response.

Ruled out: to trust the listing once it says ready; it may be older than the answer, and a restored store revives entries.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -151,6 +151,7 @@
 		PollInterval: pollInterval, CallerIdleTimeout: callerIdleTimeout, MaxRequestBody: maxBodyBytes,
 		BodyBudget: settings.BodyBudget(o.Memory),
 	})
+	i.balancer.OnUnused = i.proxy.CloseIdle
 	return i
 }
 
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -52,6 +52,7 @@
 	TargetLimitEnded = Event{511, "target_limit_ended", zerolog.InfoLevel, "a target accepts any request rate again"}
 	TargetUnreached  = Event{512, "target_unreached", zerolog.InfoLevel, "this instance could not connect to a target of its zone and leaves it to another one; check the network between them"}
 	TargetReached    = Event{513, "target_reached", zerolog.InfoLevel, "this instance reaches a target again"}
+	TargetLeaving    = Event{515, "target_leaving", zerolog.InfoLevel, "a target says in its responses that it leaves; it gets no further requests, whatever its listing says"}
 
 	TargetEnded = Event{514, "target_ended", zerolog.WarnLevel, "a target accepts no connection after it lost that of a request; the same digest at several targets tells that the request crashes them"}
 
@@ -92,7 +93,7 @@
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed, HeadLost, ClaimsWritten,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
-		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded,
+		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving,
 		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried, QuarantineNotKept,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
--- a/pkg/lab/upstreamsim/faults.go
+++ b/pkg/lab/upstreamsim/faults.go
@@ -64,7 +64,7 @@
 		body = []byte("failed")
 	}
 	head := fmt.Sprintf("HTTP/1.1 %d x\r\n%s: %s\r\n%s: %s\r\n%s: 1,0,%d\r\n%s", status, RequestIDHeader, id, SignatureHeader,
-		Signature(s.ID, id), LoadHeader, s.Slots, s.rateLimitLine())
+		Signature(s.ID, id), LoadHeader, s.Slots, s.statementLines())
 	withLength := func(extraHeaders string) []byte {
 		return append(fmt.Appendf(nil, "%s%sContent-Length: %d\r\n\r\n", head, extraHeaders, len(body)), body...)
 	}
@@ -163,14 +163,14 @@
 	if anonymous {
 		*refused = ""
 	}
-	return s.writeNotExecuted(c, *refused, http.StatusServiceUnavailable)
+	return s.writeNotExecuted(c, *refused, http.StatusServiceUnavailable, "")
 }
 
-// writeNotExecuted responds that the request was not executed.
-func (s *Server) writeNotExecuted(c net.Conn, id string, status int) bool {
+// writeNotExecuted responds that the request was not executed, with further header lines.
+func (s *Server) writeNotExecuted(c net.Conn, id string, status int, lines string) bool {
 	if id != "" {
 		id = fmt.Sprintf("%s: %s\r\n", RequestIDHeader, id)
 	}
-	_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%s: 1\r\n%s%sContent-Length: 0\r\n\r\n", status, NotExecutedHeader, id, s.rateLimitLine())
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\n%s: 1\r\n%s%s%sContent-Length: 0\r\n\r\n", status, NotExecutedHeader, id, lines, s.statementLines())
 	return err == nil
 }
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -29,8 +29,6 @@
 	SignatureHeader   = "Arbutuslink-Server-Signature"
 	LoadHeader        = "Arbutuslink-Server-Load"
 	NotExecutedHeader = "Arbutuslink-Not-Executed"
-	// RateLimitHeader names the requests per second that the target accepts.
-	RateLimitHeader = "Server-Limit"
 )
 
 // Faults are the fractions of requests, 0 to 1, into which each fault is
@@ -138,8 +136,7 @@
 	rng        *rand.Rand
 	faults     Faults
 	slowFactor float64
-	// rateLimit in requests per second is named in all responses unless it is 0.
-	rateLimit  float64
+	says       statements
 	reports    int
 	waiting    int
 	executions []*Execution
@@ -179,24 +176,6 @@
 	s.faults, s.slowFactor = m, slowFactor
 }
 
-// SetRateLimit makes the target name a rate in requests per second, or none with 0. It
-// accepts more: checks find out who sends it.
-func (s *Server) SetRateLimit(perSecond float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rateLimit = perSecond
-}
-
-// rateLimitLine returns the header line that names the rate, or nothing.
-func (s *Server) rateLimitLine() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.rateLimit == 0 {
-		return ""
-	}
-	return fmt.Sprintf("%s: %.1f\r\n", RateLimitHeader, s.rateLimit)
-}
-
 // ListEntry returns the JSON entry that the target writes about itself into the
 // platform's list of targets. Each is another report of it. address is the address at
 // which it is reached.
@@ -313,6 +292,7 @@
 // further requests. refused is the id of the last request that was refused on it.
 func (s *Server) handle(c net.Conn, r *http.Request, refused *string) bool {
 	id := r.Header.Get(RequestIDHeader)
+	s.arrived(r)
 	s.mu.Lock()
 	injected, duration := s.faults.pickFault(s.rng.Float64()), time.Duration(float64(s.MeanDuration)*s.slowFactor*(0.5+s.rng.Float64()))
 	s.mu.Unlock()
@@ -326,12 +306,15 @@
 	case err != nil:
 		return false
 	case id == "":
-		return s.writeNotExecuted(c, id, http.StatusBadRequest)
+		return s.writeNotExecuted(c, id, http.StatusBadRequest, "")
 	case r.Header.Get(TargetHeader) != s.ID:
-		return s.writeNotExecuted(c, id, http.StatusMisdirectedRequest)
+		return s.writeNotExecuted(c, id, http.StatusMisdirectedRequest, "")
+	case s.refusesWithPause():
+		*refused = id
+		return s.writePause(c, id, r.Header.Get(InstanceHeader))
 	case injected == refuse || !s.acquireSlot():
 		*refused = id
-		return s.writeNotExecuted(c, id, http.StatusServiceUnavailable)
+		return s.writeNotExecuted(c, id, http.StatusServiceUnavailable, "")
 	}
 	defer func() { <-s.slots }()
 	execution := s.recordExecution(r, body)
--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -86,7 +86,7 @@
 		// The target's count includes this request until its response is sent.
 		t.otherLoad, t.otherLoadAt = max(0, float64(load.InFlight+load.Queued-1-len(t.openStarts))), now
 	}
-	a.balancer.observeRateLimit(s, t, load.RateLimit, now)
+	a.balancer.observeStatements(s, t, load, now)
 	if s.observeReach(t, result, now) {
 		a.balancer.logReach(s, t, result != proxy.NotSent)
 	}
--- a/pkg/placement/catalogue.go
+++ b/pkg/placement/catalogue.go
@@ -21,25 +21,36 @@
 // process runs on, and what it stated and the requests that it has open still hold.
 const unlistedMemory = 5 * time.Minute
 
-// update applies a new catalogue or set of serving instances. The caller holds mu.
-func (s *service) update(c *discovery.Catalogue, v *fleet.View, now time.Duration) {
+// update applies the current catalogue and set of serving instances. The caller holds the
+// service's mutex.
+func (b *Balancer) update(s *service, now time.Duration) {
+	for _, t := range s.update(b.targets.Catalogue(), b.peers.View(), now) {
+		b.closeConnections(t)
+	}
+}
+
+// update applies a new catalogue or set of serving instances, and returns the targets
+// that drain since. The caller holds mu.
+func (s *service) update(c *discovery.Catalogue, v *fleet.View, now time.Duration) (draining []*target) {
 	s.self = v.Self.Instance
 	if s.catalogueVersion == c.Version && s.viewVersion == v.Version && len(s.ordered) > 0 {
 		if s.reassign || (s.reassignAt > 0 && now >= s.reassignAt) {
 			s.assignPreferred(v, now)
 		}
-		return
+		return nil
 	}
 	s.catalogueVersion, s.viewVersion = c.Version, v.Version
-	s.updateTargets(c.Services[s.name], now)
+	draining = s.updateTargets(c.Services[s.name], now)
 	s.assignPreferred(v, now)
 	s.retryBudget.setServing(v.Serving, now)
 	s.outcomes.forget(v)
+	return draining
 }
 
 // updateTargets applies the entries of the catalogue. A target that was restarted or moved
-// to another address begins without evidence. The caller holds mu.
-func (s *service) updateTargets(entries []*discovery.Entry, now time.Duration) {
+// to another address begins without evidence. It returns those that drain since. The caller
+// holds mu.
+func (s *service) updateTargets(entries []*discovery.Entry, now time.Duration) (draining []*target) {
 	s.ordered = s.ordered[:0]
 	listed := make(map[string]*target, len(entries))
 	for _, entry := range entries {
@@ -52,6 +63,9 @@
 			t = newTarget(entry, now)
 		}
 		delete(s.unlisted, run)
+		if entry.Draining && !t.entry.Draining {
+			draining = append(draining, t)
+		}
 		t.entry = entry
 		listed[entry.ID] = t
 		s.ordered = append(s.ordered, t)
@@ -64,4 +78,5 @@
 	}
 	maps.DeleteFunc(s.unlisted, func(_ targetRun, t *target) bool { return now-t.unlistedAt >= unlistedMemory })
 	s.targets = listed
+	return draining
 }
--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -183,7 +183,7 @@
 func (s *service) limitWait(tried []string, ahead int, now time.Duration) (wait time.Duration, limited bool) {
 	rate, tokens := 0.0, 0.0
 	for _, t := range s.ordered {
-		if t.entry.Draining || slices.Contains(tried, t.entry.ID) {
+		if t.entry.Draining || t.leaving.announced || slices.Contains(tried, t.entry.ID) {
 			continue
 		}
 		if !t.limit.limited {
--- a/pkg/placement/obstacle.go
+++ b/pkg/placement/obstacle.go
@@ -14,6 +14,8 @@
 	noObstacle obstacle = iota
 	// listedDraining: the listing says that the target takes no new requests.
 	listedDraining
+	// announcedLeaving: the target has said so itself, to any instance.
+	announcedLeaving
 	// backingOff: a connection to the target failed, or another target answered there.
 	backingOff
 	// overRate: the rate that the target has named leaves no request for this instance.
@@ -24,7 +26,7 @@
 
 // String returns the name of the obstacle in dumps; it is empty for none.
 func (o obstacle) String() string {
-	return [...]string{"", "draining", "backing_off", "over_rate", "full"}[o]
+	return [...]string{"", "draining", "leaving", "backing_off", "over_rate", "full"}[o]
 }
 
 // excludes reports whether the target is out of use: it takes no request however few it has.
@@ -36,6 +38,8 @@
 	switch {
 	case t.entry.Draining:
 		return listedDraining
+	case t.leaving.announced:
+		return announcedLeaving
 	case now < t.blockedUntil:
 		return backingOff
 	case t.limit.exhausted(now):
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -60,6 +60,9 @@
 	// PathsLost, if not nil, reports whether this instance has no path to any target of its
 	// own. What it meets says nothing about the targets then.
 	PathsLost func() bool
+	// OnUnused, if not nil, is called when a target gets no further requests because it
+	// leaves. It must not call the balancer.
+	OnUnused func(address string)
 
 	clock   clock.Clock
 	targets CatalogueSource
@@ -110,7 +113,7 @@
 	var w *waiter
 	for {
 		now := b.clock.SinceBoot()
-		s.update(b.targets.Catalogue(), b.peers.View(), now)
+		b.update(s, now)
 		if w != nil || !s.queue.mustWait(r.Priority) {
 			t, noneUsable := s.choose(r, tried, now)
 			if t != nil {
@@ -145,7 +148,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := b.clock.SinceBoot()
-	s.update(b.targets.Catalogue(), b.peers.View(), now)
+	b.update(s, now)
 	if s.queue.mustWait(r.Priority) {
 		return nil
 	}
@@ -223,6 +226,7 @@
 	for _, s := range b.allServices() {
 		s.mu.Lock()
 		s.fillRateLimits(h, now)
+		s.fillLeaving(h, now)
 		if !lost {
 			s.fillEvidence(h, to, now)
 			s.fillOutcomes(h, now)
@@ -305,6 +309,7 @@
 			}
 		}
 		b.mergeRateLimits(s, from, h.RateLimits, now)
+		b.mergeLeaving(s, from, h.LeavingTargets)
 		s.mergeUnreachable(from, h.UnreachableTargets, now)
 		s.mergeOutcomes(from, h.Outcomes, now)
 		s.mu.Unlock()
--- a/pkg/placement/target.go
+++ b/pkg/placement/target.go
@@ -79,6 +79,8 @@
 
 	// limit is the request rate that the target accepts.
 	limit rateLimit
+	// leaving records that the target says that it leaves.
+	leaving leaving
 	// reach tells which instances of the zone cannot connect to the target.
 	reach reachability
 
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -201,7 +201,7 @@
 		return x.reportFailure(err)
 	}
 	x.ended = x.respondedEarly || x.closeDelimited(response) || x.unreadByTarget()
-	x.closing = response.Header.ConnectionClose()
+	x.closing = response.Header.ConnectionClose() || x.responseInfo.Load.Draining
 	if x.rest == nil {
 		x.releaseConn()
 	}
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -195,6 +195,11 @@
 	p.closeIdle(func(conn *targetConn) bool { return now-conn.idleSince > p.options.IdleTimeout })
 }
 
+// closeIdleTo closes the idle connections to an address.
+func (p *connPool) closeIdleTo(address string) {
+	p.closeIdle(func(conn *targetConn) bool { return conn.address == address })
+}
+
 // closeIdle closes the idle connections for which expired returns true.
 func (p *connPool) closeIdle(expired func(*targetConn) bool) {
 	var toClose []*targetConn
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -51,6 +51,9 @@
 // Open returns the number of requests in progress, waiting ones included.
 func (p *Proxy) Open() int64 { return p.openRequests.Load() }
 
+// CloseIdle closes the idle connections to a target.
+func (p *Proxy) CloseIdle(address string) { p.pool.closeIdleTo(address) }
+
 // StartDrain makes responses carry Connection: close, so that callers close their
 // connections.
 func (p *Proxy) StartDrain() { p.draining.Store(true) }
