A target that asks for a pause gets no requests from this instance in it

What callers saw: requests went to a target that had turned them away with Retry-After, were turned away again and cost a retry each.

Cause: the header was not read; a rejection only made the target count as full for a moment. What holds now: the target's own rejection of this request (its id, not executed) with Retry-After in seconds makes the target paused for this instance, next to leaving in the order of obstacles. The pause that ends last holds; a shorter later one does not cut it off, since each rejection asks for its own time. It ends with its time or with the run of the target. Other instances are not told: a pause is meant for one.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -53,6 +53,8 @@
 	TargetUnreached  = Event{512, "target_unreached", zerolog.InfoLevel, "this instance could not connect to a target of its zone and leaves it to another one; check the network between them"}
 	TargetReached    = Event{513, "target_reached", zerolog.InfoLevel, "this instance reaches a target again"}
 	TargetLeaving    = Event{515, "target_leaving", zerolog.InfoLevel, "a target says in its responses that it leaves; it gets no further requests, whatever its listing says"}
+	TargetPaused     = Event{516, "target_paused", zerolog.InfoLevel, "a target turned a request away and wants none from this instance for the named time"}
+	PauseUnreadable  = Event{517, "pause_unreadable", zerolog.WarnLevel, "a target turned a request away with a Retry-After that is no number of seconds; it is ignored; look at the target"}
 
 	TargetEnded = Event{514, "target_ended", zerolog.WarnLevel, "a target accepts no connection after it lost that of a request; the same digest at several targets tells that the request crashes them"}
 
@@ -93,7 +95,7 @@
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed, HeadLost, ClaimsWritten,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
-		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving,
+		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable,
 		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried, QuarantineNotKept,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
--- a/pkg/placement/obstacle.go
+++ b/pkg/placement/obstacle.go
@@ -16,6 +16,8 @@
 	listedDraining
 	// announcedLeaving: the target has said so itself, to any instance.
 	announcedLeaving
+	// paused: the target has turned this instance away for a time.
+	paused
 	// backingOff: a connection to the target failed, or another target answered there.
 	backingOff
 	// overRate: the rate that the target has named leaves no request for this instance.
@@ -26,7 +28,7 @@
 
 // String returns the name of the obstacle in dumps; it is empty for none.
 func (o obstacle) String() string {
-	return [...]string{"", "draining", "leaving", "backing_off", "over_rate", "full"}[o]
+	return [...]string{"", "draining", "leaving", "paused", "backing_off", "over_rate", "full"}[o]
 }
 
 // excludes reports whether the target is out of use: it takes no request however few it has.
@@ -40,6 +42,8 @@
 		return listedDraining
 	case t.leaving.announced:
 		return announcedLeaving
+	case now < t.pausedUntil:
+		return paused
 	case now < t.blockedUntil:
 		return backingOff
 	case t.limit.exhausted(now):
--- a/pkg/placement/statement.go
+++ b/pkg/placement/statement.go
@@ -37,6 +37,23 @@
 		}
 		b.setLeaving(s, t, "target")
 	}
+	b.observePause(s, t, load.Pause, now)
+}
+
+// observePause applies the pause that a rejection of the target asks for. The one that ends
+// last holds: each rejection asks for its own, and a shorter one does not take another back.
+// Other instances do not learn of it: the target has turned only this one away, and its
+// failures and named rate tell them what holds for all.
+func (b *Balancer) observePause(s *service, t *target, asked proxy.Pause, now time.Duration) {
+	switch {
+	case asked.Unreadable != "":
+		event.PauseUnreadable.Log(b.log).Str("target", t.entry.ID).Str("service", s.name).Str("value", asked.Unreadable).Send()
+	case now+asked.Wait > t.pausedUntil && asked.Wait > 0:
+		if now >= t.pausedUntil {
+			event.TargetPaused.Log(b.log).Str("target", t.entry.ID).Str("service", s.name).Dur("pause", asked.Wait).Send()
+		}
+		t.pausedUntil = now + asked.Wait
+	}
 }
 
 // setLeaving records that a target leaves. from is who said so.
--- a/pkg/placement/statement_test.go
+++ b/pkg/placement/statement_test.go
@@ -163,3 +163,39 @@
 	f.targetsOf(t, 2)
 	is.Equal(closed, []string{"10.0.0.0:80", "10.0.0.1:80"})
 }
+
+// Guards against requests to a target in the pause that it has asked for, and against a pause
+// that outlasts its time or that a shorter one cuts off.
+func TestPauseEndsRequestsForItsTime(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(2)
+	f.say(t, "a0", proxy.Load{Pause: proxy.Pause{Wait: 30 * time.Second}})
+	until := f.clock.SinceBoot() + 30*time.Second
+	s := f.service("s")
+	s.mu.Lock()
+	f.observePause(s, s.targets["a0"], proxy.Pause{Wait: time.Second}, f.clock.SinceBoot())
+	f.observePause(s, s.targets["a0"], proxy.Pause{Unreadable: "soon"}, f.clock.SinceBoot())
+	s.mu.Unlock()
+	for f.clock.SinceBoot() < until {
+		is.True(!slices.Contains(f.targetsOf(t, 1), "a0"))
+	}
+	is.True(slices.Contains(f.targetsOf(t, 100), "a0"))
+}
+
+// Guards against a pause that is taken to hold for other instances, or for the next run of the
+// target's process.
+func TestPauseHoldsForOneInstanceAndRun(t *testing.T) {
+	is := is.New(t)
+	f, other := newFixture(2), newFixture(2)
+	f.say(t, "a0", proxy.Load{Pause: proxy.Pause{Wait: time.Minute}})
+	told := &peerpb.Heartbeat{}
+	f.Fill(told, 0)
+	other.targetsOf(t, 1)
+	other.Merge("e2", told)
+	is.True(slices.Contains(other.targetsOf(t, 100), "a0"))
+	restarted := *f.catalogue.Services["s"][0]
+	restarted.Started++
+	f.catalogue.Services["s"][0] = &restarted
+	f.catalogue.Version++
+	is.True(slices.Contains(f.targetsOf(t, 100), "a0"))
+}
--- a/pkg/placement/target.go
+++ b/pkg/placement/target.go
@@ -81,6 +81,9 @@
 	limit rateLimit
 	// leaving records that the target says that it leaves.
 	leaving leaving
+	// pausedUntil is the time since boot up to which the target wants no requests from this
+	// instance.
+	pausedUntil time.Duration
 	// reach tells which instances of the zone cannot connect to the target.
 	reach reachability
 
--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -94,6 +94,17 @@
 	Draining bool
 	// RateLimit is the request rate that the target accepts.
 	RateLimit RateLimit
+	// Pause is what the target asks of this instance with a rejection.
+	Pause Pause
+}
+
+// Pause is the time for which a target wants no requests from this instance, as its
+// rejection of a request states it.
+type Pause struct {
+	// Wait counts from the arrival of the rejection; 0 if there is no pause.
+	Wait time.Duration
+	// Unreadable is the start of a statement that is no number of seconds. It is no pause.
+	Unreadable string
 }
 
 // RateLimit is what a target's response states about the request rate that the target
