Requests that no target can take in time are refused at once

A request whose targets all leave or pause was held for a third of its objective and then refused with a Retry-After of 150 ms. It is refused at once now, as not run: with the time at which the first paused target is back, as no_target if all leave. limitWait, which knew only of named rates, becomes part of forcedWait in pkg/placement/refuse.go, one function of the obstacles of all targets, tested without a network. A target that was tried and pauses counts for the Retry-After, not for this request. Unchanged: a request waits if a target may become free or reachable at any moment, or if all were tried and none of them has stated anything.

--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/event"
@@ -31,9 +30,6 @@
 	// limitReportTime is the time for which a statement is passed on to other instances
 	// by the instance that prefers the target. Others pass theirs on for recentResultAge.
 	limitReportTime = 10 * time.Second
-	// maxLimitRetryAfter bounds the Retry-After of a request that the limits of all
-	// targets leave no room for; another instance may have room earlier.
-	maxLimitRetryAfter = time.Second
 )
 
 // limitStatement is one statement of a target about the rate that it accepts.
@@ -177,44 +173,6 @@
 	return l.own.limited || (l.endedAt > 0 && now-l.endedAt < limitReportTime)
 }
 
-// limitWait returns how long a request will wait for the allowance of a target while
-// ahead other requests wait before it. limited is false unless all targets that are left
-// have a limit: one without may become free or reachable at any time.
-func (s *service) limitWait(tried []string, ahead int, now time.Duration) (wait time.Duration, limited bool) {
-	rate, tokens := 0.0, 0.0
-	for _, t := range s.ordered {
-		if t.entry.Draining || t.leaving.announced || slices.Contains(tried, t.entry.ID) {
-			continue
-		}
-		if !t.limit.limited {
-			return 0, false
-		}
-		limited = true
-		t.limit.refill(now)
-		rate += t.limit.rate()
-		tokens += min(t.limit.tokens, 1)
-	}
-	missing := float64(ahead+1) - tokens
-	if !limited || missing <= 0 {
-		return 0, limited
-	}
-	seconds := missing / rate
-	if seconds > maxLimitWait.Seconds() {
-		return maxLimitWait, true
-	}
-	return time.Duration(seconds * float64(time.Second)), true
-}
-
-// maxLimitWait bounds the result of limitWait, which has no bound while this instance has
-// no share of any target.
-const maxLimitWait = time.Hour
-
-// limitRetryAfter returns the time after which a caller should return that was refused
-// because of the targets' limits.
-func limitRetryAfter(wait time.Duration) time.Duration {
-	return min(max(wait, retryAfter), maxLimitRetryAfter)
-}
-
 // observeRateLimit applies what a response of the target stated about its rate. The
 // caller holds the service's mutex.
 func (b *Balancer) observeRateLimit(s *service, t *target, stated proxy.RateLimit, now time.Duration) {
--- a/pkg/placement/limit_sim_test.go
+++ b/pkg/placement/limit_sim_test.go
@@ -345,10 +345,10 @@
 	for _, target := range s.targets {
 		target.blockedUntil = now + unreachableBackoff
 	}
-	if _, limited := s.limitWait(nil, 0, now); limited {
+	if s.forcedWait(nil, 0, now).forced {
 		t.Error("no target has a limit")
 	}
-	if _, limited := s.limitWait([]string{"a0", "b0"}, 0, now); limited {
+	if s.forcedWait([]string{"a0", "b0"}, 0, now).forced {
 		t.Error("no target is left, but none has a limit")
 	}
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
@@ -29,8 +28,6 @@
 	// to get a target: the load reported for other instances decays without an event
 	// that would wake the request.
 	recheckInterval = 25 * time.Millisecond
-	// retryAfter is the delay after which a refused caller should retry.
-	retryAfter = 150 * time.Millisecond
 )
 
 // NoTargetError reports that no target of a service can take a request.
@@ -40,12 +37,17 @@
 	// targets to which the request was already sent.
 	Listed int
 	Tried  int
+	// Leaving and Paused count the listed targets that leave and those that want no requests
+	// from this instance for a time.
+	Leaving int
+	Paused  int
 	// Waited is the time that the request waited for free capacity.
 	Waited time.Duration
 }
 
 func (e *NoTargetError) Error() string {
-	return fmt.Sprintf("choose a target of service %q: none of %d targets has free capacity (%d tried, waited %s)", e.Service, e.Listed, e.Tried, e.Waited)
+	return fmt.Sprintf("choose a target of service %q: none of %d targets has free capacity (%d leaving, %d paused, %d tried, waited %s)",
+		e.Service, e.Listed, e.Leaving, e.Paused, e.Tried, e.Waited)
 }
 
 // CatalogueSource provides the listed targets. *discovery.Registry implements it.
@@ -125,13 +127,13 @@
 				return nil, b.refuse(refusal.NoTarget, s, tried, now-began, retryAfter)
 			}
 		}
-		if now >= waitUntil {
+		if forced := s.forcedWait(tried, s.queue.ahead(w, r.Priority), now); forced.exceeds(waitUntil, now) {
 			s.dequeue(w)
-			return nil, b.refuse(refusal.Overloaded, s, tried, now-began, retryAfter)
+			return nil, b.refuse(forced.kind, s, tried, now-began, forced.retryAfter)
 		}
-		if wait, limited := s.limitWait(tried, s.queue.ahead(w, r.Priority), now); limited && now+wait > waitUntil {
+		if now >= waitUntil {
 			s.dequeue(w)
-			return nil, b.refuse(refusal.Overloaded, s, tried, now-began, limitRetryAfter(wait))
+			return nil, b.refuse(refusal.Overloaded, s, tried, now-began, retryAfter)
 		}
 		if w == nil {
 			w = &waiter{priority: r.Priority, arrived: now, wake: make(chan struct{}, 1)}
@@ -190,13 +192,6 @@
 	s.mu.Lock()
 }
 
-// refuse returns a refusal with the service's counts as its cause. The caller should
-// return after the given time.
-func (b *Balancer) refuse(kind refusal.Kind, s *service, tried []string, waited, after time.Duration) error {
-	cause := &NoTargetError{Service: s.name, Listed: len(s.ordered), Tried: len(tried), Waited: waited}
-	return errors.WithStack(&refusal.Refusal{Kind: kind, RetryAfter: after, Cause: cause})
-}
-
 // TakeRetry takes one retry from the service's budget and reports whether one was
 // left.
 func (b *Balancer) TakeRetry(r proxy.Request) bool {
