arbutus-lab edge ends with the address that is in use

Beside another fleet on the same addresses it printed "4 instances run" while all four had ended: the ready addresses of the other fleet answered. It now tries each address before it starts an instance and ends with the listen error, and a process that has ended is not ready. TestAddressInUseIsNamed failed before (no error).

--- a/pkg/lab/edgelab/edgelab.go
+++ b/pkg/lab/edgelab/edgelab.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -64,11 +65,13 @@
 	processes []*fleet.Process
 }
 
-// NotReadyError reports that an instance did not become ready in time.
+// NotReadyError reports that an instance ended or did not become ready in time.
 type NotReadyError struct{ Instance string }
 
 // Error names the instance.
-func (e *NotReadyError) Error() string { return "instance " + e.Instance + " did not become ready" }
+func (e *NotReadyError) Error() string {
+	return "instance " + e.Instance + " ended or did not become ready in time; its log says why"
+}
 
 // Start starts a fleet and waits until it is ready.
 func Start(ctx context.Context, o Options) (*Lab, error) {
@@ -147,6 +150,11 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	for _, port := range []int{callerPort, readyPort, directoryPort, gossipPort, metricsPort} {
+		if err := checkUnused(l.address(n, port)); err != nil {
+			return errors.WithStack(&fleet.ProcessError{Name: name, Cause: err})
+		}
+	}
 	file := filepath.Join(l.options.Directory, name+".json")
 	if err := os.WriteFile(file, data, 0o600); err != nil {
 		return errors.WithStack(err)
@@ -159,6 +167,16 @@
 	return nil
 }
 
+// checkUnused returns an error that names the address if a process listens there, such as an
+// instance of another fleet, which would answer in place of the new one.
+func checkUnused(address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(listener.Close())
+}
+
 // zone returns the availability zone of the instance or target with a number.
 func zone(n int) string { return []string{"a", "b"}[n%2] }
 
@@ -173,10 +191,10 @@
 	for n, p := range l.processes {
 		for {
 			status, _, err := fasthttp.GetTimeout(nil, "http://"+l.address(n, readyPort)+"/arbutuslink/ready", time.Second)
-			if err == nil && status == fasthttp.StatusOK {
+			if err == nil && status == fasthttp.StatusOK && p.Running() {
 				break
 			}
-			if (clock.System{}).Sleep(ctx, readyInterval) != nil {
+			if !p.Running() || (clock.System{}).Sleep(ctx, readyInterval) != nil {
 				return errors.WithStack(&NotReadyError{Instance: p.Name})
 			}
 		}
--- a/pkg/lab/edgelab/edgelab_test.go
+++ b/pkg/lab/edgelab/edgelab_test.go
@@ -3,11 +3,15 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"github.com/arbutuslink/arbutuslink/pkg/lab/fleet"
 )
 
 // Guards against a fleet for trying out that does not serve a request.
@@ -30,3 +34,17 @@
 	is.Equal(status, fasthttp.StatusOK)
 	is.True(len(body) > len(`{"addresses":[]}`))
 }
+
+// Guards against a second fleet on the same addresses that counts as running because the first
+// one answers there.
+func TestAddressInUseIsNamed(t *testing.T) {
+	is := is.New(t)
+	o := Options{Instances: 2, Targets: 1, Network: fmt.Sprintf("68.%d", os.Getpid()%256), Directory: t.TempDir()}
+	first, err := Start(t.Context(), o)
+	is.NoErr(err)
+	defer first.Close()
+	_, err = Start(t.Context(), o)
+	var failed *fleet.ProcessError
+	is.True(errors.As(err, &failed))
+	is.True(strings.Contains(err.Error(), fmt.Sprintf("127.%s.1:%d: bind: address already in use", o.Network, callerPort)))
+}
