arbutusctl explain says how late log lines may be

Right after the request, as docs/deploy.md has it, it answered only "no line of request": instances write their lines each 0.2 s.

--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -69,6 +69,7 @@
 	var missing *NotFoundError
 	is.True(errors.As(err, &missing))
 	is.True(strings.Contains(err.Error(), "could not write 3 lines"))
+	is.True(strings.Contains(err.Error(), "a line comes up to 200ms after its request"))
 }
 
 // Guards against a line without end that fills the memory.
