--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -68,7 +68,7 @@
 	scope, scrape, closer := metrics.New(i.Settings.Instance, i.Settings.AvailabilityZone)
 	defer func() { _ = closer.Close() }()
 	i.recorder.setScope(scope)
-	go i.reportBudget(ctx, scope)
+	go i.reportGauges(ctx, scope)
 	server := &fasthttp.Server{Logger: daemon.SilentLogger{}, NoDefaultServerHeader: true, Handler: func(c *fasthttp.RequestCtx) {
 		switch string(c.Path()) {
 		case metricsPath:
@@ -86,11 +86,12 @@
 	return errors.WithStack(server.Serve(listener))
 }
 
-// budgetReportInterval is the time between two updates of the budget's gauges.
-const budgetReportInterval = time.Second
+// gaugeInterval is the time between two updates of the gauges.
+const gaugeInterval = time.Second
 
-// reportBudget updates the gauges of the memory for bodies until ctx ends.
-func (i *Instance) reportBudget(ctx context.Context, scope tally.Scope) {
+// reportGauges updates the gauges of the memory for bodies and of the targets that get no
+// requests until ctx ends.
+func (i *Instance) reportGauges(ctx context.Context, scope tally.Scope) {
 	gauge := func(state string) tally.Gauge {
 		return scope.Tagged(map[string]string{tagState: state}).Gauge(metricBudget)
 	}
@@ -101,7 +102,10 @@
 		used.Update(float64(state.Used))
 		peak.Update(float64(state.Peak))
 		refused.Update(float64(state.Refused))
-		if i.clock.Sleep(ctx, budgetReportInterval) != nil {
+		for reason, targets := range i.balancer.Obstacles() {
+			scope.Tagged(map[string]string{tagReason: reason}).Gauge(metricTargetsWithheld).Update(float64(targets))
+		}
+		if i.clock.Sleep(ctx, gaugeInterval) != nil {
 			return
 		}
 	}
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -22,11 +22,14 @@
 	metricBudget        = "edge_body_budget_bytes"
 	metricBudgetRefused = "edge_body_budget_refused"
 
+	metricTargetsWithheld = "edge_targets_withheld"
+
 	tagStatus  = "status"
 	tagCode    = "code"
 	tagService = "service"
 	tagResult  = "result"
 	tagState   = "state"
+	tagReason  = "reason"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram.
--- a/pkg/placement/dump.go
+++ b/pkg/placement/dump.go
@@ -1,7 +1,5 @@
 package placement
 
-import "time"
-
 // TargetState is the state of one target at this instance, for operators.
 type TargetState struct {
 	Service string `json:"service"`
@@ -23,8 +21,15 @@
 	// Limit is the request rate in 1/s that the target accepts from all instances
 	// together; it is absent if the target accepts any rate.
 	Limit *float64 `json:"limit_per_second,omitempty"`
-	// BlockedMS is how long the target gets no requests from now on, in ms.
+	// BlockedMS is how long the target gets no requests from now on, in ms, because it was
+	// not reached; PausedMS how long because it has asked for a pause.
 	BlockedMS int64 `json:"blocked_ms"`
+	PausedMS  int64 `json:"paused_ms"`
+	// Leaving says that the target has announced that it leaves.
+	Leaving bool `json:"leaving"`
+	// Obstacle is what keeps this instance from sending the target a request now; absent if
+	// nothing does.
+	Obstacle string `json:"obstacle,omitempty"`
 }
 
 // Dump returns the state of all targets of the services that have had requests.
@@ -38,7 +43,8 @@
 			state := TargetState{
 				Service: s.name, Target: t.entry.ID, Preferred: t.preferred, Draining: t.entry.Draining, Open: len(t.openStarts),
 				Load: t.load(now), Failing: t.own.failProb, PeerFailing: t.peer.failProb, Slowdown: t.slowdown(now),
-				BlockedMS: max(0, (t.blockedUntil-now)/time.Millisecond).Nanoseconds(),
+				BlockedMS: max(0, t.blockedUntil-now).Milliseconds(), PausedMS: max(0, t.pausedUntil-now).Milliseconds(),
+				Leaving: t.leaving.announced, Obstacle: t.obstacle(maxLoadPerSlot, now).String(),
 			}
 			if t.limit.limited {
 				perSecond := t.limit.perSecond
@@ -50,3 +56,23 @@
 	}
 	return states
 }
+
+// Obstacles returns the number of targets by what keeps this instance from sending them
+// requests now; each obstacle has an entry.
+func (b *Balancer) Obstacles() map[string]int {
+	counts := map[string]int{}
+	for o := noObstacle + 1; o <= full; o++ {
+		counts[o.String()] = 0
+	}
+	now := b.clock.SinceBoot()
+	for _, s := range b.allServices() {
+		s.mu.Lock()
+		for _, t := range s.ordered {
+			if o := t.obstacle(maxLoadPerSlot, now); o != noObstacle {
+				counts[o.String()]++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return counts
+}
