Soak: targets that announce their leaving or ask for pauses

Random targets say that they leave while the listing names them as ready, and end later; others refuse one, three or all requests with a pause of 1 to 5 s, together with all other faults. Callers name the instance and the time of sending; instances that had a fault or a cut since are excused, and requests that were held on their way.

--- a/pkg/lab/soak/callers.go
+++ b/pkg/lab/soak/callers.go
@@ -170,9 +170,9 @@
 		method = http.MethodGet
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(callerTimeout))
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
 		method, r.path, hostName, upstreamsim.RequestIDHeader, r.id, upstreamsim.TimeoutHeader, callerTimeout.Milliseconds(),
-		r.key, len(r.body))
+		upstreamsim.InstanceHeader, r.ip, upstreamsim.SentHeader, time.Now().UnixMilli(), r.key, len(r.body))
 	_, r.err = c.conn.Write(append([]byte(head), r.body...))
 	r.sentAt = time.Now()
 	if r.err != nil {
@@ -190,6 +190,9 @@
 		return
 	}
 	r.status, r.signature = response.StatusCode, response.Header.Get(upstreamsim.SignatureHeader)
+	if response.Header.Get(upstreamsim.LeavingHeader) != "" {
+		c.testbed.passedOnLeaving(r)
+	}
 	if response.Close {
 		c.closeConnection()
 	}
--- a/pkg/lab/soak/check.go
+++ b/pkg/lab/soak/check.go
@@ -52,6 +52,7 @@
 	tb.checkRates(runs, requestsByID)
 	tb.checkDeadlyRequests(runs, requestsByID)
 	tb.checkPathCuts(c.requests)
+	tb.checkStatements()
 }
 
 // targetRuns returns the runs at all targets, those that have ended included.
--- a/pkg/lab/soak/soak.go
+++ b/pkg/lab/soak/soak.go
@@ -101,6 +101,7 @@
 	injectors.Go(func() { tb.injectLapses(further, report) })
 	injectors.Go(func() { tb.injectDeadlyRequests(further, callers, report) })
 	injectors.Go(func() { tb.injectPathCuts(further, report) })
+	injectors.Go(func() { tb.injectStatements(further, report) })
 	tb.injectFaults(ctx, report)
 	endFurther()
 	injectors.Wait()
--- a/pkg/lab/upstreamsim/statements.go
+++ b/pkg/lab/upstreamsim/statements.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 )
@@ -46,8 +47,8 @@
 	pause    time.Duration
 	// told holds what each instance was told, by InstanceHeader.
 	told map[string]*told
-	// ignored describes the requests that came in spite of a statement.
-	ignored []string
+	// afterLeaving are the requests that came though their instance knew of the leaving.
+	afterLeaving []Arrival
 }
 
 // told is what an instance was told.
@@ -57,10 +58,19 @@
 	pauses    []toldPause
 }
 
-// toldPause is a span in which few requests may come.
+// toldPause is a pause that a refusal asked for, and the requests that came in it.
 type toldPause struct {
-	from, until time.Time
-	requests    int
+	at       time.Time
+	length   time.Duration
+	arrivals []Arrival
+}
+
+// Arrival is a request that came in spite of what its instance was told.
+type Arrival struct {
+	Instance, RequestID string
+	// Told is when the instance was told, Sent when the caller sent the request, At when it
+	// came.
+	Told, Sent, At time.Time
 }
 
 // SetRateLimit makes the target name a rate in requests per second, or none with 0. It
@@ -95,18 +105,25 @@
 	}
 }
 
-// Forget excuses an instance from what it was told: it was restarted, frozen or cut off.
-func (s *Server) Forget(instance string) {
+// Ignored describes what instances were told and did not heed. Arrivals for which excused
+// returns true do not count; nil excuses none.
+func (s *Server) Ignored(excused func(Arrival) bool) (lines []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.says.told, instance)
-}
-
-// Ignored describes the requests that came in spite of what their instance was told.
-func (s *Server) Ignored() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return append([]string(nil), s.says.ignored...)
+	counted := func(arrivals []Arrival) []Arrival {
+		return slices.DeleteFunc(slices.Clone(arrivals), func(a Arrival) bool { return excused != nil && excused(a) })
+	}
+	for _, a := range counted(s.says.afterLeaving) {
+		lines = append(lines, fmt.Sprintf("%s got %s from %q, sent %s after it was told that the target leaves", s.ID, a.RequestID, a.Instance, a.Sent.Sub(a.Told)))
+	}
+	for instance, t := range s.says.told {
+		for _, p := range t.pauses {
+			if n := len(counted(p.arrivals)); n > maxDuringPause {
+				lines = append(lines, fmt.Sprintf("%s got %d requests from %q in a pause of %s", s.ID, n, instance, p.length))
+			}
+		}
+	}
+	return lines
 }
 
 // toldTo returns what an instance was told. The caller holds mu.
@@ -120,8 +137,11 @@
 	return s.says.told[instance]
 }
 
-// arrived checks a request against what its instance was told.
+// arrived checks a request to this target against what its instance was told.
 func (s *Server) arrived(r *http.Request) {
+	if r.Header.Get(TargetHeader) != s.ID {
+		return
+	}
 	now, instance := time.Now(), r.Header.Get(InstanceHeader)
 	sent := now
 	if ms, err := strconv.ParseInt(r.Header.Get(SentHeader), 10, 64); err == nil {
@@ -133,18 +153,16 @@
 	if t == nil {
 		return
 	}
+	arrival := Arrival{Instance: instance, RequestID: r.Header.Get(RequestIDHeader), Sent: sent, At: now}
 	if !t.leavingAt.IsZero() && sent.Sub(t.leavingAt) > leavingSettled {
-		s.says.ignored = append(s.says.ignored, fmt.Sprintf("%s got %s from %q, sent %s after it was told that the target leaves",
-			s.ID, r.Header.Get(RequestIDHeader), instance, sent.Sub(t.leavingAt)))
+		arrival.Told = t.leavingAt
+		s.says.afterLeaving = append(s.says.afterLeaving, arrival)
 	}
 	for i := range t.pauses {
 		p := &t.pauses[i]
-		if now.Before(p.from) || now.After(p.until) {
-			continue
-		}
-		if p.requests++; p.requests == maxDuringPause+1 {
-			s.says.ignored = append(s.says.ignored, fmt.Sprintf("%s got %s from %q, the third request in a pause, %s before its end",
-				s.ID, r.Header.Get(RequestIDHeader), instance, p.until.Sub(now)))
+		if since := now.Sub(p.at); since > pauseSettled && since < p.length {
+			arrival.Told = p.at
+			p.arrivals = append(p.arrivals, arrival)
 		}
 	}
 }
@@ -172,7 +190,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.toldTo(instance)
-	t.pauses = append(t.pauses, toldPause{from: time.Now().Add(pauseSettled), until: time.Now().Add(pause)})
+	t.pauses = append(t.pauses, toldPause{at: time.Now(), length: pause})
 	return true
 }
 
