Instances without paths keep their shares of named rates

Cause: an instance without paths owns no target, and 75% of a target's rate goes with the ownership; it kept an eighth or a twelfth of a few, though its callers stay for a while. Ruled out: the search for its paths (requests that had a share were served through others), pauses.

The share now stays with the instance that would own the target as long as it has callers, and goes with them when they leave: one without enough requests (quiet) holds none. While no instance has lost its paths, nothing changes.

--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -106,12 +106,21 @@
 // Owners returns the serving instances of a zone that own targets; none if no instance of the
 // zone connects to any.
 func (v *View) Owners(zone string) []Member {
-	members := v.Attached(v.InZone(zone))
-	owners := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return v.Quiet[m.Instance] })
-	if len(owners) == 0 {
+	if owners := v.Attached(v.Busy(zone)); len(owners) > 0 {
+		return owners
+	}
+	return v.Attached(v.InZone(zone))
+}
+
+// Busy returns the serving instances of a zone to which callers send requests, whether they
+// connect to targets or not; all of the zone if there are none.
+func (v *View) Busy(zone string) []Member {
+	members := v.InZone(zone)
+	busy := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return v.Quiet[m.Instance] })
+	if len(busy) == 0 {
 		return members
 	}
-	return owners
+	return busy
 }
 
 // Attached returns those of some peers that connect to targets.
--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -105,6 +105,19 @@
 	l.tokens = min(l.tokens, l.maxTokens())
 }
 
+// limitHolder returns the instance that has most of the rate of the target with the given
+// number in its zone: the owner, which prefers the target. An instance that has lost its paths
+// owns none, but its callers stay for a while, and it serves them through others: of the
+// targets that it would own, it keeps the rate. busy are the zone's instances with callers.
+func limitHolder(v *fleet.View, busy []fleet.Member, owner fleet.Member, number int) fleet.Member {
+	if len(busy) > 0 {
+		if m := busy[number%len(busy)]; v.Detached[m.Instance] {
+			return m
+		}
+	}
+	return owner
+}
+
 // limitSharers returns the instances other than the owner that have a share of the rate of
 // the target with the given number in its zone. instances are those that share the zone.
 func limitSharers(instances []fleet.Member, owner fleet.Member, number int) []fleet.Member {
--- a/pkg/placement/limit_sim_test.go
+++ b/pkg/placement/limit_sim_test.go
@@ -39,6 +39,8 @@
 	// counted holds the times of the requests that the bound counts, by target.
 	counted                map[string][]time.Duration
 	asked, served, refused int
+	// askedAt and startedAt count the requests of each instance.
+	askedAt, startedAt map[string]int
 }
 
 // limitedCaller is a request that waits for a target.
@@ -60,7 +62,7 @@
 func newLimitSim(seed uint64, instances, targets int, rate, share, factor float64) *limitSim {
 	s := &limitSim{
 		floorSim: newFloorSim(seed, instances, 3, targets, 4), limits: map[string]float64{},
-		told: map[[2]string]time.Duration{}, counted: map[string][]time.Duration{},
+		told: map[[2]string]time.Duration{}, counted: map[string][]time.Duration{}, askedAt: map[string]int{}, startedAt: map[string]int{},
 	}
 	s.all = s.catalogue.Services["s"]
 	for i := range targets {
@@ -94,6 +96,7 @@
 	for ; requests > 0 && s.rng.Float64() < requests; requests-- {
 		s.asked++
 		member := s.members[s.rng.IntN(len(s.members))]
+		s.askedAt[member.view.Self.Instance]++
 		s.waiting = append(s.waiting, limitedCaller{member, now + simWorkTime})
 	}
 	waiting := s.waiting[:0]
@@ -119,6 +122,7 @@
 		return false
 	}
 	target := a.Target()
+	s.startedAt[m.view.Self.Instance]++
 	limit := proxy.RateLimit{Known: true}
 	if perSecond, ok := s.limits[target]; ok && now >= s.limitedFrom {
 		limit.Limited, limit.PerSecond = true, perSecond
@@ -174,6 +178,62 @@
 	}
 }
 
+// detach makes instances lose their paths to the targets, or regain them.
+func (s *limitSim) detach(lost func(fleet.Member) bool) {
+	detached := map[string]bool{}
+	for _, m := range s.members {
+		detached[m.view.Self.Instance] = lost(m.view.Self)
+	}
+	for _, m := range s.members {
+		view := *m.view
+		view.Version++
+		view.Detached = detached
+		m.view = &view
+	}
+}
+
+// Guards against callers of instances without paths that are served less often than others
+// while targets limit their rates, and against more requests at these targets.
+func TestLostPathsLoseNamedRates(t *testing.T) {
+	for name, lost := range map[string]func(fleet.Member) bool{
+		"one instance":   func(m fleet.Member) bool { return m.Instance == "e00" },
+		"most of a zone": func(m fleet.Member) bool { return m.Zone == "0" && m.Instance != "e00" },
+		"a zone":         func(m fleet.Member) bool { return m.Zone == "0" },
+		"most":           func(m fleet.Member) bool { return m.Instance > "e02" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(3) {
+				s := newLimitSim(seed, 9, 26, 130, 1, 0.5)
+				for step := range 4000 {
+					switch step {
+					case 1200:
+						s.detach(lost)
+					case 1500: // the time in which an instance learns of its loss
+						clear(s.askedAt)
+						clear(s.startedAt)
+					case 3600:
+						s.detach(func(fleet.Member) bool { return false })
+					}
+					s.step(130*simStep.Seconds(), false)
+				}
+				s.checkBound(t)
+				var asked, started [2]float64 // at instances without paths, and at others
+				for _, m := range s.members {
+					at, instance := 1, m.view.Self
+					if lost(instance) {
+						at = 0
+					}
+					asked[at] += float64(s.askedAt[instance.Instance])
+					started[at] += float64(s.startedAt[instance.Instance])
+				}
+				if there, others := started[0]/asked[0], started[1]/asked[1]; there < others*2/3 {
+					t.Errorf("seed %d: %.2f are served at instances without paths, %.2f at others", seed, there, others)
+				}
+			}
+		})
+	}
+}
+
 // Guards against more requests at a target than the rate that it has named to the fleet.
 func TestNamedRateIsExceeded(t *testing.T) {
 	for _, d := range []struct {
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -180,6 +180,7 @@
 		if len(owners) == 0 {
 			owners = v.Peers
 		}
+		busy := v.Busy(zone)
 		for i, t := range targets {
 			if len(owners) == 0 {
 				// No instance is known to serve, and callers that come here have nowhere to go.
@@ -189,8 +190,9 @@
 			}
 			owner := owners[t.reach.owner(owners, i, now)]
 			t.preferred = owner.Instance == v.Self.Instance
-			sharers := limitSharers(sharing, owner, i)
-			t.limit.assign(len(sharers), slices.Contains(sharers, v.Self), t.preferred, now)
+			holder := limitHolder(v, busy, owner, i)
+			sharers := limitSharers(sharing, holder, i)
+			t.limit.assign(len(sharers), slices.Contains(sharers, v.Self), holder.Instance == v.Self.Instance, now)
 		}
 	}
 	for d := range s.byDistance {
