--- a/pkg/placement/limit_sim_test.go
+++ b/pkg/placement/limit_sim_test.go
@@ -41,6 +41,9 @@
 	asked, served, refused int
 	// askedAt and startedAt count the requests of each instance.
 	askedAt, startedAt map[string]int
+	// respond, if not nil, adds to a target's response to an instance. It returns the result
+	// and what to do when the response has arrived.
+	respond func(m *simMember, target string, load *proxy.Load, now time.Duration) (proxy.Result, func(now time.Duration))
 }
 
 // limitedCaller is a request that waits for a target.
@@ -54,7 +57,9 @@
 	attempt proxy.Attempt
 	member  *simMember
 	endsAt  time.Duration
-	limit   proxy.RateLimit
+	load    proxy.Load
+	result  proxy.Result
+	arrived func(now time.Duration)
 }
 
 // newLimitSim returns a fleet of which a share of the targets names factor times the
@@ -86,10 +91,11 @@
 			continue
 		}
 		key := [2]string{r.member.view.Self.Instance, r.attempt.Target()}
-		if _, ok := s.told[key]; !ok && r.limit.Limited {
+		if _, ok := s.told[key]; !ok && r.load.RateLimit.Limited {
 			s.told[key] = now
 		}
-		r.attempt.Done(proxy.Answered, simWorkTime, proxy.Load{RateLimit: r.limit})
+		r.arrived(now)
+		r.attempt.Done(r.result, simWorkTime, r.load)
 		s.served++
 	}
 	s.open = kept
@@ -130,7 +136,11 @@
 			s.counted[target] = append(s.counted[target], now)
 		}
 	}
-	s.open = append(s.open, limitedRequest{a, m, now + simWorkTime/2 + time.Duration(s.rng.Int64N(int64(simWorkTime))), limit})
+	r := limitedRequest{a, m, now + simWorkTime/2 + time.Duration(s.rng.Int64N(int64(simWorkTime))), proxy.Load{RateLimit: limit}, proxy.Answered, func(time.Duration) {}}
+	if s.respond != nil {
+		r.result, r.arrived = s.respond(m, target, &r.load, now)
+	}
+	s.open = append(s.open, r)
 	return true
 }
 
