--- a/pkg/placement/refuse_test.go
+++ b/pkg/placement/refuse_test.go
@@ -45,9 +45,18 @@
 			tc.a0(s.targets["a0"])
 			tc.b0(s.targets["b0"])
 			s.mu.Unlock()
-			_, err := f.Acquire(f.request(true), tc.tried) // the clock stands still: a wait would not end
+			ended := make(chan error, 1)
+			go func() {
+				_, err := f.Acquire(f.request(true), tc.tried)
+				ended <- err
+			}()
 			var refused *refusal.Refusal
-			is.True(errors.As(err, &refused))
+			select {
+			case err := <-ended:
+				is.True(errors.As(err, &refused))
+			case <-time.After(5 * time.Second):
+				t.Fatal("the request still waits")
+			}
 			is.Equal(refused.Kind, tc.kind)
 			is.Equal(refused.RetryAfter, tc.retryAfter)
 			is.Equal(refused.Outcome, refusal.OutcomeNotRun)
