A restored listing of an earlier run takes no leaving or pause back

A store that is restored from a copy may list an earlier run of a target at the same address. Its state began empty, so that a request went to the later run, which had said that it leaves or asked for a pause. What a later run at the same id and address has stated holds for an earlier one now. TestEarlierRunInheritsStatements failed before in both cases.

--- a/pkg/placement/catalogue.go
+++ b/pkg/placement/catalogue.go
@@ -61,6 +61,7 @@
 		}
 		if t == nil {
 			t = newTarget(entry, now)
+			s.inheritStatements(t)
 		}
 		delete(s.unlisted, run)
 		if entry.Draining && !t.entry.Draining {
--- a/pkg/placement/statement.go
+++ b/pkg/placement/statement.go
@@ -102,3 +102,21 @@
 		}
 	}
 }
+
+// inheritStatements applies what a later run of the target's process at the same address has
+// stated: a restored store may list an earlier run, which has ended.
+func (s *service) inheritStatements(t *target) {
+	run := runOf(t.entry)
+	inherit := func(other *target) {
+		if later := runOf(other.entry); later.id == run.id && later.address == run.address && later.started > run.started {
+			t.leaving.announced = t.leaving.announced || other.leaving.announced
+			t.pausedUntil = max(t.pausedUntil, other.pausedUntil)
+		}
+	}
+	if listed := s.targets[run.id]; listed != nil {
+		inherit(listed)
+	}
+	for _, other := range s.unlisted {
+		inherit(other)
+	}
+}
--- a/pkg/placement/statement_test.go
+++ b/pkg/placement/statement_test.go
@@ -199,3 +199,26 @@
 	f.catalogue.Version++
 	is.True(slices.Contains(f.targetsOf(t, 100), "a0"))
 }
+
+// Guards against requests to a target that leaves or pauses while a restored store lists an
+// earlier run of its process.
+func TestEarlierRunInheritsStatements(t *testing.T) {
+	for name, load := range map[string]proxy.Load{"leaving": {Draining: true}, "pause": {Pause: proxy.Pause{Wait: time.Minute}}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(2)
+			f.catalogue.Services["s"][0].Started = 2
+			f.say(t, "a0", load)
+			earlier := *f.catalogue.Services["s"][0]
+			earlier.Started = 1
+			f.catalogue.Services["s"][0] = &earlier
+			f.catalogue.Version++
+			is.True(!slices.Contains(f.targetsOf(t, 100), "a0"))
+			later := earlier
+			later.Started = 3
+			f.catalogue.Services["s"][0] = &later
+			f.catalogue.Version++
+			is.True(slices.Contains(f.targetsOf(t, 100), "a0"))
+		})
+	}
+}
