--- a/pkg/lab/soak/testbed.go
+++ b/pkg/lab/soak/testbed.go
@@ -69,6 +69,8 @@
 	pathRelay     *relay.Relay
 	listed        bool
 	drainingSince time.Time
+	// pathSpans are the intervals in which its responses may have been held or lost.
+	pathSpans []span
 }
 
 // testbed holds the processes, simulators and records of one run.
@@ -205,7 +207,7 @@
 
 // openSpan appends an interval that begins now and returns the function that ends
 // it.
-func (tb *testbed) openSpan(i *instance, spans *[]span) (end func()) {
+func (tb *testbed) openSpan(spans *[]span) (end func()) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	n := len(*spans)
