Shares of named rates leave an instance without paths with its callers

An instance without paths kept its shares for 5 s after its callers had left: it became quiet below 20% of the mean rate for 2 s. TestInstanceWithoutPathsIsBusyWhileItsCallersStay failed before.

--- a/pkg/fleet/quiet.go
+++ b/pkg/fleet/quiet.go
@@ -43,7 +43,8 @@
 	if mean < minQuietMean || rate >= ownerShare*mean {
 		q.value, q.fewSince = false, 0
 	} else {
-		q.value = begins || q.becomesQuiet(rate < quietShare*mean, now)
+		// Callers leave an instance without paths, and do not come back while it has none.
+		q.value = begins || f.pathsLost() || q.becomesQuiet(rate < quietShare*mean, now)
 	}
 	if q.value != old {
 		event.QuietChanged.Log(f.Log).Bool("quiet", q.value).Float64("rate", rate).Float64("zone_mean", mean).Send()
--- a/pkg/fleet/quiet_test.go
+++ b/pkg/fleet/quiet_test.go
@@ -63,3 +63,29 @@
 	tf.run(3 * time.Second)
 	is.Equal(owners(), names) // without requests, all own targets
 }
+
+// Guards against an instance without paths that counts as busy after its callers have left, or
+// as quiet while they stay.
+func TestInstanceWithoutPathsIsBusyWhileItsCallersStay(t *testing.T) {
+	is := is.New(t)
+	tf := newTestFleet(12)
+	tf.run(3 * time.Second)
+	names := tf.serving("a")
+	for _, name := range names {
+		tf.instances[name].rate = 20
+	}
+	lost := tf.instances[names[0]]
+	lost.lost = true
+	busy := func() bool {
+		return slices.ContainsFunc(tf.instances[names[1]].View().Busy("a"), func(m Member) bool { return m.Instance == names[0] })
+	}
+	tf.run(3 * time.Second)
+	is.True(busy())
+	is.True(!slices.ContainsFunc(tf.instances[names[1]].View().Owners("a"), func(m Member) bool { return m.Instance == names[0] }))
+	for _, name := range tf.serving("a") {
+		tf.instances[name].rate = 20
+	}
+	lost.rate = 5 // below ownerShare, above quietShare
+	tf.run(time.Second)
+	is.True(!busy())
+}
