Name the holder of a named rate

Since instances without paths keep their shares, the one with 75% of a rate need not prefer the target, but the constants, the field and the comments of limit.go still said so: one thing under two names, and one of them no longer true. No behaviour changes; the tests of pkg/placement pass as they are.

--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -13,22 +13,22 @@
 // A target in need names the request rate that it accepts from all instances together.
 // Each instance keeps a fixed share of that rate, and the shares add up to the rate, so
 // the limit holds without counts that would have to be exchanged and could be late or
-// lost. The instance that prefers the target has most of the rate. A few other instances
-// of the zone divide the rest, so that a request that arrives where no share is left
+// lost. The holder has most of the rate: the instance that prefers the target, or one that
+// would, had it not lost its paths. A few other instances of the zone divide the rest, so that a request that arrives where no share is left
 // can often go to another target.
 const (
-	// preferredLimitShare is the share of the instance that prefers the target.
-	preferredLimitShare = 0.75
+	// holderLimitShare is the share of the holder.
+	holderLimitShare = 0.75
 	// maxLimitSharers bounds the other instances that have a share. Each of them may save
 	// up one request: with more of them, these alone would exceed a low rate at once.
 	maxLimitSharers = 3
 	// limitBurst is the time over which unused allowance adds up.
 	limitBurst = time.Second
-	// minPreferredRate in requests per second goes to a target that accepts fewer:
-	// only a response tells that the limit has ended.
-	minPreferredRate = 0.2
-	// limitReportTime is the time for which a statement is passed on to other instances
-	// by the instance that prefers the target. Others pass theirs on for recentResultAge.
+	// minHolderRate in requests per second goes from the holder to a target that accepts
+	// fewer: only a response tells that the limit has ended.
+	minHolderRate = 0.2
+	// limitReportTime is the time for which the holder passes a statement on to other
+	// instances. Others pass theirs on for recentResultAge.
 	limitReportTime = 10 * time.Second
 )
 
@@ -52,9 +52,9 @@
 	// last limit.
 	endedAt time.Duration
 
-	// share is this instance's share of the rate, preferred whether it prefers the target.
-	share     float64
-	preferred bool
+	// share is this instance's share of the rate, holder whether it is the holder.
+	share  float64
+	holder bool
 	// tokens is the number of requests that this instance may send, computed up to
 	// updatedAt (time since boot).
 	tokens    float64
@@ -86,27 +86,27 @@
 }
 
 // assign sets this instance's share of the rate. sharers is the number of instances other
-// than the one that prefers the target that have a share, and member says that this instance
-// is one of them. Standbys and instances that are leaving have no share: there may be many
+// than the holder that have a share, member says that this instance is one of them, and holder
+// that it is the holder. Standbys and instances that are leaving have no share: there may be many
 // of them.
-func (l *rateLimit) assign(sharers int, member, preferred bool, now time.Duration) {
+func (l *rateLimit) assign(sharers int, member, holder bool, now time.Duration) {
 	l.refill(now)
-	l.preferred = preferred
+	l.holder = holder
 	switch {
-	case sharers == 0 && (preferred || member):
+	case sharers == 0 && (holder || member):
 		l.share = 1
-	case preferred:
-		l.share = preferredLimitShare
+	case holder:
+		l.share = holderLimitShare
 	case member:
-		l.share = (1 - preferredLimitShare) / float64(sharers)
+		l.share = (1 - holderLimitShare) / float64(sharers)
 	default:
 		l.share = 0
 	}
 	l.tokens = min(l.tokens, l.maxTokens())
 }
 
-// limitHolder returns the instance that has most of the rate of the target with the given
-// number in its zone: the owner, which prefers the target. An instance that has lost its paths
+// limitHolder returns the holder of the rate of the target with the given number in its
+// zone: the owner, which prefers the target. An instance that has lost its paths
 // owns none, but its callers stay for a while, and it serves them through others: of the
 // targets that it would own, it keeps the rate. busy are the zone's instances with callers.
 func limitHolder(v *fleet.View, busy []fleet.Member, owner fleet.Member, number int) fleet.Member {
@@ -118,12 +118,12 @@
 	return owner
 }
 
-// limitSharers returns the instances other than the owner that have a share of the rate of
+// limitSharers returns the instances other than the holder that have a share of the rate of
 // the target with the given number in its zone. instances are those that share the zone.
-func limitSharers(instances []fleet.Member, owner fleet.Member, number int) []fleet.Member {
+func limitSharers(instances []fleet.Member, holder fleet.Member, number int) []fleet.Member {
 	var sharers []fleet.Member
 	for k := range instances {
-		if m := instances[(number+k)%len(instances)]; m != owner && len(sharers) < maxLimitSharers {
+		if m := instances[(number+k)%len(instances)]; m != holder && len(sharers) < maxLimitSharers {
 			sharers = append(sharers, m)
 		}
 	}
@@ -133,8 +133,8 @@
 // rate returns the requests per second that this instance may send.
 func (l *rateLimit) rate() float64 {
 	rate := l.perSecond * l.share
-	if l.preferred {
-		rate = max(rate, minPreferredRate)
+	if l.holder {
+		rate = max(rate, minHolderRate)
 	}
 	return rate
 }
@@ -177,7 +177,7 @@
 // target limits its rate, and for a time after that.
 func (l *rateLimit) reported(now time.Duration) bool {
 	maxAge := recentResultAge
-	if l.preferred {
+	if l.holder {
 		maxAge = limitReportTime
 	}
 	if l.own.at == 0 || now-l.own.at >= maxAge {
