One time and one view for one decision

A refusal read the clock once per listed target, under overload with hundreds of them; the peers of a detour were those of two views, if one was published in between. Cause of both: calls inside an expression that should have one answer. Also a comment on the order of storing a view and telling of it that could be read either way. Tests of pkg/placement, pkg/edge, pkg/fleet pass.

--- a/pkg/edge/detour.go
+++ b/pkg/edge/detour.go
@@ -52,7 +52,8 @@
 func (i *Instance) detourPeers() []detour.Peer {
 	members := i.fleet.Connecting(i.clock.SinceBoot() - detour.WitnessMemory)
 	if len(members) == 0 {
-		members = i.fleet.View().Attached(i.fleet.View().Peers)
+		view := i.fleet.View()
+		members = view.Attached(view.Peers)
 	}
 	var peers []detour.Peer
 	for _, m := range members {
--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -47,7 +47,7 @@
 	}
 	f.view.Store(next)
 	if next.Called != old.Called {
-		// The receiver reads the view that was stored before.
+		// The view is stored first: the receiver reads it.
 		select {
 		case f.calledChanged <- struct{}{}:
 		default:
--- a/pkg/placement/refuse.go
+++ b/pkg/placement/refuse.go
@@ -105,8 +105,9 @@
 // return after the given time.
 func (b *Balancer) refuse(kind refusal.Kind, s *service, tried []string, waited, after time.Duration) error {
 	cause := &NoTargetError{Service: s.name, Listed: len(s.ordered), Tried: len(tried), Waited: waited}
+	now := b.clock.SinceBoot()
 	for _, t := range s.ordered {
-		switch t.obstacle(maxLoadPerSlot, b.clock.SinceBoot()) {
+		switch t.obstacle(maxLoadPerSlot, now) {
 		case listedDraining, announcedLeaving:
 			cause.Leaving++
 		case paused:
