One way to connect to a target directly

The pool uses detour.Direct when it has no DialTarget. The comment on ConnectTimeout now says what it still bounds with DialTarget: the check of a target that lost a connection. No behaviour changes; tests of pkg/proxy, pkg/detour, pkg/balance, pkg/entry pass.

--- a/pkg/detour/direct.go
+++ b/pkg/detour/direct.go
@@ -30,7 +30,8 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	// Idle connections are closed within seconds, too soon for keep-alive probes.
+	// Idle connections are closed within seconds, too soon for keep-alive probes,
+	// whose setup would cost four system calls for each connection.
 	dialer := net.Dialer{KeepAlive: -1}
 	conn, err := dialer.DialTCP(ctx, "tcp", netip.AddrPort{}, remote)
 	if err != nil {
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"net"
-	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/detour"
 )
 
 // targetConn is a connection to a target. One request at a time uses it.
@@ -59,7 +59,6 @@
 type connPool struct {
 	clock   clock.Clock
 	options Options
-	dialer  net.Dialer
 	// readers holds *bufio.Reader values that no connection uses.
 	readers sync.Pool
 	// closing is set when connections are no longer kept for reuse.
@@ -74,9 +73,6 @@
 
 func newConnPool(c clock.Clock, options Options) *connPool {
 	p := &connPool{clock: c, options: options, idle: map[string][]*targetConn{}}
-	// Idle connections are closed within seconds, too soon for keep-alive probes,
-	// whose setup would cost four system calls for each connection.
-	p.dialer.KeepAlive = -1
 	p.readers.New = func() any { return bufio.NewReaderSize(nil, options.MaxHeaderBytes) }
 	return p
 }
@@ -105,7 +101,7 @@
 func (p *connPool) dial(address string, deadline time.Time) (*targetConn, error) {
 	dial := p.options.DialTarget
 	if dial == nil {
-		dial = p.dialDirect
+		dial = detour.Direct{}.Dial
 		deadline = earliest(time.Now().Add(p.options.ConnectTimeout), deadline)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
@@ -119,15 +115,6 @@
 	return conn, nil
 }
 
-func (p *connPool) dialDirect(ctx context.Context, address string) (net.Conn, error) {
-	// Addresses are IP:port, so the resolver and its allocations are not needed.
-	remote, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, err
-	}
-	return p.dialer.DialTCP(ctx, "tcp", netip.AddrPort{}, remote)
-}
-
 func (p *connPool) attachReader(conn *targetConn) {
 	conn.reader = p.readers.Get().(*bufio.Reader)
 	conn.reader.Reset(conn)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -53,9 +53,9 @@
 	// ClockError is the largest assumed error of the wall clock, for the expiry
 	// of a batch's contract. Zero means none.
 	ClockError time.Duration
-	// ConnectTimeout bounds one attempt to connect. The default of 250 ms is
-	// far above the typical 1 ms and below the 1 s after which the kernel
-	// resends a lost SYN.
+	// ConnectTimeout bounds one attempt to connect, and with DialTarget only the check
+	// whether a target that lost a connection has ended. The default of 250 ms is far above
+	// the typical 1 ms and below the 1 s after which the kernel resends a lost SYN.
 	ConnectTimeout time.Duration
 	// DialTarget, if not nil, opens the connections to targets, within limits of its own
 	// in place of ConnectTimeout. ctx ends with the request.
