Log attributes of the quarantine's row that cannot be read

What operators saw: arbutus-entry passed over attributes of its row that are no request in quarantine without a line, so that a request which some other writer had spoilt was simply no longer refused after the loss of all instances; arbutus-edge logs such rows as 703. Cause: the store adapter had no log. It logs 703 with the attribute and a typed error now, and the meaning of 703 names these rows, which it already stood for in arbutus-edge.

--- a/pkg/entry/suspects.go
+++ b/pkg/entry/suspects.go
@@ -5,9 +5,12 @@
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 
+	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/platform"
 	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 )
@@ -32,10 +35,13 @@
 
 // quarantineTable keeps the requests in quarantine in the platform's table. It implements
 // quarantine.Store.
-type quarantineTable struct{ platform.Table }
+type quarantineTable struct {
+	platform.Table
+	log *zerolog.Logger
+}
 
 // ReadQuarantine returns the requests in quarantine. Attributes that cannot be decoded are
-// left out.
+// logged and left out.
 func (t quarantineTable) ReadQuarantine(ctx context.Context) ([]quarantine.Record, error) {
 	item, err := t.read(ctx)
 	if err != nil {
@@ -43,20 +49,39 @@
 	}
 	var records []quarantine.Record
 	for name, value := range item {
-		digest, err := hex.DecodeString(name)
-		record := quarantine.Record{}
-		if err != nil || len(digest) != len(record.Digest) {
+		if name == quarantineOperation {
 			continue
 		}
-		if _, err := fmt.Sscanf(value, "%d %d", &record.Clearings, &record.Crashes); err != nil {
+		record, err := decodeQuarantined(name, value)
+		if err != nil {
+			event.EntryRejected.Log(t.log).Err(err).Str("key", name).Send()
 			continue
 		}
-		record.Digest = quarantine.Digest(digest)
 		records = append(records, record)
 	}
 	return records, nil
 }
 
+// InvalidAttributeError says that an attribute of the row is no request in quarantine.
+type InvalidAttributeError struct{ Name, Value string }
+
+// Error names the attribute.
+func (e *InvalidAttributeError) Error() string {
+	return "row " + quarantineRow + ", attribute " + strconv.Quote(e.Name) + ": no digest with two counts but " + strconv.Quote(e.Value)
+}
+
+// decodeQuarantined reads an attribute of the row. Errors: *InvalidAttributeError.
+func decodeQuarantined(name, value string) (record quarantine.Record, err error) {
+	digest, err := hex.DecodeString(name)
+	if err == nil && len(digest) == len(record.Digest) {
+		if _, err = fmt.Sscanf(value, "%d %d", &record.Clearings, &record.Crashes); err == nil {
+			record.Digest = quarantine.Digest(digest)
+			return record, nil
+		}
+	}
+	return quarantine.Record{}, errors.WithStack(&InvalidAttributeError{Name: name, Value: value})
+}
+
 // read returns the row, or an empty one.
 func (t quarantineTable) read(ctx context.Context) (platform.Item, error) {
 	item, err := t.Get(ctx, quarantineRow)
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -72,7 +72,7 @@
 	PlatformUnavailable = Event{700, "platform_unavailable", zerolog.WarnLevel, "the platform does not answer; requests are still served, but changes are delayed until it answers again"}
 	PlatformAvailable   = Event{701, "platform_available", zerolog.InfoLevel, "the platform answers again"}
 	ListingFailed       = Event{702, "listing_failed", zerolog.WarnLevel, "the targets could not be listed; the last listing stays in use"}
-	EntryRejected       = Event{703, "entry_rejected", zerolog.WarnLevel, "an entry of a target in the platform's store could not be read and is ignored; check who wrote it"}
+	EntryRejected       = Event{703, "entry_rejected", zerolog.WarnLevel, "an entry of a target or of a request in quarantine in the platform's store could not be read and is ignored; check who wrote it"}
 	ProcessPaused       = Event{706, "process_paused", zerolog.WarnLevel, "the process did not run for 600 ms or more; configuration and targets are read again before requests are served"}
 	StoreRestored       = Event{707, "store_restored", zerolog.WarnLevel, "the store came back from a copy and has lost what was written since; all state that was read from it is read again"}
 	ListingChanged      = Event{708, "listing_changed", zerolog.InfoLevel, "the instance took over another listing of the targets; missing targets are retained while it is unsettled"}
