One constant for how late log lines come

arbutusctl explain told users a delay of its own, equal by hand to the interval at which arbutus-edge writes its log: two values that had to be changed together. Both are event.WriteInterval now. No behaviour changes; tests of pkg/edge, pkg/explain, pkg/event, pkg/ctl pass.

--- a/pkg/edge/logwriter.go
+++ b/pkg/edge/logwriter.go
@@ -5,16 +5,13 @@
 	"strconv"
 	"sync"
 	"time"
-)
 
-const (
-	// maxPendingLogBytes bounds the log lines that wait to be written.
-	maxPendingLogBytes = 512 << 10
-	// logFlushInterval is the time between two writes, so that one write carries many
-	// lines.
-	logFlushInterval = 200 * time.Millisecond
+	"github.com/arbutuslink/arbutuslink/pkg/event"
 )
 
+// maxPendingLogBytes bounds the log lines that wait to be written.
+const maxPendingLogBytes = 512 << 10
+
 // logWriter writes log lines in the background, so that a slow reader of the log
 // never delays traffic. Lines beyond maxPendingLogBytes are dropped and counted; the
 // next write reports their number.
@@ -63,7 +60,7 @@
 		closed := w.closed
 		w.mu.Unlock()
 		if !closed {
-			time.Sleep(logFlushInterval)
+			time.Sleep(event.WriteInterval)
 		}
 		w.mu.Lock()
 		batch, w.pending = w.pending, batch[:0]
--- a/pkg/event/limit.go
+++ b/pkg/event/limit.go
@@ -7,6 +7,10 @@
 	"github.com/rs/zerolog"
 )
 
+// WriteInterval is the time between two writes of an instance to its log, so that one write
+// carries many lines. A line comes up to this much after what it tells.
+const WriteInterval = 200 * time.Millisecond
+
 // The number of log lines of each event in one limitPeriod is limited, so that a
 // persistent failure does not flood the log. Further lines are dropped.
 const (
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -20,8 +20,6 @@
 	// resultWindow is how long before and after an attempt the results of other requests at
 	// the same target count as results at that time.
 	resultWindow = 2 * time.Second
-	// maxLineDelay is the time in which instances write a line to the log.
-	maxLineDelay = 200 * time.Millisecond
 )
 
 // Explanation joins the line of one request with the lines that it rested on.
@@ -77,7 +75,7 @@
 
 // Error says what was read.
 func (e *NotFoundError) Error() string {
-	text := fmt.Sprintf("no line of request %q among %d log lines; a line comes up to %s after its request", e.ID, e.Logs.Lines, maxLineDelay)
+	text := fmt.Sprintf("no line of request %q among %d log lines; a line comes up to %s after its request", e.ID, e.Logs.Lines, event.WriteInterval)
 	if e.Logs.Dropped > 0 {
 		text += fmt.Sprintf("; the instances could not write %d lines", e.Logs.Dropped)
 	}
