Soak: one place that makes a caller

The callers that visit every instance were made with the same lines as the others; the team and the draws by number are decided once. The draws of existing seeds stay as they are.

--- a/pkg/lab/soak/callers.go
+++ b/pkg/lab/soak/callers.go
@@ -64,15 +64,20 @@
 func startCallers(ctx context.Context, tb *testbed) *callers {
 	c := &callers{}
 	for n := range tb.Callers {
-		client := &caller{
-			callers: c, testbed: tb, zone: []string{"a", "b"}[n%2], team: teams[n%len(teams)], number: n,
-			rng: rand.New(rand.NewPCG(tb.Seed, uint64(100+n))),
-		}
+		client := c.newCaller(tb, n, []string{"a", "b"}[n%2])
 		c.group.Go(func() { client.run(ctx) })
 	}
 	return c
 }
 
+// newCaller returns the caller with a number, which decides on its team and its draws.
+func (c *callers) newCaller(tb *testbed, number int, zone string) *caller {
+	return &caller{
+		callers: c, testbed: tb, zone: zone, team: teams[number%len(teams)], number: number,
+		rng: rand.New(rand.NewPCG(tb.Seed, uint64(100+number))),
+	}
+}
+
 func (c *callers) wait() { c.group.Wait() }
 
 // visitAll sends requests to every instance for a length of time, as callers that keep their
@@ -82,11 +87,8 @@
 	defer stop()
 	for n, i := range tb.instances {
 		for k := range visitorsPerInstance {
-			number := firstVisitor + n*visitorsPerInstance + k
-			client := &caller{
-				callers: c, testbed: tb, zone: i.zone, team: teams[number%len(teams)], number: number,
-				rng: rand.New(rand.NewPCG(tb.Seed, uint64(100+number))), pinned: i,
-			}
+			client := c.newCaller(tb, firstVisitor+n*visitorsPerInstance+k, i.zone)
+			client.pinned = i
 			c.group.Go(func() { client.run(ctx) })
 		}
 	}
