The quarantine's property test loses as many messages as it states

Cause, shown by a trace of 246 and 4 times 1000 cases: the test drew each loss with rapid.IntRange, which favours small numbers, so that a stated loss of 6% was 36%, of 41% was 69%; and where requests come every 2 s, it let the instances exchange reports once in that time, not eight times. The failing case had 3 instances, a request every 2 s, a stated loss of 41%, and lost 69%. Ruled out: the list itself. With uniform losses of at most half of the messages and a report every 250 ms, 15000 cases have no crash later than 3 s after the third.

The losses now come from a generator with a drawn seed and the reports have the interval of the fleet's. The bound is stricter: no crash later than 3 s, where it was three. A guard: without the news of other instances this test and TestSuccessClears fail.

--- a/pkg/quarantine/list_test.go
+++ b/pkg/quarantine/list_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/health"
 )
 
 func newTestList() (*List, *clock.Manual) {
@@ -164,20 +166,26 @@
 		}
 		step := time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms between requests")) * time.Millisecond
 		lossPercent := rapid.IntRange(0, 50).Draw(t, "lost messages in percent")
-		var third time.Duration
-		crashes, later, lastExchange := 0, 0, c.SinceBoot()
-		for n := range 200 {
-			c.Advance(step)
-			if c.SinceBoot()-lastExchange >= 250*time.Millisecond {
-				lastExchange = c.SinceBoot()
-				for from, l := range instances {
-					for to := range instances {
-						if to != from && rapid.IntRange(0, 99).Draw(t, "lost") >= lossPercent {
-							instances[to].Merge("peer", l.Messages())
-						}
+		// rapid favours small numbers, which would lose far more messages than stated.
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed of the losses"), 0))
+		exchange := func() {
+			for from, l := range instances {
+				for to := range instances {
+					if to != from && random.IntN(100) >= lossPercent {
+						instances[to].Merge("peer", l.Messages())
 					}
 				}
 			}
+		}
+		var third time.Duration
+		crashes, later, nextExchange := 0, 0, health.ReportInterval
+		for n := range 200 {
+			arrival := c.SinceBoot() + step
+			for ; nextExchange <= arrival; nextExchange += health.ReportInterval {
+				c.Advance(nextExchange - c.SinceBoot())
+				exchange()
+			}
+			c.Advance(arrival - c.SinceBoot())
 			l := instances[rapid.IntRange(0, len(instances)-1).Draw(t, "at")]
 			known, _, err := l.Admit(digest(0))
 			if err == nil {
@@ -194,7 +202,7 @@
 				t.Fatalf("request %d is refused", n+1)
 			}
 		}
-		if later > 3 {
+		if later > 0 {
 			t.Fatalf("%d crashes, %d of them later than 3 s after the third", crashes, later)
 		}
 	})
