A zone without paths keeps the named rates of its targets

Cause: the instances that share the rates were those among which the targets are divided. For a zone without any that reaches targets these are all instances, so that a quarter of each rate went to other zones, whose callers need it less.

TestZoneWithoutPathsKeepsNamedRates fails without it; a guard.

--- a/pkg/placement/limit_paths_test.go
+++ b/pkg/placement/limit_paths_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"github.com/matryer/is"
+
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 )
 
@@ -61,3 +63,30 @@
 		})
 	}
 }
+
+// Guards against callers of a zone without paths that are refused because instances of other
+// zones hold the rates of its targets.
+func TestZoneWithoutPathsKeepsNamedRates(t *testing.T) {
+	is := is.New(t)
+	a, b, c := fleet.Member{Instance: "a", Zone: "0"}, fleet.Member{Instance: "b", Zone: "0"}, fleet.Member{Instance: "c", Zone: "1"}
+	all, own := []fleet.Member{a, b, c}, []fleet.Member{a, b}
+	for _, row := range []struct {
+		zone            string
+		detached        []fleet.Member
+		owners, sharing []fleet.Member
+	}{
+		{"0", nil, own, own},
+		{"0", []fleet.Member{a}, []fleet.Member{b}, own},
+		{"0", own, []fleet.Member{c}, own},
+		{"0", all, all, own},
+		{"2", own, []fleet.Member{c}, all},
+	} {
+		v := &fleet.View{Self: a, Peers: all, Detached: map[string]bool{}}
+		for _, m := range row.detached {
+			v.Detached[m.Instance] = true
+		}
+		owners, sharing := responsible(v, row.zone)
+		is.Equal(owners, row.owners)
+		is.Equal(sharing, row.sharing)
+	}
+}
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -173,13 +173,7 @@
 		byZone[t.entry.Zone] = append(byZone[t.entry.Zone], t)
 	}
 	for zone, targets := range byZone {
-		sharing, owners := v.InZone(zone), v.Owners(zone)
-		if len(owners) == 0 {
-			sharing, owners = v.Peers, v.Attached(v.Peers)
-		}
-		if len(owners) == 0 {
-			owners = v.Peers
-		}
+		owners, sharing := responsible(v, zone)
 		busy := v.Busy(zone)
 		for i, t := range targets {
 			if len(owners) == 0 {
@@ -204,6 +198,23 @@
 	}
 }
 
+// responsible returns the instances that share the ownership of a zone's targets, and those
+// that share the rates that these name. An instance without paths owns no target, but keeps
+// its part of the rates: it serves its callers through others.
+func responsible(v *fleet.View, zone string) (owners, sharing []fleet.Member) {
+	owners, sharing = v.Owners(zone), v.InZone(zone)
+	if len(owners) == 0 {
+		owners = v.Attached(v.Peers)
+	}
+	if len(owners) == 0 {
+		owners = v.Peers
+	}
+	if len(sharing) == 0 {
+		sharing = v.Peers
+	}
+	return owners, sharing
+}
+
 // choose returns the target for a request: one that is due for a trial, has been out of use
 // for too long or was unreachable, else one with the lowest cost, or nil when all usable
 // targets are full. noneUsable says that there is no usable target at all.
