Detours are tried through instances that kept their connections, too

Cause, by a trace of the failing run: instances 1 to 3 of five are cut. Only instances that had opened a connection to a target within 4 s were asked to carry a detour; 1 and 2 had, just before the cut, 4 and 5 had kept theirs. All detours of 3 went to 1 and 2, which could not connect, until the three attempts of the request were spent. Ruled out: the cause suspected before, that detours begin with the second failed target; the trace shows them begun and failed. arbutus-edge chose in the same way.

Instances that reach targets and others that serve are now tried by turns, those through which a detour has failed within 5 s last (pkg/detour/carriers.go, without a network). A detour that succeeds counts as evidence, so that its connection is used again.

--- a/pkg/detour/dialer.go
+++ b/pkg/detour/dialer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"time"
 
@@ -12,12 +11,7 @@
 // maxDetours is the number of instances through which one connection is tried.
 const maxDetours = 2
 
-// Peer is an instance that may connect to targets for this one.
-type Peer struct {
-	Instance, Zone, Address string
-}
-
-// NoDetourError says that no other instance is known to reach targets.
+// NoDetourError says that no other instance is known.
 type NoDetourError struct{ Target string }
 
 // Error names the target.
@@ -32,10 +26,12 @@
 	Zone string
 	// Direct opens a direct connection.
 	Direct func(ctx context.Context, address string) (net.Conn, error)
-	// Peers returns the instances that are known to reach targets.
+	// Peers returns the instances that may reach targets.
 	Peers func() []Peer
 	// Timeout bounds a direct connection and the connection to a peer.
 	Timeout time.Duration
+
+	carriers carriers
 }
 
 // Conn is a connection to a target.
@@ -58,12 +54,7 @@
 	if c.Via == "" {
 		return !c.dialer.Lost()
 	}
-	for _, p := range c.dialer.Peers() {
-		if p.Instance == c.Via {
-			return true
-		}
-	}
-	return false
+	return c.dialer.carriers.usable(c.Via, c.dialer.Peers(), c.dialer.Clock.SinceBoot())
 }
 
 // Dial connects to the target at an address (IP:port). Errors also: *RefusedError.
@@ -101,25 +92,19 @@
 	return &Conn{Conn: conn, dialer: d}, nil
 }
 
-// detour connects through another instance, one of the own zone if there is any.
+// detour connects through another instance.
 func (d *Dialer) detour(ctx context.Context, address string) (net.Conn, error) {
-	peers := d.Peers()
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	var near, far []Peer
-	for _, p := range peers {
-		if p.Zone == d.Zone {
-			near = append(near, p)
-		} else {
-			far = append(far, p)
-		}
-	}
 	err := errors.WithStack(error(&NoDetourError{Target: address}))
-	for n, p := range append(near, far...) {
+	for n, p := range d.carriers.order(d.Peers(), d.Zone, d.Clock.SinceBoot()) {
 		if n == maxDetours {
 			break
 		}
 		var conn net.Conn
-		if conn, err = Connect(ctx, p.Address, address, d.Timeout); err == nil {
+		conn, err = Connect(ctx, p.Address, address, d.Timeout)
+		if err == nil || ctx.Err() == nil {
+			d.carriers.record(p.Instance, err == nil, d.Clock.SinceBoot())
+		}
+		if err == nil {
 			return &Conn{Conn: conn, dialer: d, Via: p.Instance}, nil
 		}
 	}
--- a/pkg/edge/detour.go
+++ b/pkg/edge/detour.go
@@ -7,6 +7,7 @@
 
 	"github.com/arbutuslink/arbutuslink/pkg/detour"
 	"github.com/arbutuslink/arbutuslink/pkg/discovery"
+	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/peer"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
 )
@@ -48,19 +49,21 @@
 }
 
 // detourPeers returns the instances that may connect to targets for this one: those that
-// have lately connected to one, or else all that serve.
+// have lately connected to one, and the others that serve and have not lost their paths.
 func (i *Instance) detourPeers() []detour.Peer {
-	members := i.fleet.Connecting(i.clock.SinceBoot() - detour.WitnessMemory)
-	if len(members) == 0 {
-		view := i.fleet.View()
-		members = view.Attached(view.Peers)
-	}
 	var peers []detour.Peer
-	for _, m := range members {
-		if m.Instance != i.Settings.Instance {
-			peers = append(peers, detour.Peer{Instance: m.Instance, Zone: m.Zone, Address: m.GossipAddress})
+	known := map[string]bool{i.Settings.Instance: true}
+	add := func(members []fleet.Member, reaches bool) {
+		for _, m := range members {
+			if !known[m.Instance] {
+				known[m.Instance] = true
+				peers = append(peers, detour.Peer{Instance: m.Instance, Zone: m.Zone, Address: m.GossipAddress, Reaches: reaches})
+			}
 		}
 	}
+	add(i.fleet.Connecting(i.clock.SinceBoot()-detour.WitnessMemory), true)
+	view := i.fleet.View()
+	add(view.Attached(view.Peers), false)
 	return peers
 }
 
--- a/pkg/entry/detour.go
+++ b/pkg/entry/detour.go
@@ -85,26 +85,18 @@
 	return false
 }
 
-// detourPeers returns the members that may connect to targets for this instance: those that
-// have lately connected to one, or else all.
+// detourPeers returns the other members; those that have lately connected to a target are
+// known to reach some.
 func (i *Instance) detourPeers() []detour.Peer {
 	now := i.clock.SinceBoot()
 	view, connecting := i.control.View(), i.connecting.since(now-detour.WitnessMemory, now)
-	var known, others []detour.Peer
+	var peers []detour.Peer
 	for _, m := range view.Membership.Members {
-		p := detour.Peer{Instance: m.Instance, Zone: m.Zone, Address: m.PeerAddress}
-		switch {
-		case m.Incarnation == view.Self.Incarnation:
-		case connecting[m.Incarnation]:
-			known = append(known, p)
-		default:
-			others = append(others, p)
+		if m.Incarnation != view.Self.Incarnation {
+			peers = append(peers, detour.Peer{Instance: m.Instance, Zone: m.Zone, Address: m.PeerAddress, Reaches: connecting[m.Incarnation]})
 		}
 	}
-	if len(known) > 0 {
-		return known
-	}
-	return others
+	return peers
 }
 
 // connectedAge returns the time in ms since this instance last connected to a target, nil if
