Even parts of named rates where a zone has few targets

Ruled out: the loss of paths; the simulation has it without any.

The division of the rates is now code of its own (rate_division.go). With up to four instances all divide each rate, with more those that hold none share them and the holder keeps as much as one of these gets in all. Each rate still has at most four parts that add up to it.

--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/event"
-	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
@@ -13,15 +12,8 @@
 // A target in need names the request rate that it accepts from all instances together.
 // Each instance keeps a fixed share of that rate, and the shares add up to the rate, so
 // the limit holds without counts that would have to be exchanged and could be late or
-// lost. The holder has most of the rate: the instance that prefers the target, or one that
-// would, had it not lost its paths. A few other instances of the zone divide the rest, so that a request that arrives where no share is left
-// can often go to another target.
+// lost.
 const (
-	// holderLimitShare is the share of the holder.
-	holderLimitShare = 0.75
-	// maxLimitSharers bounds the other instances that have a share. Each of them may save
-	// up one request: with more of them, these alone would exceed a low rate at once.
-	maxLimitSharers = 3
 	// limitBurst is the time over which unused allowance adds up.
 	limitBurst = time.Second
 	// minHolderRate in requests per second goes from the holder to a target that accepts
@@ -85,51 +77,13 @@
 	return l.state(stated, now)
 }
 
-// assign sets this instance's share of the rate. sharers is the number of instances other
-// than the holder that have a share, member says that this instance is one of them, and holder
-// that it is the holder. Standbys and instances that are leaving have no share: there may be many
-// of them.
-func (l *rateLimit) assign(sharers int, member, holder bool, now time.Duration) {
+// assign sets this instance's share of the rate, and whether it is the holder.
+func (l *rateLimit) assign(share float64, holder bool, now time.Duration) {
 	l.refill(now)
-	l.holder = holder
-	switch {
-	case sharers == 0 && (holder || member):
-		l.share = 1
-	case holder:
-		l.share = holderLimitShare
-	case member:
-		l.share = (1 - holderLimitShare) / float64(sharers)
-	default:
-		l.share = 0
-	}
+	l.share, l.holder = share, holder
 	l.tokens = min(l.tokens, l.maxTokens())
 }
 
-// limitHolder returns the holder of the rate of the target with the given number in its
-// zone: the owner, which prefers the target. An instance that has lost its paths
-// owns none, but its callers stay for a while, and it serves them through others: of the
-// targets that it would own, it keeps the rate. busy are the zone's instances with callers.
-func limitHolder(v *fleet.View, busy []fleet.Member, owner fleet.Member, number int) fleet.Member {
-	if len(busy) > 0 {
-		if m := busy[number%len(busy)]; v.Detached[m.Instance] {
-			return m
-		}
-	}
-	return owner
-}
-
-// limitSharers returns the instances other than the holder that have a share of the rate of
-// the target with the given number in its zone. instances are those that share the zone.
-func limitSharers(instances []fleet.Member, holder fleet.Member, number int) []fleet.Member {
-	var sharers []fleet.Member
-	for k := range instances {
-		if m := instances[(number+k)%len(instances)]; m != holder && len(sharers) < maxLimitSharers {
-			sharers = append(sharers, m)
-		}
-	}
-	return sharers
-}
-
 // rate returns the requests per second that this instance may send.
 func (l *rateLimit) rate() float64 {
 	rate := l.perSecond * l.share
--- a/pkg/placement/limit_sim_test.go
+++ b/pkg/placement/limit_sim_test.go
@@ -296,7 +296,7 @@
 	if l.exhausted(now) {
 		t.Fatal("the instance has no allowance")
 	}
-	l.assign(2, false, false, now)
+	l.assign(0, false, now)
 	if !l.exhausted(now) {
 		t.Error("an instance without a share may still send")
 	}
--- /dev/null
+++ b/pkg/placement/rate_division.go
@@ -0,0 +1,95 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/arbutuslink/arbutuslink/pkg/fleet"
+)
+
+const (
+	// holderLimitShare is the greatest share of a holder.
+	holderLimitShare = 0.75
+	// maxLimitSharers bounds the other instances that have a share. Each of them may save
+	// up one request: with more of them, these alone would exceed a low rate at once.
+	maxLimitSharers = 3
+)
+
+// rateDivision is how the instances divide the rate that a target names. The holder has most
+// of it: the instance that prefers the target, or one that would, had it not lost its paths.
+// A few other instances of the zone divide the rest, so that a request that arrives where no
+// share is left can often go to another target.
+type rateDivision struct {
+	holder      fleet.Member
+	holderShare float64
+	sharers     []fleet.Member
+}
+
+// share returns an instance's share of the rate, from 0 to 1.
+func (d *rateDivision) share(m fleet.Member) float64 {
+	switch {
+	case m.Instance == d.holder.Instance:
+		return d.holderShare
+	case slices.Contains(d.sharers, m):
+		return (1 - d.holderShare) / float64(len(d.sharers))
+	default:
+		return 0
+	}
+}
+
+// divideRates divides the rates of a zone's targets, which are preferred by owners, one for
+// each. busy are the zone's instances with callers, sharing those that may have shares. The
+// load that it answers are callers that come to all busy instances alike, while all targets
+// name rates: where there are fewer targets than these instances, the parts are even.
+func divideRates(v *fleet.View, busy, sharing, owners []fleet.Member) []rateDivision {
+	divisions := make([]rateDivision, len(owners))
+	idle := slices.Clone(busy)
+	for number, owner := range owners {
+		holder := rateHolder(v, busy, owner, number)
+		divisions[number] = rateDivision{holder: holder, holderShare: holderLimitShare}
+		idle = slices.DeleteFunc(idle, func(m fleet.Member) bool { return m.Instance == holder.Instance })
+	}
+	few := len(owners) < len(busy) && len(idle) > 0
+	for number := range divisions {
+		d := &divisions[number]
+		switch {
+		case few && len(busy) <= maxLimitSharers+1:
+			d.sharers = rateSharers(busy, d.holder, 0)
+			d.holderShare = 1 / float64(len(busy))
+		case few:
+			// Only those that hold no rate share, so that each of them has as much as a holder.
+			d.sharers = rateSharers(idle, d.holder, number*maxLimitSharers)
+			served := min(len(idle), len(owners)*maxLimitSharers)
+			d.holderShare = min(holderLimitShare, float64(len(owners))/float64(len(owners)+served))
+		default:
+			d.sharers = rateSharers(sharing, d.holder, number)
+		}
+		if len(d.sharers) == 0 {
+			d.holderShare = 1
+		}
+	}
+	return divisions
+}
+
+// rateHolder returns the holder of the rate of the target with the given number in its zone.
+// An instance that has lost its paths owns no target, but its callers stay for a while, and it
+// serves them through others: of the targets that it would own, it keeps the rate.
+func rateHolder(v *fleet.View, busy []fleet.Member, owner fleet.Member, number int) fleet.Member {
+	if len(busy) > 0 {
+		if m := busy[number%len(busy)]; v.Detached[m.Instance] {
+			return m
+		}
+	}
+	return owner
+}
+
+// rateSharers returns up to maxLimitSharers of some instances other than the holder, from the
+// given number on.
+func rateSharers(instances []fleet.Member, holder fleet.Member, first int) []fleet.Member {
+	var sharers []fleet.Member
+	for k := range instances {
+		if m := instances[(first+k)%len(instances)]; m != holder && len(sharers) < maxLimitSharers {
+			sharers = append(sharers, m)
+		}
+	}
+	return sharers
+}
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -174,19 +174,21 @@
 	}
 	for zone, targets := range byZone {
 		owners, sharing := responsible(v, zone)
-		busy := v.Busy(zone)
-		for i, t := range targets {
-			if len(owners) == 0 {
-				// No instance is known to serve, and callers that come here have nowhere to go.
+		if len(owners) == 0 {
+			// No instance is known to serve, and callers that come here have nowhere to go.
+			for _, t := range targets {
 				t.preferred = false
-				t.limit.assign(0, true, false, now)
-				continue
+				t.limit.assign(1, false, now)
 			}
-			owner := owners[t.reach.owner(owners, i, now)]
-			t.preferred = owner.Instance == v.Self.Instance
-			holder := limitHolder(v, busy, owner, i)
-			sharers := limitSharers(sharing, holder, i)
-			t.limit.assign(len(sharers), slices.Contains(sharers, v.Self), holder.Instance == v.Self.Instance, now)
+			continue
+		}
+		ownerOf := make([]fleet.Member, len(targets))
+		for i, t := range targets {
+			ownerOf[i] = owners[t.reach.owner(owners, i, now)]
+			t.preferred = ownerOf[i].Instance == v.Self.Instance
+		}
+		for i, d := range divideRates(v, v.Busy(zone), sharing, ownerOf) {
+			targets[i].limit.assign(d.share(v.Self), d.holder.Instance == v.Self.Instance, now)
 		}
 	}
 	for d := range s.byDistance {
