TestEarlyResponse notices that no response is read while the request is written

Cause: a body of 4 MiB fits into the send buffer of the system, so the write ended before the target read it. Bodies of 16 MiB, which the test's proxy admits now, do not.

--- a/pkg/proxy/dialect_test.go
+++ b/pkg/proxy/dialect_test.go
@@ -155,15 +155,15 @@
 			}()
 		}
 	}()
-	r := newDialectTestProxy(t, 0, ln.Addr().String())
+	r := newTestProxy(t, Options{Dialect: testDialect(), NonIdempotentMaxIdle: time.Second, PollInterval: 10 * time.Millisecond, MaxRequestBody: 16 << 20}, ln.Addr().String())
 	r.publish(func(c *config.Config) {
 		put := c.Routes["put"]
 		put.TimeoutMS = 10_000 // the body takes its time on a busy machine
-		c.Routes = map[string]config.Route{"put": put}
+		c.Routes["put"] = put
 	})
 	caller := r.dial(t)
-	// The send buffer of the system takes the smaller body whole.
-	for _, size := range []int{1 << 20, 1 << 20, 4 << 20, 4 << 20} {
+	// The send buffer of the system takes the smaller body whole, but not the larger one.
+	for _, size := range []int{1 << 20, 1 << 20, 16 << 20, 16 << 20} {
 		response, body := caller.send("POST", "/put", strings.Repeat("x", size), r.keyLine())
 		is.Equal(response.StatusCode, 413)
 		is.Equal(body, "no")
