Soak: refusals that have nothing to do with paths are no loss of them

Left out of this check are requests that crash targets, and those sent while at least half of the targets ask for pauses or these last. TestPathCutsAreChecked fails without either, and without the check.

--- a/pkg/lab/soak/paths.go
+++ b/pkg/lab/soak/paths.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -79,6 +80,14 @@
 	}
 }
 
+// tellsOfPaths reports whether the result of a request within a cut, which is measured from
+// the given time on, may tell of lost paths: a request that crashes targets is refused
+// everywhere, and targets ask each instance for pauses of its own.
+func (tb *testbed) tellsOfPaths(r *request, from time.Time) bool {
+	return r.status != http.StatusTooManyRequests && r.status != http.StatusUnauthorized && !strings.Contains(r.path, deadlyMark) &&
+		!tb.hadFault(r.ip, from, r.endedAt) && !overlaps(tb.pauseSpans, r.sentAt, r.endedAt)
+}
+
 // checkPathCuts checks that callers of instances that were cut off were served.
 func (tb *testbed) checkPathCuts(requests []*request) {
 	for _, cut := range tb.pathCuts {
@@ -86,7 +95,7 @@
 		var sent, served [2]float64 // at instances that are cut off, and at others
 		failures := map[string]int{}
 		for _, r := range requests {
-			if r.sentAt.Before(from) || r.sentAt.After(to) || r.status == http.StatusTooManyRequests || r.status == http.StatusUnauthorized || tb.hadFault(r.ip, from, r.endedAt) {
+			if r.sentAt.Before(from) || r.sentAt.After(to) || !tb.tellsOfPaths(r, from) {
 				continue
 			}
 			at := 1
--- a/pkg/lab/soak/statements.go
+++ b/pkg/lab/soak/statements.go
@@ -32,6 +32,10 @@
 		share, refusals, pause := rng.Float64(), []int{1, 3, -1}[rng.IntN(3)], time.Second+time.Duration(rng.Int64N(int64(4*time.Second)))
 		tb.mu.Lock()
 		targets := slices.DeleteFunc(slices.Clone(tb.targets), func(*target) bool { return rng.Float64() >= share })
+		if 2*len(targets) >= len(tb.targets) {
+			now := time.Now()
+			tb.pauseSpans = append(tb.pauseSpans, span{now, now.Add(length + pause)})
+		}
 		tb.mu.Unlock()
 		tb.addFault(report, fmt.Sprintf("%d targets ask for pauses of %.1f s, %d times, for %.1f s", len(targets), pause.Seconds(), refusals, length.Seconds()))
 		for _, t := range targets {
--- a/pkg/lab/soak/testbed.go
+++ b/pkg/lab/soak/testbed.go
@@ -94,8 +94,11 @@
 	storeFaultSpans   []span
 	rateSpans         []rateSpan
 	pathCuts          []pathCut
-	targetCount       int
-	violations        []Violation
+	// pauseSpans are the times in which at least half of the targets ask for pauses, or
+	// such pauses last.
+	pauseSpans  []span
+	targetCount int
+	violations  []Violation
 }
 
 func newTestbed(o Options) (*testbed, error) {
