--- a/pkg/fleet/quiet_test.go
+++ b/pkg/fleet/quiet_test.go
@@ -57,6 +57,12 @@
 		tf.run(3 * time.Second)
 		is.Equal(len(owners()) == len(names)-1, step.quiet) // step.reason
 	}
+	rates(20)
+	tf.run(3 * time.Second)
+	rates(0)
+	tf.run(quietDelay - time.Second)
+	rates(20)
+	is.Equal(owners(), names) // for a moment without requests
 	for _, name := range names {
 		tf.instances[name].rate = 0
 	}
@@ -89,3 +95,27 @@
 	tf.run(time.Second)
 	is.True(!busy())
 }
+
+// Guards against an instance that takes targets over when it begins to serve, before callers
+// know it.
+func TestInstanceThatBeginsToServeIsQuiet(t *testing.T) {
+	is := is.New(t)
+	tf := newTestFleet(12)
+	tf.run(3 * time.Second)
+	names := tf.serving("a")
+	for _, name := range names {
+		tf.instances[name].rate = 20
+	}
+	tf.run(time.Second)
+	stopped := tf.instances[names[0]]
+	stopped.down = true
+	tf.run(3 * time.Second)
+	began := 0
+	for _, name := range tf.serving("a") {
+		if n := tf.instances[name]; !slices.Contains(names, name) {
+			began++
+			is.True(n.View().Quiet[name])
+		}
+	}
+	is.Equal(began, 1)
+}
