One name for detours, and for the parts of a named rate

The server of detours was called tunnels in some places, and the constants of rate_division.go limit where the functions say rate. NoDetourError's comment said less than its text; the comment of assignPreferred left out zones in which no instance reaches targets; the one of named rates points to where shares are decided. Names inside the process and comments only; checks and the tests of detour, placement, edge and entry pass.

--- a/pkg/detour/dialer.go
+++ b/pkg/detour/dialer.go
@@ -11,7 +11,7 @@
 // maxDetours is the number of instances through which one connection is tried.
 const maxDetours = 2
 
-// NoDetourError says that no other instance is known.
+// NoDetourError says that no other instance may reach targets.
 type NoDetourError struct{ Target string }
 
 // Error names the target.
--- a/pkg/detour/tunnel.go
+++ b/pkg/detour/server.go
@@ -36,9 +36,9 @@
 	maxAddressBytes = 64
 	// requestTimeout bounds the wait for that line.
 	requestTimeout = time.Second
-	// maxTunnels bounds the connections that an instance carries for others. Each takes two
+	// maxCarried bounds the connections that an instance carries for others. Each takes two
 	// descriptors; the smallest instances have 4,100.
-	maxTunnels = 512
+	maxCarried = 512
 	// copyBufferBytes is the size of the buffer for one direction of a connection.
 	copyBufferBytes = 16 << 10
 )
@@ -154,7 +154,7 @@
 
 // connect reads the address and connects to the target.
 func (s *Server) connect(conn net.Conn) (target net.Conn, answer byte) {
-	if s.open.Load() > maxTunnels {
+	if s.open.Load() > maxCarried {
 		return nil, answerBusy
 	}
 	_ = conn.SetReadDeadline(time.Now().Add(requestTimeout)) // fails only on a closed connection
--- a/pkg/detour/split.go
+++ b/pkg/detour/split.go
@@ -14,9 +14,9 @@
 
 // Split serves the detours that arrive at a listener of calls between instances until ctx
 // ends, and returns a listener for the calls. It ends with the given one.
-func Split(ctx context.Context, listener net.Listener, tunnels *Server) net.Listener {
+func Split(ctx context.Context, listener net.Listener, detours *Server) net.Listener {
 	mux := drpcmigrate.NewListenMux(prefixListener{listener}, len(Prefix))
-	go tunnels.Serve(mux.Route(Prefix))
+	go detours.Serve(mux.Route(Prefix))
 	// An error ends the returned listener, too.
 	go func() { _ = mux.Run(ctx) }()
 	return callListener{mux.Default(), listener}
--- a/pkg/edge/detour.go
+++ b/pkg/edge/detour.go
@@ -82,7 +82,7 @@
 // servePeers serves other instances at the gossip address until ctx ends: their calls, and
 // their connections to targets.
 func (i *Instance) servePeers(ctx context.Context, listener net.Listener) error {
-	calls := detour.Split(ctx, listener, i.tunnels)
+	calls := detour.Split(ctx, listener, i.detours)
 	server := &stateServer{viewer: i.follower, listing: i.registry.Listing}
 	return drpcpeer.Serve(ctx, calls, peer.Handlers{OnFetch: server.fetch})
 }
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -97,8 +97,8 @@
 	suspects *quarantine.List
 	// paths opens connections to targets, through other instances if necessary.
 	paths *detour.Dialer
-	// tunnels connects to targets for other instances.
-	tunnels *detour.Server
+	// detours connects to targets for other instances.
+	detours *detour.Server
 	// socket sends and receives heartbeats.
 	socket       *net.UDPConn
 	stateFetcher *stateFetcher
@@ -129,7 +129,7 @@
 	i.suspects = quarantine.New(i.clock, o.Log)
 	i.suspects.Owns, i.suspects.OnChange = i.ownsSuspect, func() { i.fleet.Push(true) }
 	i.paths = i.newPaths()
-	i.tunnels = &detour.Server{
+	i.detours = &detour.Server{
 		Listed: func(address string) bool { return lists(i.registry.Catalogue(), address) }, Direct: i.paths.Direct, Timeout: connectTimeout, Log: o.Log,
 	}
 	i.balancer.PathsLost = i.paths.Lost
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -56,7 +56,7 @@
 		Fleet:        i.fleet.View(), Teams: map[string]float64{}, Targets: i.balancer.Dump(), BodyBudget: i.proxy.Budget(),
 	}
 	d.Quarantine, d.SuspectRequests = i.suspects.Dump()
-	d.PathsLost, d.DetoursCarried = i.paths.Lost(), i.tunnels.Open()
+	d.PathsLost, d.DetoursCarried = i.paths.Lost(), i.detours.Open()
 	for team := range i.follower.View().Config.Config.Teams {
 		d.Teams[team] = i.limiter.Level(team)
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -212,8 +212,8 @@
 		OnExchange: i.control.HandleExchange, OnFetch: i.control.HandleFetch,
 		OnBorrow: i.handleBorrow, OnReport: i.handleReport, OnReserve: i.handleReserve,
 	}
-	tunnels := &detour.Server{Listed: i.listsTarget, Direct: i.paths.Direct, Timeout: targetConnectTimeout, Log: &i.log}
-	calls := detour.Split(ctx, listener, tunnels)
+	detours := &detour.Server{Listed: i.listsTarget, Direct: i.paths.Direct, Timeout: targetConnectTimeout, Log: &i.log}
+	calls := detour.Split(ctx, listener, detours)
 	group.Go(func() error { return drpcpeer.ServeCounted(ctx, calls, handlers, &i.servedCalls) })
 	group.Go(func() error { return i.paths.Run(ctx) })
 	group.Go(func() error { return i.control.Run(ctx) })
--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -12,7 +12,7 @@
 // A target in need names the request rate that it accepts from all instances together.
 // Each instance keeps a fixed share of that rate, and the shares add up to the rate, so
 // the limit holds without counts that would have to be exchanged and could be late or
-// lost.
+// lost. divideRates decides on the shares.
 const (
 	// limitBurst is the time over which unused allowance adds up.
 	limitBurst = time.Second
--- a/pkg/placement/rate_division.go
+++ b/pkg/placement/rate_division.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// holderLimitShare is the greatest share of a holder.
-	holderLimitShare = 0.75
-	// maxLimitSharers bounds the other instances that have a share. Each of them may save
+	// maxHolderShare is the greatest share of a holder.
+	maxHolderShare = 0.75
+	// maxRateSharers bounds the other instances that have a share. Each of them may save
 	// up one request: with more of them, these alone would exceed a low rate at once.
-	maxLimitSharers = 3
+	maxRateSharers = 3
 )
 
 // rateDivision is how the instances divide the rate that a target names. The holder has most
@@ -45,21 +45,21 @@
 	idle := slices.Clone(busy)
 	for number, owner := range owners {
 		holder := rateHolder(v, busy, owner, number)
-		divisions[number] = rateDivision{holder: holder, holderShare: holderLimitShare}
+		divisions[number] = rateDivision{holder: holder, holderShare: maxHolderShare}
 		idle = slices.DeleteFunc(idle, func(m fleet.Member) bool { return m.Instance == holder.Instance })
 	}
 	few := len(owners) < len(busy) && len(idle) > 0
 	for number := range divisions {
 		d := &divisions[number]
 		switch {
-		case few && len(busy) <= maxLimitSharers+1:
+		case few && len(busy) <= maxRateSharers+1:
 			d.sharers = rateSharers(busy, d.holder, 0)
 			d.holderShare = 1 / float64(len(busy))
 		case few:
 			// Only those that hold no rate share, so that each of them has as much as a holder.
-			d.sharers = rateSharers(idle, d.holder, number*maxLimitSharers)
-			served := min(len(idle), len(owners)*maxLimitSharers)
-			d.holderShare = min(holderLimitShare, float64(len(owners))/float64(len(owners)+served))
+			d.sharers = rateSharers(idle, d.holder, number*maxRateSharers)
+			served := min(len(idle), len(owners)*maxRateSharers)
+			d.holderShare = min(maxHolderShare, float64(len(owners))/float64(len(owners)+served))
 		default:
 			d.sharers = rateSharers(sharing, d.holder, number)
 		}
@@ -82,12 +82,12 @@
 	return owner
 }
 
-// rateSharers returns up to maxLimitSharers of some instances other than the holder, from the
+// rateSharers returns up to maxRateSharers of some instances other than the holder, from the
 // given number on.
 func rateSharers(instances []fleet.Member, holder fleet.Member, first int) []fleet.Member {
 	var sharers []fleet.Member
 	for k := range instances {
-		if m := instances[(first+k)%len(instances)]; m != holder && len(sharers) < maxLimitSharers {
+		if m := instances[(first+k)%len(instances)]; m != holder && len(sharers) < maxRateSharers {
 			sharers = append(sharers, m)
 		}
 	}
--- a/pkg/placement/rate_division_test.go
+++ b/pkg/placement/rate_division_test.go
@@ -58,7 +58,7 @@
 					sum += share
 				}
 				is.True(math.Abs(sum-1) < 1e-9)
-				is.True(len(division.sharers) <= maxLimitSharers)
+				is.True(len(division.sharers) <= maxRateSharers)
 			}
 			for _, m := range v.Peers {
 				is.True(parts[m.Instance] >= d.least*float64(d.targets)/float64(d.instances)-1e-9) // m has too small a part
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -156,7 +156,7 @@
 // prefers it. It does so round-robin, so that all instances prefer about the same
 // number of targets; those with few requests prefer none, since they could not keep
 // them in use, and a target that its instance does not reach goes to the next one. Targets
-// of a zone without a serving instance are divided among all instances.
+// of a zone in which no instance reaches targets are divided among those of all zones.
 func (s *service) assignPreferred(v *fleet.View, now time.Duration) {
 	byZone := map[string][]*target{}
 	s.reassign, s.reassignAt, s.unreached, s.unreachedElsewhere = false, 0, s.unreached[:0], false
