--- a/pkg/detour/carriers_test.go
+++ b/pkg/detour/carriers_test.go
@@ -17,8 +17,7 @@
 	return b.String()
 }
 
-// Guards against detours that are tried only through instances that have connected to a
-// target shortly before they lost their paths as well.
+// Guards against detours that lead only through instances that the cut concerns as well.
 func TestInstancesThatKeptTheirConnectionsAreTried(t *testing.T) {
 	is := is.New(t)
 	peers := []Peer{{Instance: "r", Zone: "a", Reaches: true}, {Instance: "R", Zone: "b", Reaches: true}, {Instance: "o", Zone: "a"}, {Instance: "O", Zone: "b"}}
@@ -39,8 +38,7 @@
 	is.Equal(names(c.order(peers, "a", now+time.Hour)), "roRO")
 }
 
-// Guards against connections through other instances that no request uses again, and against
-// those that are used although the instance has lost its paths.
+// Guards against detours that are never used again, and against those through lost paths.
 func TestUsableDetours(t *testing.T) {
 	is := is.New(t)
 	var c carriers
--- a/pkg/detour/detour_test.go
+++ b/pkg/detour/detour_test.go
@@ -134,8 +134,7 @@
 	is.True(errors.Is(<-ended, syscall.ECONNRESET))
 }
 
-// Guards against a response without a length that looks complete because the instance in
-// between has ended: its connections close in the orderly way then.
+// Guards against responses without a length that look whole when the instance between ends.
 func TestEndOfTheInstanceBetweenIsNoEndOfTheResponse(t *testing.T) {
 	is := is.New(t)
 	target := listen(t, func(c net.Conn) { _, _ = io.WriteString(c, "half") })
--- a/pkg/discovery/validate_test.go
+++ b/pkg/discovery/validate_test.go
@@ -11,8 +11,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
 
-// Guards against valid targets that other instances receive changed, so that their digests
-// never agree, and against heartbeats that such targets make longer than a datagram.
+// Guards against valid targets that others receive changed, or that outgrow a datagram.
 func TestValidTargetsPassUnchanged(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		text := rapid.StringN(0, 210, -1)
--- a/pkg/entry/suspects_test.go
+++ b/pkg/entry/suspects_test.go
@@ -13,8 +13,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 )
 
-// Guards against attributes of the quarantine's row that are passed over without a log line, or
-// that hide the others.
+// Guards against unreadable attributes that are passed over silently, or hide the others.
 func TestUnreadableQuarantineIsLogged(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
--- a/pkg/fleet/quiet_test.go
+++ b/pkg/fleet/quiet_test.go
@@ -70,16 +70,22 @@
 	is.Equal(owners(), names) // without requests, all own targets
 }
 
-// Guards against an instance without paths that counts as busy after its callers have left, or
-// as quiet while they stay.
-func TestInstanceWithoutPathsIsBusyWhileItsCallersStay(t *testing.T) {
-	is := is.New(t)
-	tf := newTestFleet(12)
+// newBusyFleet returns a fleet, and the names of the serving instances of zone a, which have
+// callers.
+func newBusyFleet() (tf *testFleet, names []string) {
+	tf = newTestFleet(12)
 	tf.run(3 * time.Second)
-	names := tf.serving("a")
+	names = tf.serving("a")
 	for _, name := range names {
 		tf.instances[name].rate = 20
 	}
+	return tf, names
+}
+
+// Guards against one that is quiet while its callers stay, or busy after they have left.
+func TestInstanceWithoutPathsIsBusyWhileItsCallersStay(t *testing.T) {
+	is := is.New(t)
+	tf, names := newBusyFleet()
 	lost := tf.instances[names[0]]
 	lost.lost = true
 	busy := func() bool {
@@ -96,16 +102,10 @@
 	is.True(!busy())
 }
 
-// Guards against an instance that takes targets over when it begins to serve, before callers
-// know it.
+// Guards against an instance that takes targets over before callers know it.
 func TestInstanceThatBeginsToServeIsQuiet(t *testing.T) {
 	is := is.New(t)
-	tf := newTestFleet(12)
-	tf.run(3 * time.Second)
-	names := tf.serving("a")
-	for _, name := range names {
-		tf.instances[name].rate = 20
-	}
+	tf, names := newBusyFleet()
 	tf.run(time.Second)
 	stopped := tf.instances[names[0]]
 	stopped.down = true
--- a/pkg/follow/wake_test.go
+++ b/pkg/follow/wake_test.go
@@ -13,8 +13,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
 )
 
-// Guards against a standby that begins to serve and learns of changes only at the next
-// interval of its reads.
+// Guards against an instance that begins to serve and learns of changes seconds later.
 func TestStandbyReadsWhenItIsActivated(t *testing.T) {
 	nop := zerolog.Nop()
 	f := New(clock.System{}, &scriptedSource{updates: []any{configUpdate(3)}}, unreachablePeers{}, immediateCopySources(), membership.Member{}, &nop, func(bool) {})
--- a/pkg/lab/edgelab/edgelab_test.go
+++ b/pkg/lab/edgelab/edgelab_test.go
@@ -35,8 +35,7 @@
 	is.True(len(body) > len(`{"addresses":[]}`))
 }
 
-// Guards against a second fleet on the same addresses that counts as running because the first
-// one answers there.
+// Guards against a fleet that counts as running because another one answers there.
 func TestAddressInUseIsNamed(t *testing.T) {
 	is := is.New(t)
 	o := Options{Instances: 2, Targets: 1, Network: fmt.Sprintf("68.%d", os.Getpid()%256), Directory: t.TempDir()}
--- a/pkg/lab/soak/paths_test.go
+++ b/pkg/lab/soak/paths_test.go
@@ -8,8 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against callers of instances without paths that nobody misses, and against failures
-// that have nothing to do with the paths.
+// Guards against callers that nobody misses, and against failures unrelated to paths.
 func TestPathCutsAreChecked(t *testing.T) {
 	began := time.Now()
 	cut := pathCut{span{began, began.Add(10 * time.Second)}, []string{"cut"}}
--- a/pkg/placement/limit_paths_test.go
+++ b/pkg/placement/limit_paths_test.go
@@ -22,8 +22,7 @@
 	}
 }
 
-// Guards against callers of instances without paths that are served less often than others
-// while targets limit their rates, and against more requests at these targets.
+// Guards against callers of instances without paths that are served less often than others.
 func TestLostPathsLoseNamedRates(t *testing.T) {
 	for name, lost := range map[string]func(fleet.Member) bool{
 		"one instance":   func(m fleet.Member) bool { return m.Instance == "e00" },
@@ -64,8 +63,7 @@
 	}
 }
 
-// Guards against callers of a zone without paths that are refused because instances of other
-// zones hold the rates of its targets.
+// Guards against rates of a zone without paths that other zones hold.
 func TestZoneWithoutPathsKeepsNamedRates(t *testing.T) {
 	is := is.New(t)
 	a, b, c := fleet.Member{Instance: "a", Zone: "0"}, fleet.Member{Instance: "b", Zone: "0"}, fleet.Member{Instance: "c", Zone: "1"}
--- a/pkg/placement/rate_division_test.go
+++ b/pkg/placement/rate_division_test.go
@@ -10,8 +10,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 )
 
-// Guards against instances that have hardly any part of the rates where targets are few, and
-// against shares that add up to more than the rate.
+// Guards against instances with hardly any part, and against parts beyond the rate.
 func TestRatesAreDividedEvenly(t *testing.T) {
 	for _, d := range []struct {
 		instances, targets int
@@ -67,8 +66,7 @@
 	}
 }
 
-// Guards against callers of some instances that are refused more often than others where
-// targets are few and all name rates.
+// Guards against callers of some instances that are refused more often than others.
 func TestFewTargetsServeCallersOfAllInstances(t *testing.T) {
 	for seed := range uint64(5) {
 		const rate = 30
--- a/pkg/placement/reach_test.go
+++ b/pkg/placement/reach_test.go
@@ -125,8 +125,7 @@
 	}
 }
 
-// Guards against callers of an instance without paths who are refused because it has no
-// share of the rates that targets name, and against targets that it owns and cannot reach.
+// Guards against refused callers there, and against targets that it owns and cannot reach.
 func TestDetachedInstanceKeepsItsShares(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(4)
--- a/pkg/placement/refuse_test.go
+++ b/pkg/placement/refuse_test.go
@@ -11,8 +11,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
-// Guards against a request that is held although no target can take it in time, and against a
-// Retry-After that is not the time at which one is back.
+// Guards against requests that are held in vain, and against a wrong Retry-After.
 func TestUnservableByStatementsIsRefusedAtOnce(t *testing.T) {
 	leaves := func(t *target) { t.leaving.announced = true }
 	pauses := func(d time.Duration) func(t *target) { return func(t *target) { t.pausedUntil = time.Hour + d } }
--- a/pkg/placement/statement_sim_test.go
+++ b/pkg/placement/statement_sim_test.go
@@ -172,8 +172,7 @@
 	s.catalogue = &discovery.Catalogue{Version: s.catalogue.Version + 1, Services: map[string][]*discovery.Entry{"s": entries}}
 }
 
-// Guards against requests to targets that leave or pause, at any rate and size, in any order of
-// what targets say, restarts and lapses, with hedges and named rates.
+// Guards against requests to targets that leave or pause, at any rate, size and order.
 func TestStatementsAreHeeded(t *testing.T) {
 	seeds := uint64(60)
 	if testing.Short() {
--- a/pkg/placement/statement_test.go
+++ b/pkg/placement/statement_test.go
@@ -58,8 +58,7 @@
 	return used
 }
 
-// Guards against requests to a target that says that it leaves, though its listing says
-// nothing of it and responses that were written before still arrive.
+// Guards against a leaving that the listing or an older response takes back.
 func TestAnnouncedLeavingEndsRequests(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2)
@@ -73,8 +72,7 @@
 	is.True(!slices.Contains(f.targetsOf(t, 200), "a0"))
 }
 
-// Guards against a waiting request that goes to a target that has said meanwhile that it
-// leaves.
+// Guards against a request that has waited and goes to a target that leaves meanwhile.
 func TestWaitingRequestAvoidsLeavingTarget(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(1)
@@ -99,8 +97,7 @@
 	is.Equal((<-waiting).Target(), "b0")
 }
 
-// Guards against a leaving that is forgotten while an entry lapses, or that is kept for a new
-// run of the target's process.
+// Guards against a leaving that a lapse ends, or that a new run does not.
 func TestLeavingEndsWithTheRun(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2)
@@ -120,8 +117,7 @@
 	is.True(slices.Contains(f.targetsOf(t, 100), entry.ID))
 }
 
-// Guards against instances that learn of a leaving only from the target, against one that is
-// taken from another run, and against heartbeats that grow with the targets that leave.
+// Guards against leavings told to nobody, of another run, or in heartbeats that grow.
 func TestLeavingIsTold(t *testing.T) {
 	is := is.New(t)
 	f, teller := newFixture(2), newFixture(40)
@@ -164,8 +160,7 @@
 	is.Equal(closed, []string{"10.0.0.0:80", "10.0.0.1:80"})
 }
 
-// Guards against requests to a target in the pause that it has asked for, and against a pause
-// that outlasts its time or that a shorter one cuts off.
+// Guards against requests in a pause, and against pauses of a wrong length.
 func TestPauseEndsRequestsForItsTime(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(2)
@@ -182,8 +177,7 @@
 	is.True(slices.Contains(f.targetsOf(t, 100), "a0"))
 }
 
-// Guards against a pause that is taken to hold for other instances, or for the next run of the
-// target's process.
+// Guards against a pause that holds for other instances or the next run.
 func TestPauseHoldsForOneInstanceAndRun(t *testing.T) {
 	is := is.New(t)
 	f, other := newFixture(2), newFixture(2)
@@ -200,8 +194,7 @@
 	is.True(slices.Contains(f.targetsOf(t, 100), "a0"))
 }
 
-// Guards against requests to a target that leaves or pauses while a restored store lists an
-// earlier run of its process.
+// Guards against requests to a leaving target that a restored store lists as earlier.
 func TestEarlierRunInheritsStatements(t *testing.T) {
 	for name, load := range map[string]proxy.Load{"leaving": {Draining: true}, "pause": {Pause: proxy.Pause{Wait: time.Minute}}} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/proxy/truncation_test.go
+++ b/pkg/proxy/truncation_test.go
@@ -25,8 +25,7 @@
 	"no content":   "HTTP/1.1 204 No Content\nX-A: b\n\n",
 }
 
-// Guards against a truncated response that a caller gets as a whole one: wherever it ends,
-// whether it came at once or in two parts, and whether the target closes or resets.
+// Guards against a truncated response that a caller gets as a whole one.
 func TestTruncatedResponsesAreNotWhole(t *testing.T) {
 	for _, d := range []*Dialect{nil, testDialect()} {
 		for name, text := range truncatedText {
--- a/pkg/usage/peers_test.go
+++ b/pkg/usage/peers_test.go
@@ -33,8 +33,7 @@
 	is.True(level(l) < 0.6*testBurst)
 }
 
-// Guards against an instance that is cut off and takes the rate of all others, and against
-// one that keeps the part of those that have ended.
+// Guards against a cut-off instance that takes all, and against parts of ended ones.
 func TestUnresponsiveInstancesAreForgotten(t *testing.T) {
 	for _, row := range []struct {
 		name   string
--- a/scripts/fuzz/main_test.go
+++ b/scripts/fuzz/main_test.go
@@ -6,8 +6,7 @@
 	"github.com/matryer/is"
 )
 
-// Guards against a run that fails because go test reports the end of its own time, and
-// against failing inputs that are passed over.
+// Guards against runs that fail at their own end, and against inputs passed over.
 func TestEndOfTimeIsNoFailure(t *testing.T) {
 	for name, row := range map[string]struct {
 		output string
