Match routes by prefixes that begin the path as it was sent

Cause: the lookup dropped the last slash of a prefix and used the decoded path without repeated slashes. POST /orders/quote, /orders//quote/1 and /orders/%71uote/1 were taken for requests of the nested idempotent route /orders/quote/, so that they were repeated when their response was lost. Ruled out: the retry decision, which follows the route that was found.

The prefix now must begin the path, with its last slash.

--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -18,8 +18,8 @@
 	keyIDs map[string]string
 }
 
-// routeTable maps a path prefix without a trailing slash to its routes; those
-// restricted to some methods come first.
+// routeTable maps a path prefix to its routes; those restricted to some methods
+// come first.
 type routeTable map[string][]compiledRoute
 
 // compiledRoute is a route with its methods and teams as sets.
@@ -52,8 +52,7 @@
 			table = routeTable{}
 			s.hosts[r.Host] = table
 		}
-		prefix := strings.TrimSuffix(r.PathPrefix, "/")
-		table[prefix] = append(table[prefix], compiledRoute{id: id, route: r, methods: toSet(r.Methods), teams: toSet(r.Teams)})
+		table[r.PathPrefix] = append(table[r.PathPrefix], compiledRoute{id: id, route: r, methods: toSet(r.Methods), teams: toSet(r.Teams)})
 	}
 	for _, table := range s.hosts {
 		for _, group := range table {
@@ -84,9 +83,10 @@
 }
 
 // Match finds the route of a request by the longest path prefix among the
-// routes of its host, then among those for all hosts. A prefix matches whole
-// path segments only. The lookup time grows with the number of segments of the
-// path, not with the number of routes.
+// routes of its host, then among those for all hosts. The prefix must begin the
+// path, with its last slash if it has one, and matches whole path segments only.
+// The lookup time grows with the number of segments of the path, not with the
+// number of routes.
 func (s *Snapshot) Match(host, method, path string) (RouteMatch, bool) {
 	if table, ok := s.hosts[host]; ok && host != "" {
 		if match, ok := table.match(method, path); ok {
@@ -97,19 +97,24 @@
 }
 
 func (t routeTable) match(method, path string) (RouteMatch, bool) {
-	for prefix := path; ; {
+	for prefix := path; prefix != ""; prefix = shorterPrefix(prefix) {
 		for i := range t[prefix] {
 			r := &t[prefix][i]
 			if len(r.methods) == 0 || r.methods[method] {
 				return RouteMatch{ID: r.id, Route: r.route, teams: r.teams}, true
 			}
 		}
-		cut := strings.LastIndexByte(prefix, '/')
-		if cut < 0 {
-			return RouteMatch{}, false
-		}
-		prefix = prefix[:cut]
 	}
+	return RouteMatch{}, false
+}
+
+// shorterPrefix returns the longest proper prefix that ends before or after a
+// slash: /a/b, /a/, /a, / and the empty string follow /a/b/.
+func shorterPrefix(prefix string) string {
+	if shorter, ok := strings.CutSuffix(prefix, "/"); ok {
+		return shorter
+	}
+	return prefix[:strings.LastIndexByte(prefix, '/')+1]
 }
 
 // Admits reports whether the route admits the team.
--- a/pkg/proxy/admit.go
+++ b/pkg/proxy/admit.go
@@ -103,7 +103,13 @@
 		}
 	}
 	c.cleanHeader()
-	c.host, c.method, c.path = string(source.Host()), string(source.Method()), string(c.caller.Path())
+	c.host, c.method = string(source.Host()), string(source.Method())
+	sentPath, _, _ := bytes.Cut(source.RequestURI(), []byte{'?'})
+	c.sentPath = string(sentPath)
+	c.path = c.sentPath
+	if !c.p.dialect.LiteralPaths {
+		c.path = string(c.caller.Path())
+	}
 	// An instance whose configuration may be out of date cannot tell whether a key
 	// or route exists.
 	if !c.p.ServeChecker.MayServe() {
@@ -136,6 +142,12 @@
 	if !match.Route.Public && !match.Admits(team) {
 		return match, refusal.New(refusal.RouteClosed, nil)
 	}
+	if c.path != c.sentPath {
+		// The target may or may not normalise the path, so both forms must have one route.
+		if sent, found := snapshot.Match(c.host, c.method, c.sentPath); !found || sent.ID != match.ID {
+			return match, refusal.New(refusal.RequestInvalid, nil)
+		}
+	}
 	teamConfig := snapshot.Config.Teams[team]
 	c.request = Request{
 		ID: c.requestID, Team: team, Batch: teamConfig.Batch, Route: match.ID, Service: c.request.Service,
--- a/pkg/proxy/dialect.go
+++ b/pkg/proxy/dialect.go
@@ -44,6 +44,10 @@
 	ProvenNotRun bool
 	// CloseDelimitedBodies permits responses whose body is delimited by the end of the connection.
 	CloseDelimitedBodies bool
+	// LiteralPaths makes routes match the path as it was sent. Without it they match the
+	// decoded path without repeated slashes, and a request whose path as sent has another
+	// route is refused.
+	LiteralPaths bool
 	// RetryServerErrors makes the proxy retry idempotent requests to which a target
 	// responded with a status of 500 or more.
 	RetryServerErrors bool
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -156,9 +156,11 @@
 	// view is the configuration that the request was last checked against.
 	view *control.View
 	key  presentedKey
-	// host, path and method are what routes match.
+	// host, path and method are what routes match. sentPath is the path as the caller sent
+	// it, which is forwarded.
 	host      string
 	path      string
+	sentPath  string
 	method    string
 	request   Request
 	requestID string
