--- a/pkg/lab/soak/callers.go
+++ b/pkg/lab/soak/callers.go
@@ -30,6 +30,11 @@
 	visitorsPerInstance = 2
 	// firstVisitor is the number of the first of them, above those of the other callers.
 	firstVisitor = 1000
+	// formStream is the number of the first stream of random numbers for the forms of requests.
+	formStream = 10000
+	// nestedShare is the share of the requests of the unsafe route whose path is nearly one of
+	// the nested route.
+	nestedShare = 0.15
 )
 
 // request is one request of a caller and its result.
@@ -74,7 +79,8 @@
 func (c *callers) newCaller(tb *testbed, number int, zone string) *caller {
 	return &caller{
 		callers: c, testbed: tb, zone: zone, team: teams[number%len(teams)], number: number,
-		rng: rand.New(rand.NewPCG(tb.Seed, uint64(100+number))),
+		rng:     rand.New(rand.NewPCG(tb.Seed, uint64(100+number))),
+		formRNG: rand.New(rand.NewPCG(tb.Seed, uint64(formStream+number))),
 	}
 }
 
@@ -111,6 +117,8 @@
 	number       int
 	requestCount int
 	rng          *rand.Rand
+	// formRNG draws the forms of requests, apart from rng, which keeps the draws of older seeds.
+	formRNG *rand.Rand
 	// pinned, if not nil, is the instance that all requests are sent to.
 	pinned *instance
 
@@ -154,12 +162,22 @@
 	prefix := []string{safeRoute, unsafeRoute, movingRoute}[c.rng.IntN(3)]
 	r.safe = prefix == safeRoute
 	r.path = prefix + r.id
+	if prefix == unsafeRoute && c.formRNG.Float64() < nestedShare {
+		r.path = c.nearlyNestedPath(r.id)
+	}
 	if !r.safe {
 		r.body = bytes.Repeat([]byte{byte('a' + c.number%20)}, c.rng.IntN(4000))
 	}
 	return r
 }
 
+// nearlyNestedPath returns a path that the prefix of the nested route does not begin, though
+// it does once the path is normalised, so that the unsafe route has it.
+func (c *caller) nearlyNestedPath(id string) string {
+	forms := []string{"/unsafe/nested?", "/unsafe//nested/", "/unsafe/%6eested/", "/unsafe/nested%2F"}
+	return forms[c.formRNG.IntN(len(forms))] + id
+}
+
 // send sends the request on the open connection or a new one, and records the
 // response or the error in it.
 func (c *caller) send(r *request) {
--- a/pkg/lab/soak/operator.go
+++ b/pkg/lab/soak/operator.go
@@ -35,11 +35,13 @@
 }
 
 // Path prefixes of the routes. The safe route takes GET requests, the others POST
-// requests; the moving route changes its service.
+// requests; the moving route changes its service. The nested route is idempotent and leads to
+// the second service.
 const (
 	safeRoute   = "/safe/"
 	unsafeRoute = "/unsafe/"
 	movingRoute = "/moving/"
+	nestedRoute = "/unsafe/nested/"
 	hostName    = "shop.example"
 )
 
@@ -96,6 +98,7 @@
 		"version": fmt.Sprintf("r%d", o.version), "tenants": tenants,
 		"listeners": []any{map[string]any{"hostname": hostName, "rules": []any{
 			rule(safeRoute, "safe", serviceA, 1), rule(unsafeRoute, "unsafe", serviceA, 0), rule(movingRoute, "unsafe", moving, 0),
+			rule(nestedRoute, "safe", serviceB, 1),
 		}}},
 		"clusters": []any{
 			map[string]any{"name": serviceA, "health_path": "/health"}, map[string]any{"name": serviceB, "health_path": "/health"},
