Refuse requests that a shutdown of the instance may break off

Cause: a stopping instance accepted every request as long as any was open, and ended 800 ms before the grace period did, whatever was open then. Ruled out: the directory, and callers that ignore Connection: close.

The decision is made on admission and before each write, in both programs. Requests that arrive while connections are closed have until the end of the stop instead of 150 ms.

TestDrain and TestShutdownAnswersRequestsThatArrived start the drain explicitly, as Drain no longer does; their assertions are the same.

--- a/pkg/edge/shutdown.go
+++ b/pkg/edge/shutdown.go
@@ -6,15 +6,19 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/arbutuslink/arbutuslink/pkg/drain"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
 
 const (
-	// stopMargin is the part of the grace period that is reserved for the exit of the
-	// process after its last request.
-	stopMargin = 800 * time.Millisecond
-	// closeTimeout bounds the closing of connections that have no request open.
+	// maxStopMargin is the part of the grace period that is reserved for the exit of the
+	// process after its last request, at most stopMarginFraction of it: the platform takes a
+	// request that is broken off earlier than in the last sixth for lost.
+	maxStopMargin      = 500 * time.Millisecond
+	stopMarginFraction = 1.0 / 8
+	// closeTimeout is the time for the closing of the connections after open requests were
+	// broken off.
 	closeTimeout = 150 * time.Millisecond
 	// lingerFraction is the fraction of the grace period during which the instance
 	// still accepts requests: callers keep a response of the directory for up to three
@@ -30,19 +34,25 @@
 // serves callers that know its address, and then waits for open requests to end.
 func (i *Instance) shutdown(callers *proxy.CallerServer) {
 	grace := i.Settings.GracePeriod()
+	length := grace - min(maxStopMargin, time.Duration(stopMarginFraction*float64(grace)))
 	event.Draining.Log(i.Log).Dur("grace", grace).Int64("open_requests", i.proxy.Open()).Send()
-	ctx, cancel := context.WithTimeout(context.Background(), grace-stopMargin)
+	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
 	i.leaving.Store(true)
 	i.fleet.AnnounceLeave()
-	i.proxy.StartDrain()
+	i.proxy.StartDrain(drain.NewPlan(i.clock.SinceBoot(), length))
 	// Requests must not wait for the store, which may be unresponsive.
 	go i.leaveRoster(ctx)
 	_ = i.clock.Sleep(ctx, time.Duration(lingerFraction*float64(grace)))
 	err := i.proxy.Drain(ctx)
-	// Responses are flushed after their handlers have returned.
-	closing, cancelClosing := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancelClosing()
+	closing := ctx
+	if err != nil {
+		var cancelClosing context.CancelFunc
+		closing, cancelClosing = context.WithTimeout(context.Background(), closeTimeout)
+		defer cancelClosing()
+	}
+	// Responses are flushed after their handlers have returned, and a request may have arrived
+	// since the last one ended.
 	_ = callers.Shutdown(closing)
 	if err != nil {
 		event.StopTimedOut.Log(i.Log).Int64("open_requests", i.proxy.Open()).Send()
--- a/pkg/entry/shutdown.go
+++ b/pkg/entry/shutdown.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/arbutuslink/arbutuslink/pkg/drain"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
@@ -27,9 +28,10 @@
 func (i *Instance) shutdown(callers *proxy.CallerServer, operators *fasthttp.Server) {
 	event.Draining.Log(&i.log).Send()
 	i.lifecycle.leaving.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), i.settings.Timings.ShutdownTimeout())
+	length := i.settings.Timings.ShutdownTimeout()
+	ctx, cancel := context.WithTimeout(context.Background(), length)
 	defer cancel()
-	i.proxy.StartDrain()
+	i.proxy.StartDrain(drain.NewPlan(i.clock.SinceBoot(), length))
 	// Callers keep using an address for the lifetime of their directory answer.
 	_ = i.clock.Sleep(ctx, i.settings.Timings.DirectoryLifetime())
 	err := i.proxy.Drain(ctx)
--- a/pkg/proxy/admit.go
+++ b/pkg/proxy/admit.go
@@ -206,6 +206,9 @@
 	if c.p.Clock.SinceBoot() >= admitted.Deadline {
 		return refusal.New(refusal.Overloaded, nil)
 	}
+	if err := c.checkDrain(); err != nil {
+		return err
+	}
 	if err := c.recheckSuspect(); err != nil {
 		return err
 	}
@@ -215,6 +218,15 @@
 	return nil
 }
 
+// checkDrain refuses a request that a shutdown of this instance may break off. Its caller may
+// send it to another instance at once.
+func (c *call) checkDrain() error {
+	if c.p.drainPlan.Load().Accepts(c.p.Clock.SinceBoot(), c.request.Deadline) {
+		return nil
+	}
+	return refusal.WithRetryAfter(refusal.ShuttingDown, time.Millisecond)
+}
+
 // claim records the idempotency key of a request on a route that deduplicates
 // requests. A request without the header is forwarded without a claim.
 func (c *call) claim(ctx context.Context) error {
--- a/pkg/proxy/callers_test.go
+++ b/pkg/proxy/callers_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/drain"
 )
 
 // lateListener delays each read of its connections after data has arrived, as a
@@ -82,7 +84,7 @@
 	response, _ := kept.send(http.MethodGet, "/get", "", r.keyLine())
 	is.Equal(response.StatusCode, http.StatusOK)
 
-	r.proxy.StartDrain()
+	r.proxy.StartDrain(drain.NewPlan(r.proxy.Clock.SinceBoot(), time.Minute))
 	kept.start(http.MethodGet, "/get", "", r.keyLine())
 	fresh.start(http.MethodGet, "/get", "", r.keyLine())
 	time.Sleep(lateReadDelay / 3) // the requests have arrived but are not read yet
--- a/pkg/proxy/forward_test.go
+++ b/pkg/proxy/forward_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/arbutuslink/arbutuslink/pkg/config"
+	"github.com/arbutuslink/arbutuslink/pkg/drain"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
@@ -295,6 +296,7 @@
 	for r.proxy.Open() == 0 {
 		time.Sleep(time.Millisecond)
 	}
+	r.proxy.StartDrain(drain.NewPlan(r.proxy.Clock.SinceBoot(), time.Minute))
 	short, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
 	defer cancel()
 	is.True(r.proxy.Drain(short) != nil)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/bytebudget"
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/drain"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
@@ -129,7 +130,8 @@
 	budget       *bytebudget.Budget
 	callPool     sync.Pool
 	openRequests atomic.Int64
-	draining     atomic.Bool
+	// drainPlan is set once the graceful shutdown has begun.
+	drainPlan atomic.Pointer[drain.Plan]
 }
 
 // New returns a Proxy that is ready to serve.
@@ -247,7 +249,7 @@
 		}
 		c.refuse(err)
 	}
-	if c.closeCaller || p.draining.Load() {
+	if c.closeCaller || p.drainPlan.Load() != nil {
 		ctx.SetConnectionClose()
 	}
 	c.status = ctx.Response.StatusCode()
@@ -316,6 +318,9 @@
 		return err
 	}
 	c.request.Deadline = c.startedAt + c.timeout
+	if err := c.checkDrain(); err != nil {
+		return err
+	}
 	c.ioDeadline = time.Now().Add(c.timeout)
 	ctx, cancel := context.WithDeadline(context.Background(), c.ioDeadline)
 	defer cancel()
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/arbutuslink/arbutuslink/pkg/daemon"
+	"github.com/arbutuslink/arbutuslink/pkg/drain"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
@@ -54,17 +55,15 @@
 // CloseIdle closes the idle connections to a target.
 func (p *Proxy) CloseIdle(address string) { p.pool.closeIdleTo(address) }
 
-// StartDrain makes responses carry Connection: close, so that callers close their
-// connections.
-func (p *Proxy) StartDrain() { p.draining.Store(true) }
+// StartDrain begins the graceful shutdown. Responses carry Connection: close, so that callers
+// close their connections, and requests that the plan does not accept are refused.
+func (p *Proxy) StartDrain(plan *drain.Plan) { p.drainPlan.Store(plan) }
 
-// Drain starts the graceful shutdown and returns when all requests have ended, or
-// with an error when ctx ends. Requests that still arrive are served, and their
-// responses carry Connection: close. The server flushes a response after the
-// handler has returned, so call CallerServer.Shutdown next, which
+// Drain returns when all requests have ended, or with an error when ctx ends. Requests that
+// still arrive are served if the plan of StartDrain accepts them. The server flushes a
+// response after the handler has returned, so call CallerServer.Shutdown next, which
 // waits for the connections.
 func (p *Proxy) Drain(ctx context.Context) error {
-	p.StartDrain()
 	p.pool.close()
 	for p.openRequests.Load() > 0 {
 		if err := p.Clock.Sleep(ctx, drainPollInterval); err != nil {
