Soak: callers with open connections at an instance that stops

Requests of the soak took 60 ms and its callers left a stopping instance with the directory's next answer, so that none was open at the end of a grace period. Now 12 callers keep a connection to each such instance and send requests of up to 1.8 s on it late in the grace period, which is 6 s as on the sites.

--- a/pkg/lab/soak/callers.go
+++ b/pkg/lab/soak/callers.go
@@ -14,6 +14,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/arbutuslink/arbutuslink/pkg/lab/upstreamsim"
 )
 
@@ -135,13 +137,23 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.closeConnection()
 	for sleep(ctx, time.Duration(c.rng.ExpFloat64()*float64(meanRequestInterval))) == nil {
-		r := c.nextRequest()
-		c.send(r)
-		r.endedAt = time.Now()
-		c.add(r)
+		c.sendNext(c.nextRequest())
 	}
 }
 
+// sendNext sends a request and records its end.
+func (c *caller) sendNext(r *request) {
+	c.send(r)
+	r.endedAt = time.Now()
+	c.add(r)
+}
+
+// isTimeout reports whether err is the end of a deadline.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // nextRequest creates a request with a key of the team. One request in ten may
 // use a withdrawn key instead.
 func (c *caller) nextRequest() *request {
--- a/pkg/lab/soak/faults.go
+++ b/pkg/lab/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 
@@ -112,12 +113,19 @@
 	f := tb.processFault("stop", i, func() {})
 	var endSpan func()
 	done := make(chan struct{})
+	lateRNG := rand.New(rand.NewPCG(tb.Seed, lateStream+uint64(tb.lateCallers.Load())))
 	begin, end := f.begin, f.end
 	f.begin = func() {
+		late := tb.openLateCallers(i, lateRNG)
 		begin()
 		endSpan = tb.openSpan(&i.gracefulStopSpans)
+		var requests sync.WaitGroup
+		for _, c := range late {
+			requests.Go(c.run)
+		}
 		go func() {
 			tb.stopProcess(i, false)
+			requests.Wait()
 			close(done)
 		}()
 	}
--- a/pkg/lab/soak/operator.go
+++ b/pkg/lab/soak/operator.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/lab/storesim"
@@ -48,6 +49,12 @@
 // teams are the teams of the callers. Each sends about 65 requests per second.
 var teams = []string{"red", "blue", "green"}
 
+// lateTeam is the team of late callers; it has no limit and one key, which stays.
+const (
+	lateTeam = "late"
+	lateKey  = lateTeam + "-1"
+)
+
 // initialRate is the rate and the burst of a team at the start. It is lower than the
 // rate at which the team sends, so that the checks detect a limit that is not
 // enforced. minRate is the lowest rate and burst that a fault sets.
@@ -63,6 +70,7 @@
 		o.keys[t] = []string{t + "-1", t + "-2"}
 		o.rates[t] = initialRate
 	}
+	o.keys[lateTeam] = []string{lateKey}
 	return o
 }
 
@@ -81,7 +89,7 @@
 // document returns the configuration as the store holds it.
 func (o *operatorConfig) document() []byte {
 	var tenants []map[string]any
-	for _, t := range teams {
+	for _, t := range append(slices.Clone(teams), lateTeam) {
 		tenants = append(tenants, map[string]any{"name": t, "api_keys": o.keys[t], "rate_per_s": o.rates[t], "burst": o.rates[t]})
 	}
 	rule := func(prefix, kind, service string, priority int) map[string]any {
--- a/pkg/lab/soak/soak.go
+++ b/pkg/lab/soak/soak.go
@@ -93,6 +93,7 @@
 	loadContext, stop := context.WithCancel(ctx)
 	defer stop()
 	callers := startCallers(loadContext, tb)
+	tb.callers = callers
 	report := &Report{Seed: o.Seed}
 	further, endFurther := context.WithCancel(ctx)
 	var injectors sync.WaitGroup
--- a/pkg/lab/soak/testbed.go
+++ b/pkg/lab/soak/testbed.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -30,8 +31,9 @@
 )
 
 const (
-	// gracePeriod is the time that a process has from SIGTERM to its end.
-	gracePeriod = 3 * time.Second
+	// gracePeriod is the time that a process has from SIGTERM to its end. Requests that are
+	// accepted at first in it end in time, as the timeout of all routes is 2 s.
+	gracePeriod = 6 * time.Second
 	// faultMargin is how long an instance must have been without faults before the
 	// bounds on time hold.
 	faultMargin = 3 * time.Second
@@ -79,6 +81,9 @@
 	binary       string
 	store        *storesim.Store
 	activeFaults sync.WaitGroup
+	callers      *callers
+	// lateCallers counts the late callers of all graceful stops.
+	lateCallers atomic.Int64
 
 	mu        sync.Mutex
 	instances []*instance
@@ -155,6 +160,7 @@
 	s, err := upstreamsim.Start(upstreamsim.Options{
 		ID: fmt.Sprintf("i-%d", tb.targetCount), Service: service, Zone: zone, Slots: 3, MeanDuration: 60 * time.Millisecond,
 		Seed: tb.Seed + uint64(tb.targetCount), Crashes: func(path string) bool { return strings.Contains(path, deadlyMark) }, OnCrash: tb.crash,
+		Work: longWork,
 	})
 	if err != nil {
 		return nil, err
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -105,6 +105,9 @@
 	IdleTimeout time.Duration
 	// Seed drives the faults and the durations of requests.
 	Seed uint64
+	// Work returns how long a request with this path and query takes in place of
+	// MeanDuration; nil or 0 leaves it.
+	Work func(path string) time.Duration
 	// Crashes reports whether a request with this path and query crashes the target while
 	// it runs; nil means that none does. OnCrash ends the target then, with Close.
 	Crashes func(path string) bool
@@ -296,6 +299,11 @@
 	s.mu.Lock()
 	injected, duration := s.faults.pickFault(s.rng.Float64()), time.Duration(float64(s.MeanDuration)*s.slowFactor*(0.5+s.rng.Float64()))
 	s.mu.Unlock()
+	if s.Work != nil {
+		if work := s.Work(r.URL.RequestURI()); work > 0 {
+			duration = work
+		}
+	}
 	if injected == earlyResponse && id != "" && r.Header.Get(TargetHeader) == s.ID {
 		s.recordExecution(r, nil)
 		return s.writeResponse(c, id, http.StatusServiceUnavailable, injected) && discardBody(c, r)
