Do not take old reports of failing store calls for an outage

Cause: instances that are no listers reported failing calls for good after an outage, as they do not list again; each report counted as a failure at that moment, so that the first listing of each new process seemed to end an outage, and all instances retained missing targets for 2.2 s. Ruled out: late listings and the store's era.

An instance now reports failing calls until it knows a newer listing, and for 3 s after a failure. A report counts only until a listing is known that was read after it began, and the first one that a new process hears does not count. Instances judge for themselves whether a listing of another one ends an outage. The messages between instances are the same; reports of earlier builds, which last for good, are covered by the same rule and two tests.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -151,18 +151,16 @@
 	// leftOut is the number of targets that the last own listing had and that were left out.
 	leftOut int
 	outage
-	// storeFailing holds the serving instances that report failing store calls.
-	storeFailing map[string]bool
 }
 
 // NewRegistry returns an empty registry. onChange is called after each change
 // of the listing; own reports whether this instance read it from the store.
 func NewRegistry(c clock.Clock, source Source, peerListings PeerListings, copySources *fleet.CopySources, log *zerolog.Logger, onChange func(own bool)) *Registry {
 	r := &Registry{
-		clock: c, source: source, peerListings: peerListings, copySources: copySources, log: log, onChange: onChange, lastListing: map[string]Target{}, listedAt: -time.Hour,
-		storeFailing: map[string]bool{}, departures: map[string]*departure{}, changes: map[string]targetChange{}, reports: map[string]int64{},
+		clock: c, source: source, peerListings: peerListings, copySources: copySources, log: log, onChange: onChange, lastListing: map[string]Target{}, listedAt: beforeBoot,
+		outage: newOutage(), departures: map[string]*departure{}, changes: map[string]targetChange{}, reports: map[string]int64{},
 	}
-	r.current.Store(&Catalogue{ReadAt: -time.Hour, Services: map[string][]*Entry{}, byID: map[string]*Entry{}})
+	r.current.Store(&Catalogue{ReadAt: beforeBoot, Services: map[string][]*Entry{}, byID: map[string]*Entry{}})
 	return r
 }
 
@@ -174,7 +172,7 @@
 func (r *Registry) StoreFailing(instance string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.storeFailing[instance]
+	return r.failureReports[instance].failing
 }
 
 // ListedAt returns the time since boot at which this instance requested its
@@ -248,7 +246,7 @@
 		if r.failingSince == 0 {
 			r.failingSince = startedAt
 		}
-		r.lastFailureAt = now
+		r.lastFailureAt, r.lastOwnFailureAt = now, now
 		// A listing that took far longer than its timeout spans a pause of the process
 		// and says nothing about the source.
 		if now-startedAt < listingTimeout+maxTimeoutDelay {
--- a/pkg/discovery/relay.go
+++ b/pkg/discovery/relay.go
@@ -147,8 +147,8 @@
 	now := r.clock.SinceBoot()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	h.StoreFailing = r.failingSince != 0
 	readAt := r.Catalogue().ReadAt
+	h.StoreFailing = r.reportsFailing(readAt, now)
 	if now-readAt >= changeTTL || (to.Serving() && readAt != r.listedAt) {
 		return
 	}
@@ -211,12 +211,7 @@
 func (r *Registry) setStoreFailing(from string, storeFailing bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if storeFailing {
-		r.storeFailing[from] = true
-		r.lastFailureAt = r.clock.SinceBoot()
-		return
-	}
-	delete(r.storeFailing, from)
+	r.observeReport(from, storeFailing, r.Catalogue().ReadAt, r.clock.SinceBoot())
 }
 
 // copyListing fetches the complete listing from the sender of a heartbeat. If
@@ -268,12 +263,12 @@
 		r.settledAt = max(r.settledAt, now+min(time.Duration(l.SettledInMs)*time.Millisecond, missingRetention))
 	}
 	readAt := now - time.Duration(l.AgeMs)*time.Millisecond
-	if r.endsOutage(r.Catalogue().ReadAt, readAt) {
+	if r.observeRead(r.Catalogue().ReadAt, readAt) {
 		// The store is back for others, so probably for this instance, too.
 		r.consecutiveFailures = 0
 		r.retryAt.Store(0)
 	}
-	return r.accept(next, l.Digest, readAt, now, l.Unsettled), false
+	return r.accept(next, l.Digest, readAt, now, l.Unsettled || now < r.settledAt), false
 }
 
 // digestAfter returns the digest of targetsAfter for a message that is not complete.
