Delete all lines of the headers that arbutuslink sets in requests

Cause: Set of fasthttp replaces the first line of a header and leaves further ones. The team's header and the request id were set without being deleted before; so was the request id of responses to callers.

--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -267,6 +267,7 @@
 func (p *Proxy) cleanResponse(response *fasthttp.Response, requestID string) {
 	p.dialect.cleanResponse(&response.Header)
 	response.Header.SetNoDefaultContentType(true)
+	response.Header.Del(p.dialect.RequestIDHeader) // Set would replace only the first of several lines.
 	response.Header.Set(p.dialect.RequestIDHeader, requestID)
 }
 
--- a/pkg/proxy/header.go
+++ b/pkg/proxy/header.go
@@ -53,7 +53,7 @@
 }
 
 // cleanHeader removes the headers that apply to the caller's connection only, and
-// those that appendAttemptHeaders sets.
+// those that arbutuslink sets itself.
 func (c *call) cleanHeader() {
 	source, h := &c.caller.Request.Header, &c.header
 	h.SetProtocol("HTTP/1.1")
@@ -71,10 +71,12 @@
 		h.Del(name)
 	}
 	h.ResetConnectionClose()
-	// appendAttemptHeaders adds these after the common header of all attempts.
-	h.Del(c.p.dialect.DeadlineHeader)
-	if c.p.dialect.TargetHeader != "" {
-		h.Del(c.p.dialect.TargetHeader)
+	// Set would replace only the first of several lines of a header.
+	d := c.p.dialect
+	for _, name := range [...]string{d.TeamHeader, d.RequestIDHeader, d.DeadlineHeader, d.TargetHeader} {
+		if name != "" {
+			h.Del(name)
+		}
 	}
 }
 
@@ -95,8 +97,6 @@
 	h, body := &c.header, c.caller.Request.Body()
 	if c.request.Team != "" {
 		h.Set(c.p.dialect.TeamHeader, c.request.Team)
-	} else {
-		h.Del(c.p.dialect.TeamHeader)
 	}
 	h.Set(c.p.dialect.RequestIDHeader, c.requestID)
 	if len(body) > 0 || len(h.Peek(fasthttp.HeaderContentLength)) > 0 {
