--- a/pkg/lab/soak/callers.go
+++ b/pkg/lab/soak/callers.go
@@ -37,6 +37,9 @@
 	// nestedShare is the share of the requests of the unsafe route whose path is nearly one of
 	// the nested route.
 	nestedShare = 0.15
+	// maxTenantLines is the largest number of header lines with a team that a caller sends
+	// itself; targets must not see them.
+	maxTenantLines = 2
 )
 
 // request is one request of a caller and its result.
@@ -46,6 +49,8 @@
 	// safe is true for a GET request, which may run more than once.
 	safe bool
 	body []byte
+	// tenantLines are header lines with a team that the caller sends itself.
+	tenantLines string
 	// sentAt is when its last byte was written; endedAt is when the response was
 	// complete or the request failed.
 	sentAt, endedAt time.Time
@@ -177,6 +182,7 @@
 	if prefix == unsafeRoute && c.formRNG.Float64() < nestedShare {
 		r.path = c.nearlyNestedPath(r.id)
 	}
+	r.tenantLines = strings.Repeat(upstreamsim.TenantHeader+": "+teams[c.formRNG.IntN(len(teams))]+"\r\n", c.formRNG.IntN(maxTenantLines+1))
 	if !r.safe {
 		r.body = bytes.Repeat([]byte{byte('a' + c.number%20)}, c.rng.IntN(4000))
 	}
@@ -202,9 +208,9 @@
 		method = http.MethodGet
 	}
 	_ = c.conn.SetDeadline(time.Now().Add(callerTimeout))
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n",
 		method, r.path, hostName, upstreamsim.RequestIDHeader, r.id, upstreamsim.TimeoutHeader, callerTimeout.Milliseconds(),
-		upstreamsim.InstanceHeader, r.ip, upstreamsim.SentHeader, time.Now().UnixMilli(), r.key, len(r.body))
+		upstreamsim.InstanceHeader, r.ip, upstreamsim.SentHeader, time.Now().UnixMilli(), r.key, r.tenantLines, len(r.body))
 	_, r.err = c.conn.Write(append([]byte(head), r.body...))
 	r.sentAt = time.Now()
 	if r.err != nil {
--- a/pkg/lab/soak/soak.go
+++ b/pkg/lab/soak/soak.go
@@ -20,9 +20,9 @@
 const (
 	// startupTime is the time before the first fault; the fleet starts within 2 s.
 	startupTime = 3 * time.Second
-	// finalFaultFreeTime is the time without faults at the end of a run. Requests
-	// must be served again in the last part of it, recoveryWindow.
-	finalFaultFreeTime = 6 * time.Second
+	// finalFaultFreeTime is the time at the end of a run without faults but for a restart
+	// after settleTime. Requests must be served again in the last part of it, recoveryWindow.
+	finalFaultFreeTime = settleTime + recoveryWindow
 	// recoveryWindow is the last part of the run in which requests must be served.
 	recoveryWindow = 3 * time.Second
 	// minServedRatio is the minimum ratio of requests served in recoveryWindow, the
@@ -106,7 +106,14 @@
 	tb.injectFaults(ctx, report)
 	endFurther()
 	injectors.Wait()
-	if err := sleep(ctx, finalFaultFreeTime); err != nil {
+	if err := sleep(ctx, settleTime); err != nil {
+		return nil, err
+	}
+	calmSince := time.Now()
+	if err := tb.restartInCalm(ctx); err != nil {
+		return nil, err
+	}
+	if err := sleep(ctx, recoveryWindow); err != nil {
 		return nil, err
 	}
 	stop()
@@ -115,6 +122,7 @@
 	tb.checkRecovery(callers.requests, end)
 	tb.checkTargetsUsed(ctx, callers, end.Add(-recoveryWindow))
 	callers.check(tb, report)
+	tb.checkSettled(calmSince)
 	tb.checkProcesses(report)
 	return report, nil
 }
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -381,7 +382,7 @@
 // recordExecution records that the execution of the request has started.
 func (s *Server) recordExecution(r *http.Request, body []byte) *Execution {
 	execution := &Execution{
-		ID: r.Header.Get(RequestIDHeader), Tenant: r.Header.Get(TenantHeader), Method: r.Method, Path: r.URL.RequestURI(),
+		ID: r.Header.Get(RequestIDHeader), Tenant: strings.Join(r.Header.Values(TenantHeader), ", "), Method: r.Method, Path: r.URL.RequestURI(),
 		Target: s.ID, Service: s.Service, BodyDigest: Digest(body), KeySeen: r.Header.Get("Authorization") != "", StartedAt: time.Now(),
 	}
 	s.mu.Lock()
