Test endless bytes that are no response, and endless answers to probes

A report of another operator: a target sent bytes that are no answer, without end, and the process that had called it ran out of memory. The soak draws all forms that are cut at once instead of two.

--- a/pkg/lab/soak/faults.go
+++ b/pkg/lab/soak/faults.go
@@ -234,6 +234,9 @@
 		{"responds with garbage or early", upstreamsim.Faults{Garbage: 0.2, EarlyResponse: 0.3}, 1},
 	}
 	k, t := kinds[rng.IntN(len(kinds))], tb.randomTarget(rng)
+	if k.faults.Endless > 0 {
+		k.name, k.faults.Form = "sends bytes without end", tb.endlessForm()
+	}
 	return fault{
 		name:  t.ID + " " + k.name,
 		begin: func() { t.SetFaults(k.faults, k.slow) },
@@ -241,6 +244,19 @@
 	}
 }
 
+// endlessForm draws one of the forms of endless responses that instances cut at once; reading the
+// others up to their limit would load the machine. The draws are apart from those of the faults.
+func (tb *testbed) endlessForm() upstreamsim.EndlessForm {
+	forms := []upstreamsim.EndlessForm{
+		upstreamsim.EndlessHeaders, upstreamsim.EndlessHeaderLine, upstreamsim.EndlessInterim, upstreamsim.EndlessChunkExtension,
+		upstreamsim.EndlessChunkSize, upstreamsim.EndlessTrailers, upstreamsim.HugeContentLength, upstreamsim.EndlessGarbage,
+		upstreamsim.EndlessGarbageLines, upstreamsim.EndlessBlankLines, upstreamsim.EndlessStatusLine,
+	}
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	return forms[tb.formRNG.IntN(len(forms))]
+}
+
 // targetPathFault blackholes or resets the connections to one target, or holds or
 // delays their bytes.
 func (tb *testbed) targetPathFault(rng *rand.Rand) fault {
--- a/pkg/lab/soak/testbed.go
+++ b/pkg/lab/soak/testbed.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -84,6 +85,8 @@
 	callers      *callers
 	// lateCallers counts the late callers of all graceful stops.
 	lateCallers atomic.Int64
+	// formRNG draws the forms of endless responses.
+	formRNG *rand.Rand
 
 	mu        sync.Mutex
 	instances []*instance
@@ -107,7 +110,7 @@
 }
 
 func newTestbed(o Options) (*testbed, error) {
-	tb := &testbed{Options: o, binary: o.Binary}
+	tb := &testbed{Options: o, binary: o.Binary, formRNG: rand.New(rand.NewPCG(o.Seed, 8))}
 	var err error
 	if tb.binary == "" {
 		if tb.binary, err = fleet.FindBinary("arbutus-edge", o.Directory); err != nil {
--- a/pkg/lab/upstreamsim/faults.go
+++ b/pkg/lab/upstreamsim/faults.go
@@ -122,6 +122,13 @@
 // maxEndlessTime bounds an endless response to a caller that never closes.
 const maxEndlessTime = 10 * time.Second
 
+// WriteEndless writes a response of the form, without the headers of the platform, until the
+// caller closes the connection.
+func WriteEndless(c net.Conn, form EndlessForm) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	writeEndless(c, form, head, []byte(head+"Content-Length: 0\r\n\r\n"))
+}
+
 // writeEndless writes a response of the form until the caller closes the connection.
 // head is the header without its end, complete a whole response.
 func writeEndless(c net.Conn, form EndlessForm, head string, complete []byte) {
@@ -145,6 +152,14 @@
 		start, repeated = head+"\r\n", "0123456789"
 	case EndlessSurplus:
 		start, repeated = string(complete), "0123456789"
+	case EndlessGarbage:
+		start, repeated = "", "\x00\xffgarbage"
+	case EndlessGarbageLines:
+		start, repeated = "", "garbage\r\n"
+	case EndlessBlankLines:
+		start, repeated = "", "\r\n"
+	case EndlessStatusLine:
+		start, repeated = "HTTP/1.1 200 ", "OK "
 	default:
 		start, repeated = head+"Content-Length: 1000000000000\r\n\r\n", "0123456789"
 	}
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -81,6 +81,11 @@
 	EndlessBody
 	EndlessSurplus
 	HugeContentLength
+	// The following forms are no responses from their first byte on.
+	EndlessGarbage
+	EndlessGarbageLines
+	EndlessBlankLines
+	EndlessStatusLine
 	// EndlessFormCount is the number of forms.
 	EndlessFormCount
 )
