--- a/pkg/discovery/stale_report_test.go
+++ b/pkg/discovery/stale_report_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
@@ -116,15 +117,40 @@
 	started := f.newProcess()
 	f.pass(f.lister, started)
 	f.NoErr(started.Refresh(context.Background()))
-	f.pass(started, f.lister)
-	f.pass(started, f.other)
+	for _, r := range []*Registry{f.lister, f.other} {
+		r.applyMessage(started.Listing(), f.lister.clock.SinceBoot(), true)
+		f.Equal(len(r.lastListing), 1)
+	}
 	f.expectLapsed(false)
 }
 
-// Guards against a first listing that counts as the end of an outage although none was seen.
+// Guards against lapsed targets that an instance drops in a listing of its own because it knows
+// of the outage only by a listing that another one passed on.
+func TestRetentionHoldsForInstancesThatHeardOfNoFailure(t *testing.T) {
+	f := newOutageFixture(t)
+	unaware := f.newProcess()
+	f.NoErr(unaware.Refresh(context.Background()))
+	f.outage(4)
+	f.store(1, nil, "t1")
+	f.NoErr(f.lister.Refresh(context.Background()))
+	f.pass(f.lister, unaware)
+	f.advance(500 * time.Millisecond)
+	unaware.source.(*fakeSource).targets = f.listerSource.targets
+	f.NoErr(unaware.Refresh(context.Background()))
+	f.True(unaware.Catalogue().Find("t2") != nil)
+	f.advance(3 * time.Second)
+	f.NoErr(unaware.Refresh(context.Background()))
+	f.True(unaware.Catalogue().Find("t2") == nil)
+}
+
+// Guards against a first listing, soon after boot, that counts as the end of an outage although
+// none was seen.
 func TestFirstListingEndsNoOutage(t *testing.T) {
 	is := is.New(t)
 	r, source, _ := newRegistry()
+	soonAfterBoot := clock.NewManual(time.Unix(0, 0))
+	soonAfterBoot.Advance(time.Second)
+	r.clock = soonAfterBoot
 	source.targets = []Target{target("t1")}
 	is.NoErr(r.Refresh(context.Background()))
 	is.True(!r.listingHeader(r.clock.SinceBoot()).Unsettled)
--- a/pkg/proxy/drain_test.go
+++ b/pkg/proxy/drain_test.go
@@ -31,6 +31,8 @@
 			is := is.New(t)
 			tg := newTarget(t, respond(okText))
 			r := newTestProxy(t, Options{Dialect: testDialect()}, tg.ln.Addr().String())
+			tokens := 0
+			r.take = func() error { tokens++; return nil }
 			c := r.dial(t)
 			const length = 10 * time.Second
 			r.proxy.StartDrain(drain.NewPlan(r.proxy.Clock.SinceBoot()-length+tc.left, length))
@@ -44,6 +46,7 @@
 			is.Equal(response.Header.Get(refusal.CodeHeader), string(refusal.ShuttingDown.Code))
 			is.Equal(response.Header.Get(refusal.OutcomeHeader), string(refusal.OutcomeNotRun))
 			is.Equal(tg.requestCount.Load(), int64(0))
+			is.Equal(tokens, 0) // refused at once
 		})
 	}
 }
--- a/pkg/proxy/endless_test.go
+++ b/pkg/proxy/endless_test.go
@@ -69,7 +69,8 @@
 						t.Errorf("the caller of another target got status %d", response.StatusCode)
 					}
 				}
-				grown := int64(peak) - int64(before.HeapInuse); t.Logf("grown by %d MB", grown>>20)
+				grown := int64(peak) - int64(before.HeapInuse)
+				t.Logf("grown by %d MB", grown>>20)
 				if grown > maxEndlessHeap {
 					t.Errorf("the heap grew by %d MB", grown>>20)
 				}
