Keep no report of an instance whose store calls work

Once a listing is known only failing calls need one, as before. TestReportsOfWorkingCallsAreNotKept failed before (3 entries kept).

--- a/pkg/discovery/outage.go
+++ b/pkg/discovery/outage.go
@@ -32,7 +32,8 @@
 	// lastFailureAt is the time since boot of the last failure that this instance has
 	// seen or heard of.
 	lastFailureAt time.Duration
-	// reports holds what serving instances reported last of their calls to the store.
+	// failureReports holds what serving instances reported last of their calls to the store.
+	// Once a listing is known, only failing calls are kept.
 	failureReports map[string]failureReport
 	// consecutiveFailures counts the failed listings since the last successful one.
 	consecutiveFailures int
@@ -74,7 +75,11 @@
 	case !last.failing:
 		report.since = now
 	}
-	o.failureReports[from] = report
+	if failing || knownAt == beforeBoot {
+		o.failureReports[from] = report
+	} else {
+		delete(o.failureReports, from)
+	}
 	if failing && report.since > knownAt {
 		o.lastFailureAt = now
 	}
--- a/pkg/discovery/stale_report_test.go
+++ b/pkg/discovery/stale_report_test.go
@@ -143,6 +143,18 @@
 	f.True(unaware.Catalogue().Find("t2") == nil)
 }
 
+// Guards against memory that grows with each instance that ever reported.
+func TestReportsOfWorkingCallsAreNotKept(t *testing.T) {
+	f := newOutageFixture(t)
+	for _, name := range []string{"a", "b", "c"} {
+		f.lister.Merge(name, &peerpb.Heartbeat{Instance: name, Serving: true, StoreFailing: name == "c"})
+	}
+	f.True(f.lister.StoreFailing("c"))
+	f.lister.Merge("c", &peerpb.Heartbeat{Instance: "c", Serving: true})
+	f.True(!f.lister.StoreFailing("c"))
+	f.Equal(len(f.lister.failureReports), 0)
+}
+
 // Guards against a first listing, soon after boot, that counts as the end of an outage although
 // none was seen.
 func TestFirstListingEndsNoOutage(t *testing.T) {
