Say what the linger time of a shutdown still accepts

The comment said that every request is accepted for 55% of the grace period; since the drain plan only those are that it accepts. No code changes.

--- a/pkg/edge/shutdown.go
+++ b/pkg/edge/shutdown.go
@@ -20,9 +20,9 @@
 	// closeTimeout is the time for the closing of the connections after open requests were
 	// broken off.
 	closeTimeout = 150 * time.Millisecond
-	// lingerFraction is the fraction of the grace period during which the instance
-	// still accepts requests: callers keep a response of the directory for up to three
-	// times its TTL.
+	// lingerFraction is the fraction of the grace period during which the instance stays
+	// open to the requests that its drain.Plan accepts, also while none is open: callers
+	// keep a response of the directory for up to three times its TTL.
 	lingerFraction = 0.55
 	// stopTimeout bounds how long the exit of the process waits for background work:
 	// a call to the store may last for 25 s.
