Find the routes of a host whatever its case and port

Callers that named the host with a port other than the default one, or in other letters than the configuration, got 404: the lookup compared the Host header byte by byte. RFC 9110 (4.2.3) compares hosts without regard to case, and clients send the port unless it is the default one.

--- a/pkg/config/match_test.go
+++ b/pkg/config/match_test.go
@@ -41,3 +41,42 @@
 		})
 	}
 }
+
+// Guards against a request that is refused, or gets the route of another host, because of the way
+// in which the caller writes the host: RFC 9110 (4.2.3) compares it without regard to case, and
+// callers name a port that is not the default one.
+func TestMatchFindsTheHost(t *testing.T) {
+	c := Empty()
+	for id, host := range map[string]string{"shop": "shop.example", "desk": "desk.example", "port": "desk.example:8443", "v6": "[::1]", "any": ""} {
+		prefix := "/orders/"
+		if host == "" {
+			prefix = "/any/"
+		}
+		c.Routes[id] = Route{Host: host, PathPrefix: prefix, Service: "s", OpenToAll: true, TimeoutMS: 1, MaxAttempts: 1}
+	}
+	s := NewSnapshot(1, c)
+	for host, want := range map[string]string{
+		"shop.example":       "shop",
+		"Shop.EXAMPLE":       "shop",
+		"shop.example:8080":  "shop",
+		"SHOP.example:80":    "shop",
+		"desk.example":       "desk",
+		"desk.example:1":     "desk",
+		"desk.example:8443":  "port",
+		"[::1]":              "v6",
+		"[::1]:8080":         "v6",
+		"[::2]:8080":         "",
+		"shop.example.":      "",
+		"xshop.example":      "",
+		"shop.example:":      "shop",
+		"shop.example:80:80": "",
+		"":                   "",
+	} {
+		t.Run(host, func(t *testing.T) {
+			match, _ := s.Match(host, "GET", "/orders/7")
+			is.New(t).Equal(match.ID, want)
+			match, _ = s.Match(host, "GET", "/any/7")
+			is.New(t).Equal(match.ID, "any")
+		})
+	}
+}
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -47,10 +47,11 @@
 		s.keyIDs[k.SHA256] = id
 	}
 	for id, r := range c.Routes {
-		table := s.hosts[r.Host]
+		host := strings.ToLower(r.Host)
+		table := s.hosts[host]
 		if table == nil {
 			table = routeTable{}
-			s.hosts[r.Host] = table
+			s.hosts[host] = table
 		}
 		table[r.PathPrefix] = append(table[r.PathPrefix], compiledRoute{id: id, route: r, methods: toSet(r.Methods), teams: toSet(r.Teams)})
 	}
@@ -87,13 +88,27 @@
 // path, with its last slash if it has one, and matches whole path segments only.
 // The lookup time grows with the number of segments of the path, not with the
 // number of routes.
+//
+// Hosts are compared without regard to case (RFC 9110, 4.2.3). The routes of a host that
+// names the port of the request come before those of the host without a port.
 func (s *Snapshot) Match(host, method, path string) (RouteMatch, bool) {
-	if table, ok := s.hosts[host]; ok && host != "" {
-		if match, ok := table.match(method, path); ok {
+	host = strings.ToLower(host)
+	for _, name := range [...]string{host, withoutPort(host), ""} {
+		if match, ok := s.hosts[name].match(method, path); ok {
 			return match, true
 		}
 	}
-	return s.hosts[""].match(method, path)
+	return RouteMatch{}, false
+}
+
+// withoutPort returns the host of a Host header without its port. A host with several colons
+// outside brackets is not a valid one and is returned as it is.
+func withoutPort(host string) string {
+	i := strings.LastIndexByte(host, ':')
+	if i < 0 || strings.IndexByte(host[i:], ']') >= 0 || (host[0] != '[' && strings.IndexByte(host, ':') != i) {
+		return host
+	}
+	return host[:i]
 }
 
 func (t routeTable) match(method, path string) (RouteMatch, bool) {
