Follow orders to evacuate zones and tell them in heartbeats

A set of a newer era or version replaces the known one at once. A heartbeat of an earlier release, which lacks the field, confirms nothing, and an instance that only copied a configuration from one serves after the store has turned its read away and 2 s have passed.

State is applied before it counts as confirmed. Events 518 and 519.

The follower's tests deliver heartbeats and reads with the set, as this release sends them; their checks are unchanged.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -55,6 +55,8 @@
 	TargetLeaving    = Event{515, "target_leaving", zerolog.InfoLevel, "a target says in its responses that it leaves; it gets no further requests, whatever its listing says"}
 	TargetPaused     = Event{516, "target_paused", zerolog.InfoLevel, "a target turned a request away and wants none from this instance for the named time"}
 	PauseUnreadable  = Event{517, "pause_unreadable", zerolog.WarnLevel, "a target turned a request away with a Retry-After that is no number of seconds; it is ignored; look at the target"}
+	ZoneEvacuated    = Event{518, "zone_evacuated", zerolog.WarnLevel, "an operator has ordered that the targets of a zone get no requests; this instance obeys from now on"}
+	ZoneRestored     = Event{519, "zone_restored", zerolog.InfoLevel, "the order to evacuate a zone was withdrawn; its targets get requests again"}
 
 	TargetEnded = Event{514, "target_ended", zerolog.WarnLevel, "a target accepts no connection after it lost that of a request; the same digest at several targets tells that the request crashes them"}
 
@@ -72,7 +74,7 @@
 	PlatformUnavailable = Event{700, "platform_unavailable", zerolog.WarnLevel, "the platform does not answer; requests are still served, but changes are delayed until it answers again"}
 	PlatformAvailable   = Event{701, "platform_available", zerolog.InfoLevel, "the platform answers again"}
 	ListingFailed       = Event{702, "listing_failed", zerolog.WarnLevel, "the targets could not be listed; the last listing stays in use"}
-	EntryRejected       = Event{703, "entry_rejected", zerolog.WarnLevel, "an entry of a target or of a request in quarantine in the platform's store could not be read and is ignored; check who wrote it"}
+	EntryRejected       = Event{703, "entry_rejected", zerolog.WarnLevel, "an entry of a target or of a request in quarantine, or an order to evacuate a zone, in the platform's store could not be read and is ignored; check who wrote it"}
 	ProcessPaused       = Event{706, "process_paused", zerolog.WarnLevel, "the process did not run for 600 ms or more; configuration and targets are read again before requests are served"}
 	StoreRestored       = Event{707, "store_restored", zerolog.WarnLevel, "the store came back from a copy and has lost what was written since; all state that was read from it is read again"}
 	ListingChanged      = Event{708, "listing_changed", zerolog.InfoLevel, "the instance took over another listing of the targets; missing targets are retained while it is unsettled"}
@@ -95,7 +97,7 @@
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed, HeadLost, ClaimsWritten,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
-		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable,
+		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable, ZoneEvacuated, ZoneRestored,
 		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried, QuarantineNotKept,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
--- a/pkg/follow/copy.go
+++ b/pkg/follow/copy.go
@@ -26,29 +26,37 @@
 	Config(ctx context.Context, address string, newerThan int64) (version int64, c *config.Config, err error)
 }
 
-// Fill adds to a heartbeat the applied version and the time since it was last
-// confirmed to be the newest.
+// Fill adds to a heartbeat the applied version, the evacuated zones, and the time since
+// both were last confirmed to be the newest.
 func (f *Follower) Fill(h *peerpb.Heartbeat, _ fleet.Audience) {
 	h.ConfigVersion = f.View().Config.Version
 	h.ConfigAgeMs = uint32(min(f.configAge(), maxReportedAge).Milliseconds())
+	if set := f.evacuations.Load(); set != nil {
+		h.EvacuatedZones = encodeEvacuations(set)
+	}
 }
 
-// Merge copies the configuration of a serving instance whose version is newer. A
-// version that is not newer confirms the applied one at the time it was confirmed
-// at the sender.
-func (f *Follower) Merge(_ string, h *peerpb.Heartbeat) {
+// Merge takes over the evacuated zones of an instance whose set is newer, and copies the
+// configuration of a serving instance whose version is newer. A version that is not newer
+// confirms the applied one at the time it was confirmed at the sender, and so does the set.
+func (f *Follower) Merge(from string, h *peerpb.Heartbeat) {
 	at := f.clock.SinceBoot() - time.Duration(h.ConfigAgeMs)*time.Millisecond
+	told := decodeEvacuations(h.EvacuatedZones)
+	f.mergeEvacuations(told, from)
 	switch {
 	case !h.Serving || h.ConfigVersion == 0:
 	case h.ConfigVersion <= f.View().Config.Version:
-		f.confirmNewest(at)
+		// An instance of an earlier release says nothing about evacuated zones.
+		if told != nil {
+			f.confirmNewest(at)
+		}
 	default:
 		f.copySources.Add(h, f.copyConfig)
 	}
 }
 
-// copyConfig copies the configuration from the sender of a heartbeat, or reads it
-// from the source if that instance does not give one.
+// copyConfig copies the configuration from the sender of a heartbeat. It reads the source
+// if that instance does not give one, or no instance has told the evacuated zones.
 func (f *Follower) copyConfig(h *peerpb.Heartbeat) {
 	f.readMu.Lock()
 	defer f.readMu.Unlock()
@@ -61,9 +69,12 @@
 	version, copied, err := f.peerConfigs.Config(ctx, h.GossipAddress, applied)
 	if err == nil {
 		f.apply(Update{Version: version, Config: copied}, h.Instance)
-		return
+		if f.evacuations.Load() != nil {
+			return
+		}
+	} else {
+		event.CopyFailed.Log(f.log).Err(err).Str("from", h.Instance).Int64("config_version", applied).Send()
 	}
-	event.CopyFailed.Log(f.log).Err(err).Str("from", h.Instance).Int64("config_version", applied).Send()
 	if f.clock.SinceBoot() >= time.Duration(f.retryAt.Load()) {
 		f.readConfig(context.Background())
 	}
--- a/pkg/follow/copy_test.go
+++ b/pkg/follow/copy_test.go
@@ -37,10 +37,13 @@
 	return New(c, s, peerConfigs, immediateCopySources(), membership.Member{}, &nop, func(bool) {}), s, c
 }
 
-// mergeAndWait delivers a heartbeat to a follower and waits for the copy that it
+// mergeAndWait delivers a heartbeat of this release to a follower and waits for the copy that it
 // may start.
 func mergeAndWait(t *testing.T, f *Follower, h *peerpb.Heartbeat) {
 	t.Helper()
+	if h.EvacuatedZones == nil { // the senders are of this release
+		h.EvacuatedZones = &peerpb.EvacuatedZones{}
+	}
 	f.Merge("e1", h)
 	eventually(t, "the copy did not finish", func() bool { return f.copySources.Idle() })
 }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -1,5 +1,5 @@
 // Package follow keeps an instance on the newest configuration of a platform's
-// store and publishes it as an immutable view. While it is active, the instance
+// store and publishes it as an immutable view, and the set of evacuated zones likewise. While it is active, the instance
 // waits for changes in the store; otherwise it reads the store at intervals. It
 // also copies newer versions from serving instances that announce them.
 package follow
@@ -17,6 +17,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/control"
+	"github.com/arbutuslink/arbutuslink/pkg/evacuation"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
@@ -32,8 +33,8 @@
 	// standbyReadInterval is the minimum time between two reads by Run while the
 	// follower is not active.
 	standbyReadInterval = 30 * time.Second
-	// unconfiguredReadInterval replaces standbyReadInterval while no configuration
-	// is known.
+	// unconfiguredReadInterval replaces standbyReadInterval while no configuration or no
+	// set of evacuated zones is known.
 	unconfiguredReadInterval = 4 * time.Second
 	// readTimeout bounds a read that a caller waits for: by EnsureMaxAge or after a
 	// failed copy.
@@ -68,6 +69,8 @@
 	Version int64
 	// Rejected is the reason why the document is invalid, or nil.
 	Rejected error
+	// Evacuations is what the update tells of the evacuated zones, whatever the document.
+	Evacuations evacuation.Change
 }
 
 // Source reads configurations from the platform's store.
@@ -93,6 +96,10 @@
 	view atomic.Pointer[control.View]
 	// hasConfig is set once a configuration has been applied.
 	hasConfig atomic.Bool
+	// evacuations is the set of evacuated zones; nil while it is unknown.
+	evacuations atomic.Pointer[evacuation.Set]
+	// configuredAt is the time since boot at which the first configuration was applied.
+	configuredAt atomic.Int64
 	// activatedAt is the time since boot of the last call of Activate.
 	activatedAt atomic.Int64
 	// wake ends the wait of an inactive follower when it is activated.
@@ -102,8 +109,9 @@
 	waitingSince atomic.Int64
 	// waitingEra is the era of the store in which Run waits.
 	waitingEra atomic.Int64
-	// confirmedAt is the latest time since boot at which there was no version newer
-	// than the applied one, as known from a serving instance or from the source.
+	// confirmedAt is the latest time since boot at which there was no configuration and no
+	// set of evacuated zones newer than the applied ones, as known from a serving instance or
+	// from the source.
 	confirmedAt atomic.Int64
 	// retryAt is the time since boot before which EnsureMaxAge and copyConfig do not
 	// repeat a failed read.
@@ -134,9 +142,11 @@
 // applied.
 func (f *Follower) View() *control.View { return f.view.Load() }
 
-// MayServe reports whether any configuration is known, however old: an instance that
-// cannot reach the store continues with the last configuration that it applied.
-func (f *Follower) MayServe() bool { return f.hasConfig.Load() }
+// MayServe reports whether any configuration and set of evacuated zones are known, however
+// old: an instance that cannot reach the store continues with what it applied last.
+func (f *Follower) MayServe() bool {
+	return f.hasConfig.Load() && (f.evacuations.Load() != nil || f.mayAssumeNoEvacuation())
+}
 
 // Activate makes Run wait for changes continuously for the next activationTTL;
 // otherwise Run reads the configuration only at intervals. Callers that need
@@ -219,8 +229,9 @@
 		event.PlatformUnavailable.Log(f.log).Err(err).Int64("config_version", f.View().Config.Version).Send()
 		return
 	}
-	f.confirmNewest(startedAt)
+	// The confirmation comes last: it lets requests pass that wait after a pause.
 	f.apply(update, fromStore)
+	f.confirmNewest(startedAt)
 }
 
 // CheckedAt returns the latest time since boot for which it is known whether there was
@@ -274,8 +285,8 @@
 			event.PlatformAvailable.Log(f.log).Send()
 		}
 		retryDelay, available, cursor = initialRetryDelay, true, update.Cursor
-		f.confirmNewest(startedAt)
 		f.apply(update, fromStore)
+		f.confirmNewest(startedAt)
 	}
 }
 
@@ -283,7 +294,7 @@
 // inactive follower is due, or ctx ends.
 func (f *Follower) waitUntilReadDue(ctx context.Context) {
 	interval := standbyReadInterval
-	if !f.hasConfig.Load() {
+	if !f.hasConfig.Load() || f.evacuations.Load() == nil {
 		interval = unconfiguredReadInterval
 	}
 	timer := time.NewTimer(interval + rand.N(interval/4))
@@ -300,10 +311,13 @@
 const fromStore = "store"
 
 // apply publishes a configuration if it is newer than the applied one, so that
-// versions never decrease. from names its origin in logs.
+// versions never decrease, and the evacuated zones. from names the origin in logs.
 func (f *Follower) apply(update Update, from string) {
 	f.applyMu.Lock()
 	defer f.applyMu.Unlock()
+	if from == fromStore {
+		f.applyEvacuations(f.evacuations.Load().Apply(update.Evacuations), from)
+	}
 	old := f.View()
 	switch {
 	case update.Rejected != nil:
@@ -313,7 +327,9 @@
 		next := *old
 		next.Config = config.NewSnapshot(update.Version, update.Config)
 		f.view.Store(&next)
-		f.hasConfig.Store(true)
+		if !f.hasConfig.Swap(true) {
+			f.configuredAt.Store(int64(f.clock.SinceBoot()))
+		}
 		event.ConfigApplied.Log(f.log).Int64("version", update.Version).Int64("previous_version", old.Config.Version).Str("from", from).Send()
 		f.onApply(from == fromStore)
 	}
