Check the target of an attempt again before the write

Between the choice of a target and the write, connecting may take 120 ms, and a process may be paused. An attempt can now say that its target is withdrawn; the request then goes to another target, or is refused as not run. The check follows that of the fence, which may wait for what withdraws the target.

--- a/pkg/proxy/admit.go
+++ b/pkg/proxy/admit.go
@@ -181,9 +181,11 @@
 	return team, nil
 }
 
-// recheckAdmission repeats the checks of admission immediately before a write.
-// The fence (ServeChecker) is checked last, so that only the write follows it.
-func (c *call) recheckAdmission() error {
+// recheckAdmission repeats the checks of admission immediately before the write of an
+// attempt. The fence (ServeChecker) is checked last, so that only the write follows it, but
+// for the target: what the fence waits for may withdraw it. Errors are *refusal.Refusal and
+// *TargetWithdrawnError.
+func (c *call) recheckAdmission(attempt Attempt) error {
 	admitted := c.request
 	view := c.p.Viewer.View()
 	if view != c.view {
@@ -215,6 +217,9 @@
 	if !c.p.ServeChecker.MayServe() {
 		return refusal.New(refusal.InstanceNotFresh, nil)
 	}
+	if a, ok := attempt.(WithdrawableAttempt); ok && a.Withdrawn() {
+		return errors.WithStack(&TargetWithdrawnError{Target: attempt.Target()})
+	}
 	return nil
 }
 
--- a/pkg/proxy/errors.go
+++ b/pkg/proxy/errors.go
@@ -2,6 +2,13 @@
 
 import "strconv"
 
+// TargetWithdrawnError reports that a target went out of use after a request was assigned to
+// it and before the request was written.
+type TargetWithdrawnError struct{ Target string }
+
+// Error names the target.
+func (e *TargetWithdrawnError) Error() string { return "target " + e.Target + " went out of use" }
+
 // ConnectError says that no connection to a target could be opened.
 type ConnectError struct {
 	Address string
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -44,9 +44,13 @@
 			c.releaseUnwritten(conn, attempt)
 			return refusal.New(refusal.TargetFailed, err)
 		}
-		if err := c.recheckAdmission(); err != nil {
+		if err := c.recheckAdmission(attempt); err != nil {
 			c.releaseUnwritten(conn, attempt)
-			return err
+			var withdrawn *TargetWithdrawnError
+			if errors.As(err, &withdrawn) && c.hasTimeForRetry() {
+				continue
+			}
+			return asRefusal(err, refusal.NoTarget)
 		}
 		x := exchange{call: c, conn: conn, attempt: attempt, suspicion: c.suspicion}
 		err = x.run()
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -32,7 +32,7 @@
 		x.recordAttempt(attempt, NotSent, time.Since(now), "")
 		return nil
 	}
-	if err := x.recheckAdmission(); err != nil {
+	if err := x.recheckAdmission(attempt); err != nil {
 		x.releaseUnwritten(conn, attempt)
 		return nil
 	}
--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -137,6 +137,14 @@
 	RetryDelay() time.Duration
 }
 
+// WithdrawableAttempt is implemented by attempts whose target may go out of use between the
+// choice and the write.
+type WithdrawableAttempt interface {
+	Attempt
+	// Withdrawn reports whether the request must not be sent to the target any more.
+	Withdrawn() bool
+}
+
 // AttemptWithSize is implemented by attempts whose balancer weighs the size of
 // responses.
 type AttemptWithSize interface {
