Send nothing to the targets of an evacuated zone (arbutus-edge)

The obstacle comes after leaving, so that every way to choose a target asks for it: choice, trials, floor, reachability tests, retries, hedges and queued requests. The zone's targets have no owner and no share of the rates that they name; idle connections to them are closed. Other instances get no new detour to them, and tests of the paths leave them out. A request that waited in vain while a zone is evacuated is told the time in which the other targets work off the queue, and 1 s if all zones are evacuated.

--- a/pkg/edge/detour.go
+++ b/pkg/edge/detour.go
@@ -10,6 +10,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/peer"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
+	"github.com/arbutuslink/arbutuslink/pkg/placement"
 )
 
 // newPaths returns the dialer of connections to targets, which knows whether this instance
@@ -40,7 +41,7 @@
 	var addresses []string
 	for _, entries := range i.registry.Catalogue().Services {
 		for _, e := range entries {
-			if !e.Draining {
+			if !e.Draining && !i.follower.Evacuated(e.Zone) {
 				addresses = append(addresses, e.Address)
 			}
 		}
@@ -67,11 +68,12 @@
 	return peers
 }
 
-// lists reports whether an address is that of a listed target.
-func lists(c *discovery.Catalogue, address string) bool {
+// lists reports whether an address is that of a listed target whose zone is not evacuated:
+// an instance that does not know of an order must not get around it through this one.
+func lists(c *discovery.Catalogue, evacuations placement.Evacuations, address string) bool {
 	for _, entries := range c.Services {
 		for _, e := range entries {
-			if e.Address == address {
+			if e.Address == address && !evacuations.Evacuated(e.Zone) {
 				return true
 			}
 		}
--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -130,9 +130,9 @@
 	i.suspects.Owns, i.suspects.OnChange = i.ownsSuspect, func() { i.fleet.Push(true) }
 	i.paths = i.newPaths()
 	i.detours = &detour.Server{
-		Listed: func(address string) bool { return lists(i.registry.Catalogue(), address) }, Direct: i.paths.Direct, Timeout: connectTimeout, Log: o.Log,
+		Listed: func(address string) bool { return lists(i.registry.Catalogue(), i.follower, address) }, Direct: i.paths.Direct, Timeout: connectTimeout, Log: o.Log,
 	}
-	i.balancer.PathsLost = i.paths.Lost
+	i.balancer.PathsLost, i.balancer.Evacuations = i.paths.Lost, i.follower
 	i.fleet = fleet.New(fleet.Options{
 		Self: fleet.Member{
 			Instance: s.Instance, Incarnation: uint64(i.started.UnixMilli()), Zone: s.AvailabilityZone,
--- a/pkg/edge/freshness.go
+++ b/pkg/edge/freshness.go
@@ -23,7 +23,7 @@
 	staleDatagramPeriod = 200 * time.Millisecond
 )
 
-// freshness decides whether the configuration and the listing may be acted on. After a
+// freshness decides whether the configuration, the evacuated zones and the listing may be acted on. After a
 // pause, they may have changed without this process noticing, so that one read of each
 // must have ended that began after the pause: with an answer, or with a failure, which
 // tells the pause from an outage of the store. It implements control.ServeChecker.
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -25,16 +25,18 @@
 
 // dump is the state of an instance for diagnosis by people. It contains no keys.
 type dump struct {
-	Instance      string             `json:"instance"`
-	Started       time.Time          `json:"started"`
-	ConfigVersion int64              `json:"config_version"`
-	Ready         bool               `json:"ready"`
-	Leaving       bool               `json:"leaving"`
-	OpenRequests  int64              `json:"open_requests"`
-	Rate          float64            `json:"requests_per_second"`
-	ListingAgeMS  int64              `json:"listing_age_ms"`
-	Fleet         *fleet.View        `json:"fleet"`
-	Teams         map[string]float64 `json:"team_tokens"`
+	Instance      string    `json:"instance"`
+	Started       time.Time `json:"started"`
+	ConfigVersion int64     `json:"config_version"`
+	// Evacuations is absent while no store and no instance has told the evacuated zones.
+	Evacuations  *evacuationsDump   `json:"evacuations,omitempty"`
+	Ready        bool               `json:"ready"`
+	Leaving      bool               `json:"leaving"`
+	OpenRequests int64              `json:"open_requests"`
+	Rate         float64            `json:"requests_per_second"`
+	ListingAgeMS int64              `json:"listing_age_ms"`
+	Fleet        *fleet.View        `json:"fleet"`
+	Teams        map[string]float64 `json:"team_tokens"`
 	// BodyBudget is the memory for bodies.
 	BodyBudget bytebudget.State        `json:"body_budget"`
 	Targets    []placement.TargetState `json:"targets"`
@@ -48,6 +50,13 @@
 	SuspectRequests int                `json:"suspect_requests"`
 }
 
+// evacuationsDump is the set of evacuated zones, as of a version of the store.
+type evacuationsDump struct {
+	Zones        []string `json:"zones"`
+	StoreEra     int64    `json:"store_era"`
+	StoreVersion int64    `json:"store_version"`
+}
+
 func (i *Instance) dump() *dump {
 	d := &dump{
 		Instance: i.Settings.Instance, Started: i.started, ConfigVersion: i.follower.View().Config.Version,
@@ -55,6 +64,9 @@
 		ListingAgeMS: (i.clock.SinceBoot() - i.registry.Catalogue().ReadAt).Milliseconds(),
 		Fleet:        i.fleet.View(), Teams: map[string]float64{}, Targets: i.balancer.Dump(), BodyBudget: i.proxy.Budget(),
 	}
+	if set := i.follower.Evacuations(); set != nil {
+		d.Evacuations = &evacuationsDump{Zones: set.Zones(), StoreEra: set.Version().Era, StoreVersion: set.Version().Number}
+	}
 	d.Quarantine, d.SuspectRequests = i.suspects.Dump()
 	d.PathsLost, d.DetoursCarried = i.paths.Lost(), i.detours.Open()
 	for team := range i.follower.View().Config.Config.Teams {
@@ -89,19 +101,21 @@
 // gaugeInterval is the time between two updates of the gauges.
 const gaugeInterval = time.Second
 
-// reportGauges updates the gauges of the memory for bodies and of the targets that get no
-// requests until ctx ends.
+// reportGauges updates the gauges of the memory for bodies, of the evacuated zones and of the
+// targets that get no requests until ctx ends.
 func (i *Instance) reportGauges(ctx context.Context, scope tally.Scope) {
 	gauge := func(state string) tally.Gauge {
 		return scope.Tagged(map[string]string{tagState: state}).Gauge(metricBudget)
 	}
 	limit, used, peak, refused := gauge("limit"), gauge("used"), gauge("peak"), scope.Gauge(metricBudgetRefused)
+	evacuated := scope.Gauge(metricZonesEvacuated)
 	for {
 		state := i.proxy.Budget()
 		limit.Update(float64(state.Limit))
 		used.Update(float64(state.Used))
 		peak.Update(float64(state.Peak))
 		refused.Update(float64(state.Refused))
+		evacuated.Update(float64(len(i.follower.Evacuations().Zones())))
 		for reason, targets := range i.balancer.Obstacles() {
 			scope.Tagged(map[string]string{tagReason: reason}).Gauge(metricTargetsWithheld).Update(float64(targets))
 		}
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -23,6 +23,7 @@
 	metricBudgetRefused = "edge_body_budget_refused"
 
 	metricTargetsWithheld = "edge_targets_withheld"
+	metricZonesEvacuated  = "edge_zones_evacuated"
 
 	tagStatus  = "status"
 	tagCode    = "code"
--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -16,7 +16,9 @@
 	balancer *Balancer
 	service  *service
 	target   *target
-	route    string
+	// zone is that of the target.
+	zone  string
+	route string
 	// started is the time since boot at which the request got the target.
 	started    time.Duration
 	retryDelay time.Duration
@@ -32,6 +34,12 @@
 // Address returns the IP:port of the target.
 func (a *attempt) Address() string { return a.target.entry.Address }
 
+// Withdrawn reports whether the request must not be sent to the target any more, because its
+// zone has been evacuated since the choice.
+func (a *attempt) Withdrawn() bool {
+	return a.balancer.Evacuations != nil && a.balancer.Evacuations.Evacuated(a.zone)
+}
+
 // RetryDelay returns the time without a response after which an idempotent request
 // may be sent to another target.
 func (a *attempt) RetryDelay() time.Duration { return a.retryDelay }
--- a/pkg/placement/catalogue.go
+++ b/pkg/placement/catalogue.go
@@ -29,18 +29,23 @@
 	}
 }
 
-// update applies a new catalogue or set of serving instances, and returns the targets
-// that drain since. The caller holds mu.
+// update applies a new catalogue, set of serving instances or set of evacuated zones, and
+// returns the targets that drain or are evacuated since. The caller holds mu.
 func (s *service) update(c *discovery.Catalogue, v *fleet.View, now time.Duration) (draining []*target) {
 	s.self = v.Self.Instance
 	if s.catalogueVersion == c.Version && s.viewVersion == v.Version && len(s.ordered) > 0 {
+		if gone, changed := s.evacuationChange(); changed {
+			s.assignPreferred(v, now)
+			return gone
+		}
 		if s.reassign || (s.reassignAt > 0 && now >= s.reassignAt) {
 			s.assignPreferred(v, now)
 		}
 		return nil
 	}
 	s.catalogueVersion, s.viewVersion = c.Version, v.Version
-	draining = s.updateTargets(c.Services[s.name], now)
+	draining, _ = s.evacuationChange()
+	draining = append(draining, s.updateTargets(c.Services[s.name], now)...)
 	s.assignPreferred(v, now)
 	s.retryBudget.setServing(v.Serving, now)
 	s.outcomes.forget(v)
@@ -67,7 +72,7 @@
 		if entry.Draining && !t.entry.Draining {
 			draining = append(draining, t)
 		}
-		t.entry = entry
+		t.entry, t.evacuations = entry, s.evacuations
 		listed[entry.ID] = t
 		s.ordered = append(s.ordered, t)
 	}
--- a/pkg/placement/obstacle.go
+++ b/pkg/placement/obstacle.go
@@ -7,7 +7,8 @@
 // tests whether a target is reached again, retries, hedges and requests that have waited.
 //
 // The values are in order of precedence. What only a new run of the target's process ends
-// comes first, then what lasts for a known time, then what may end at any moment.
+// comes first, then what an operator has to end, then what lasts for a known time, then what
+// may end at any moment.
 type obstacle int
 
 const (
@@ -16,6 +17,8 @@
 	listedDraining
 	// announcedLeaving: the target has said so itself, to any instance.
 	announcedLeaving
+	// evacuated: an operator has ordered that the targets of its zone get no requests.
+	evacuated
 	// paused: the target has turned this instance away for a time.
 	paused
 	// backingOff: a connection to the target failed, or another target answered there.
@@ -28,7 +31,7 @@
 
 // String returns the name of the obstacle in dumps; it is empty for none.
 func (o obstacle) String() string {
-	return [...]string{"", "draining", "leaving", "paused", "backing_off", "over_rate", "full"}[o]
+	return [...]string{"", "draining", "leaving", "evacuated", "paused", "backing_off", "over_rate", "full"}[o]
 }
 
 // excludes reports whether the target is out of use: it takes no request however few it has.
@@ -42,6 +45,8 @@
 		return listedDraining
 	case t.leaving.announced:
 		return announcedLeaving
+	case t.evacuated():
+		return evacuated
 	case now < t.pausedUntil:
 		return paused
 	case now < t.blockedUntil:
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -38,16 +38,17 @@
 	Listed int
 	Tried  int
 	// Leaving and Paused count the listed targets that leave and those that want no requests
-	// from this instance for a time.
-	Leaving int
-	Paused  int
+	// from this instance for a time, Evacuated those of evacuated zones.
+	Leaving   int
+	Paused    int
+	Evacuated int
 	// Waited is the time that the request waited for free capacity.
 	Waited time.Duration
 }
 
 func (e *NoTargetError) Error() string {
-	return fmt.Sprintf("choose a target of service %q: none of %d targets has free capacity (%d leaving, %d paused, %d tried, waited %s)",
-		e.Service, e.Listed, e.Leaving, e.Paused, e.Tried, e.Waited)
+	return fmt.Sprintf("choose a target of service %q: none of %d targets has free capacity (%d leaving, %d evacuated, %d paused, %d tried, waited %s)",
+		e.Service, e.Listed, e.Leaving, e.Evacuated, e.Paused, e.Tried, e.Waited)
 }
 
 // CatalogueSource provides the listed targets. *discovery.Registry implements it.
@@ -65,6 +66,9 @@
 	// OnUnused, if not nil, is called when a target gets no further requests because it
 	// leaves. It must not call the balancer.
 	OnUnused func(address string)
+	// Evacuations, if not nil, tells the zones whose targets get no requests. It is set
+	// before the first call.
+	Evacuations Evacuations
 
 	clock   clock.Clock
 	targets CatalogueSource
@@ -93,6 +97,7 @@
 	s := b.services[name]
 	if s == nil {
 		s = newService(name, b.clock.SinceBoot())
+		s.evacuations = b.Evacuations
 		b.services[name] = s
 	}
 	return s
@@ -133,7 +138,8 @@
 		}
 		if now >= waitUntil {
 			s.dequeue(w)
-			return nil, b.refuse(refusal.Overloaded, s, tried, now-began, retryAfter)
+			after := s.overloadRetryAfter(s.queue.ahead(nil, r.Priority), now)
+			return nil, b.refuse(refusal.Overloaded, s, tried, now-began, after)
 		}
 		if w == nil {
 			w = &waiter{priority: r.Priority, arrived: now, wake: make(chan struct{}, 1)}
@@ -163,7 +169,7 @@
 
 // newAttempt assigns the request to the target. The caller holds the service's mutex.
 func (b *Balancer) newAttempt(s *service, t *target, r proxy.Request, tried []string, now time.Duration) *attempt {
-	a := &attempt{balancer: b, service: s, target: t, route: r.Route, started: now, retryDelay: s.retryDelay(), last: !r.Idempotent || len(tried) > 0, choice: choice{
+	a := &attempt{balancer: b, service: s, target: t, zone: t.entry.Zone, route: r.Route, started: now, retryDelay: s.retryDelay(), last: !r.Idempotent || len(tried) > 0, choice: choice{
 		preferred: t.preferred, sameZone: t.sameZone, load: t.load(now), failProb: t.failProb(now), listingAge: now - b.targets.Catalogue().ReadAt,
 		limited: t.limit.limited, limit: t.limit.rate(),
 	}}
--- a/pkg/placement/refuse.go
+++ b/pkg/placement/refuse.go
@@ -40,18 +40,21 @@
 
 // forcedWait returns the wait of a request while ahead other requests wait before it. Of
 // targets that pause, the first that is back counts; those that limit their rate count
-// together. A target that leaves is never back, and one that was tried only for the next
-// request of the caller.
+// together. A target that leaves is never back, one of an evacuated zone at an unknown time,
+// and one that was tried only for the next request of the caller.
 func (s *service) forcedWait(tried []string, ahead int, now time.Duration) forcedWait {
 	rate, tokens := 0.0, 0.0
 	stated, limited, usableNext := false, false, false
-	least, back := maxForcedWait, maxForcedWait
+	least, back, unknown := maxForcedWait, maxForcedWait, retryAfter
 	for _, t := range s.ordered {
 		isTried := slices.Contains(tried, t.entry.ID)
 		switch t.obstacle(maxLoadPerSlot, now) {
 		case listedDraining, announcedLeaving:
 			stated = true
 			continue
+		case evacuated:
+			stated, unknown = true, evacuatedRetryAfter
+			continue
 		case paused:
 			stated = true
 			back = min(back, t.pausedUntil-now)
@@ -84,7 +87,7 @@
 	case usableNext:
 		w.retryAfter = retryAfter
 	case back == maxForcedWait:
-		w.kind, w.retryAfter = refusal.NoTarget, retryAfter
+		w.kind, w.retryAfter = refusal.NoTarget, unknown
 	}
 	return w
 }
@@ -110,6 +113,8 @@
 		switch t.obstacle(maxLoadPerSlot, now) {
 		case listedDraining, announcedLeaving:
 			cause.Leaving++
+		case evacuated:
+			cause.Evacuated++
 		case paused:
 			cause.Paused++
 		}
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -88,6 +88,10 @@
 	// unreachedElsewhere says that another instance may have reported some.
 	unreached          []*target
 	unreachedElsewhere bool
+	// evacuations is that of the balancer, evacuatedZones says for each zone with listed
+	// targets whether it was evacuated when their owners were last assigned.
+	evacuations    Evacuations
+	evacuatedZones map[string]bool
 	// typicalLatency is the weighted average latency of good responses, of which
 	// latencyCount were counted. It is 0 before the first request.
 	typicalLatency time.Duration
@@ -158,7 +162,8 @@
 // prefers it. It does so round-robin, so that all instances prefer about the same
 // number of targets; those with few requests prefer none, since they could not keep
 // them in use, and a target that its instance does not reach goes to the next one. Targets
-// of a zone in which no instance reaches targets are divided among those of all zones.
+// of a zone in which no instance reaches targets are divided among those of all zones. Targets
+// of an evacuated zone have no owner.
 func (s *service) assignPreferred(v *fleet.View, now time.Duration) {
 	byZone := map[string][]*target{}
 	s.reassign, s.reassignAt, s.unreached, s.unreachedElsewhere = false, 0, s.unreached[:0], false
@@ -174,6 +179,7 @@
 		t.sameZone = t.entry.Zone == v.Self.Zone
 		byZone[t.entry.Zone] = append(byZone[t.entry.Zone], t)
 	}
+	s.leaveOutEvacuated(byZone, now)
 	for zone, targets := range byZone {
 		owners, sharing := responsible(v, zone)
 		if len(owners) == 0 {
--- a/pkg/placement/target.go
+++ b/pkg/placement/target.go
@@ -46,6 +46,8 @@
 // service guards it.
 type target struct {
 	entry *discovery.Entry
+	// evacuations is that of the balancer.
+	evacuations Evacuations
 	// own is the evidence from this instance's requests.
 	own evidence
 	// peer is the strongest evidence against the target that other instances reported.
