Add evacuated zones to the configuration of arbutus-entry

The section evacuated_zones maps the names of zones to empty objects. It is left out while there are none, so that earlier releases read the document.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -16,6 +16,9 @@
 	Keys     map[string]Key     `json:"keys"`
 	Services map[string]Service `json:"services"`
 	Routes   map[string]Route   `json:"routes"`
+	// EvacuatedZones are the availability zones whose targets get no requests, by name. The
+	// section is absent while there are none, so that earlier releases read the document.
+	EvacuatedZones map[string]Evacuation `json:"evacuated_zones,omitempty"`
 }
 
 // Batch is a group of teams under one support contract.
@@ -81,8 +84,14 @@
 	MaxConnections int `json:"max_connections"`
 	// Leaving keeps new requests away from the target.
 	Leaving bool `json:"leaving"`
+	// Evacuated says that the target's zone is evacuated. NewSnapshot sets it; documents do
+	// not contain it.
+	Evacuated bool `json:"-"`
 }
 
+// OutOfUse reports whether the target gets no requests, as an operator has ordered.
+func (t Target) OutOfUse() bool { return t.Leaving || t.Evacuated }
+
 // WeightedService is one of the services among which a route divides its requests. The
 // service gets the fraction of them that Weight is of the sum of all weights.
 type WeightedService struct {
--- a/pkg/config/merge.go
+++ b/pkg/config/merge.go
@@ -50,7 +50,8 @@
 		Batches: replaceEntries(c.Batches, patched.Batches, sections, "batches"),
 		Teams:   replaceEntries(c.Teams, patched.Teams, sections, "teams"),
 		Keys:    replaceEntries(c.Keys, patched.Keys, sections, "keys"), Services: replaceEntries(c.Services, patched.Services, sections, "services"),
-		Routes: replaceEntries(c.Routes, patched.Routes, sections, "routes"),
+		Routes:         replaceEntries(c.Routes, patched.Routes, sections, "routes"),
+		EvacuatedZones: replaceEntries(c.EvacuatedZones, patched.EvacuatedZones, sections, "evacuated_zones"),
 	}
 	return next, true, next.Validate()
 }
@@ -78,6 +79,8 @@
 		entry, exists = lookup(c.Services, id)
 	case "routes":
 		entry, exists = lookup(c.Routes, id)
+	case "evacuated_zones":
+		entry, exists = lookup(c.EvacuatedZones, id)
 	default:
 		return nil, false, nil
 	}
@@ -94,7 +97,7 @@
 
 func isSection(name string) bool {
 	switch name {
-	case "batches", "teams", "keys", "services", "routes":
+	case "batches", "teams", "keys", "services", "routes", "evacuated_zones":
 		return true
 	default:
 		return false
@@ -117,6 +120,9 @@
 		return map[string]V{}
 	}
 	next := maps.Clone(before)
+	if next == nil { // a section that may be absent
+		next = map[string]V{}
+	}
 	for id := range entries {
 		if v, ok := patched[id]; ok {
 			next[id] = v
--- a/pkg/config/snapshot.go
+++ b/pkg/config/snapshot.go
@@ -40,6 +40,7 @@
 
 // NewSnapshot builds the lookup tables of a validated configuration.
 func NewSnapshot(version int64, c *Config) *Snapshot {
+	c = c.withEvacuations()
 	s := &Snapshot{
 		Version: version, Config: c, hosts: map[string]routeTable{}, keyIDs: make(map[string]string, len(c.Keys)),
 	}
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -135,6 +135,9 @@
 	for id, r := range c.Routes {
 		c.validateRoute(v, v.checkID("routes", id), r)
 	}
+	for zone := range c.EvacuatedZones {
+		v.checkID("evacuated_zones", zone)
+	}
 	c.validateRouteOverlap(v)
 	return v.Err()
 }
--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -102,6 +102,9 @@
 	names := make([]string, 0, t.NumField())
 	for i := range t.NumField() {
 		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		if name == "-" { // not in documents
+			continue
+		}
 		fields[name] = t.Field(i).Type
 		names = append(names, name)
 	}
