Send nothing to the targets of an evacuated zone (arbutus-entry)

Balancers, dispatchers and health evaluators treat a target of an evacuated zone like a leaving one: no ordinary choice, trial, reservation or probe, and its slots do not count for the floor. An attempt that was assigned before the order is withdrawn, also through the wrappers of dispatch and metrics. Refusals for want of any other target say so and ask to retry after 1 s. Events 518 and 519 when a version with or without the order is applied, a gauge, and the patch of an unknown zone is refused as invalid.

--- a/pkg/balance/balance.go
+++ b/pkg/balance/balance.go
@@ -29,15 +29,15 @@
 type NoTargetError struct {
 	Service string
 	// Configured, Tried and Full count the targets of the service, those that the
-	// request was sent to before, and those without a free connection for this
-	// instance.
-	Configured, Tried, Full int
+	// request was sent to before, those without a free connection for this instance, and
+	// those of evacuated zones.
+	Configured, Tried, Full, Evacuated int
 }
 
 // Error names the service and the counts.
 func (e *NoTargetError) Error() string {
-	return fmt.Sprintf("service %q: none of %d targets can take the request (%d tried, %d without a free connection)",
-		e.Service, e.Configured, e.Tried, e.Full)
+	return fmt.Sprintf("service %q: none of %d targets can take the request (%d tried, %d without a free connection, %d evacuated)",
+		e.Service, e.Configured, e.Tried, e.Full, e.Evacuated)
 }
 
 // Balancer chooses the less loaded of two random available targets. It implements
@@ -85,7 +85,9 @@
 	// least 1.
 	connectionLimit int
 	leaving         bool
-	observed        *health.TargetObservations
+	// evacuated says that the target's zone is evacuated.
+	evacuated bool
+	observed  *health.TargetObservations
 
 	inFlight int
 	standing health.Standing
@@ -125,7 +127,7 @@
 			return nil, s.refuse(tried, full)
 		}
 	}
-	a := &attempt{balancer: b, service: s, target: t, trial: isTrial}
+	a := &attempt{balancer: b, service: s, target: t, zone: t.zone, trial: isTrial}
 	t.inFlight++
 	t.observed.Begin(&a.open)
 	return a, nil
@@ -135,12 +137,25 @@
 // available.
 func (b *Balancer) TakeRetry(r proxy.Request) bool { return b.budgets.spend(r.Route) }
 
+// evacuatedRetryAfter is the delay after which a caller should retry when no target is in use
+// because of evacuated zones. Nothing tells when the order is withdrawn; a change takes about
+// this time to reach all instances.
+const evacuatedRetryAfter = time.Second
+
 // refuse returns the refusal of a request for which there is no target.
 func (s *service) refuse(tried []string, full int) error {
 	cause := &NoTargetError{Service: s.name, Configured: len(s.targets), Tried: len(tried), Full: full}
+	for _, t := range s.targets {
+		if t.evacuated {
+			cause.Evacuated++
+		}
+	}
 	if full > 0 {
 		return errors.WithStack(refusal.New(refusal.Overloaded, cause))
 	}
+	if cause.Evacuated > 0 {
+		return errors.WithStack(&refusal.Refusal{Kind: refusal.NoTarget, RetryAfter: evacuatedRetryAfter, Cause: cause})
+	}
 	return errors.WithStack(refusal.New(refusal.NoTarget, cause))
 }
 
@@ -183,8 +198,10 @@
 	balancer *Balancer
 	service  *service
 	target   *target
-	trial    bool
-	done     atomic.Bool
+	// zone is that of the target.
+	zone  string
+	trial bool
+	done  atomic.Bool
 }
 
 // Target returns the id of the target.
@@ -193,6 +210,15 @@
 // Address returns the IP:port of the target.
 func (a *attempt) Address() string { return a.target.address }
 
+// Withdrawn reports whether the target's zone has been evacuated since the choice.
+func (a *attempt) Withdrawn() bool { return evacuated(a.balancer.viewer, a.zone) }
+
+// evacuated reports whether a zone is evacuated in the current configuration.
+func evacuated(viewer control.Viewer, zone string) bool {
+	_, ok := viewer.View().Config.Config.EvacuatedZones[zone]
+	return ok
+}
+
 // Done reports the result. Calls after the first have no effect.
 func (a *attempt) Done(result proxy.Result, latency time.Duration, load proxy.Load) {
 	if a.done.Swap(true) {
--- a/pkg/balance/baseline.go
+++ b/pkg/balance/baseline.go
@@ -76,7 +76,7 @@
 	svc := b.viewer.View().Config.Config.Services[r.Service]
 	names := make([]string, 0, len(svc.Targets))
 	for name, t := range svc.Targets {
-		if !t.Leaving {
+		if !t.OutOfUse() {
 			names = append(names, name)
 		}
 	}
@@ -87,7 +87,7 @@
 		name := names[b.nextIndex(r.Service)%len(names)]
 		if t := b.target(r.Service, name); now >= t.ejectedUntil && !slices.Contains(tried, name) {
 			return &baselineAttempt{
-				baseline: b, service: r.Service, name: name, address: svc.Targets[name].Address,
+				baseline: b, service: r.Service, name: name, address: svc.Targets[name].Address, zone: svc.Targets[name].Zone,
 			}, nil
 		}
 	}
@@ -140,7 +140,7 @@
 	svc := b.viewer.View().Config.Config.Services[service]
 	total, used := 0, 0
 	for other, t := range svc.Targets {
-		if t.Leaving {
+		if t.OutOfUse() {
 			continue
 		}
 		total += t.Slots
@@ -152,9 +152,9 @@
 }
 
 type baselineAttempt struct {
-	baseline               *Baseline
-	service, name, address string
-	once                   sync.Once
+	baseline                     *Baseline
+	service, name, address, zone string
+	once                         sync.Once
 }
 
 // Target returns the id of the target.
@@ -163,6 +163,9 @@
 // Address returns the IP:port of the target.
 func (a *baselineAttempt) Address() string { return a.address }
 
+// Withdrawn reports whether the target's zone has been evacuated since the choice.
+func (a *baselineAttempt) Withdrawn() bool { return evacuated(a.baseline.viewer, a.zone) }
+
 // Done reports the result. Calls after the first have no effect.
 func (a *baselineAttempt) Done(result proxy.Result, _ time.Duration, _ proxy.Load) {
 	a.once.Do(func() {
--- a/pkg/balance/choose.go
+++ b/pkg/balance/choose.go
@@ -39,7 +39,7 @@
 		peerpb.TargetState_TARGET_STATE_DRAINING:
 		return false
 	default:
-		return !t.leaving && !t.observed.Draining(now) && !slices.Contains(tried, t.name)
+		return !t.leaving && !t.evacuated && !t.observed.Draining(now) && !slices.Contains(tried, t.name)
 	}
 }
 
@@ -123,7 +123,7 @@
 		return nil
 	}
 	for _, t := range s.targets {
-		if t.standing.State != peerpb.TargetState_TARGET_STATE_TRIAL || t.leaving || t.observed.Draining(now) {
+		if t.standing.State != peerpb.TargetState_TARGET_STATE_TRIAL || t.leaving || t.evacuated || t.observed.Draining(now) {
 			continue
 		}
 		interval := trialIntervalPerSlot * time.Duration(s.members) / time.Duration(max(t.slots, 1))
--- a/pkg/balance/dump.go
+++ b/pkg/balance/dump.go
@@ -15,6 +15,7 @@
 type TargetDump struct {
 	Target      string  `json:"target"`
 	State       string  `json:"state"`
+	Evacuated   bool    `json:"evacuated,omitempty"`
 	InFlight    int     `json:"in_flight"`
 	Connections int     `json:"connections"`
 	Weight      float64 `json:"weight"`
@@ -29,7 +30,7 @@
 		s.mu.Lock()
 		for _, t := range s.targets {
 			dump.Services[name] = append(dump.Services[name], TargetDump{
-				Target: t.name, State: health.StateName(t.standing.State), InFlight: t.inFlight,
+				Target: t.name, State: health.StateName(t.standing.State), Evacuated: t.evacuated, InFlight: t.inFlight,
 				Connections: t.connectionLimit, Weight: t.weight(now), Score: t.score(now),
 			})
 		}
--- a/pkg/balance/table.go
+++ b/pkg/balance/table.go
@@ -90,7 +90,8 @@
 		}
 		// The collector may have dropped and re-created the observations.
 		t.observed = collector.Target(s.name, name)
-		t.address, t.zone, t.slots, t.leaving = c.Address, c.Zone, max(c.Slots, 1), c.Leaving
+		t.address, t.zone, t.slots = c.Address, c.Zone, max(c.Slots, 1)
+		t.leaving, t.evacuated = c.Leaving, c.Evacuated
 		t.connectionLimit = max(c.MaxConnections/members, 1)
 		s.targets = append(s.targets, t)
 	}
--- a/pkg/control/core.go
+++ b/pkg/control/core.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/fence"
 	"github.com/arbutuslink/arbutuslink/pkg/membership"
@@ -223,6 +224,7 @@
 		return
 	}
 	now := c.now()
+	evacuatedBefore := c.applied.config.Config.EvacuatedZones
 	if !d.row.Reinstated {
 		c.recordEarlierDelivered(now, after.Config)
 	}
@@ -235,6 +237,7 @@
 	c.fence.SetMembership(now, c.self.Incarnation, d.membership.Witnesses, after)
 	if after.Config > before.Config {
 		event.ConfigApplied.Log(&c.options.Log).Int64("config", after.Config).Send()
+		c.logEvacuations(evacuatedBefore)
 	}
 	if d.row.Delivered {
 		c.setDelivered(now)
@@ -246,6 +249,21 @@
 	}
 }
 
+// logEvacuations logs the zones that the applied configuration evacuates or restores.
+func (c *core) logEvacuations(before map[string]config.Evacuation) {
+	after := c.applied.config.Config.EvacuatedZones
+	for zone := range after {
+		if _, already := before[zone]; !already {
+			event.ZoneEvacuated.Log(&c.options.Log).Str("zone", zone).Int64("config", c.applied.row.ConfigVersion).Send()
+		}
+	}
+	for zone := range before {
+		if _, still := after[zone]; !still {
+			event.ZoneRestored.Log(&c.options.Log).Str("zone", zone).Int64("config", c.applied.row.ConfigVersion).Send()
+		}
+	}
+}
+
 // recordEarlierDelivered records that the configuration versions before the
 // newest change are delivered, because a change is written only once the
 // previous one is delivered. next is the configuration version of the newest
--- a/pkg/dispatch/balancer.go
+++ b/pkg/dispatch/balancer.go
@@ -303,6 +303,9 @@
 	done           atomic.Bool
 }
 
+// Withdrawn reports whether the target has gone out of use since the choice.
+func (a *attempt) Withdrawn() bool { return proxy.IsWithdrawn(a.Attempt) }
+
 // Done reports the result and releases the slot. Calls after the first have no
 // effect.
 func (a *attempt) Done(result proxy.Result, latency time.Duration, load proxy.Load) {
--- a/pkg/dispatch/ledger.go
+++ b/pkg/dispatch/ledger.go
@@ -140,7 +140,7 @@
 		if t == nil {
 			t = &targetState{name: name}
 		}
-		t.zone, t.slots, t.leaving = c.Zone, max(c.Slots, 1), c.Leaving
+		t.zone, t.slots, t.outOfUse = c.Zone, max(c.Slots, 1), c.OutOfUse()
 		next[name] = t
 		l.targets = append(l.targets, t)
 	}
--- a/pkg/dispatch/target.go
+++ b/pkg/dispatch/target.go
@@ -21,7 +21,7 @@
 type targetState struct {
 	name, zone string
 	slots      int
-	leaving    bool
+	outOfUse   bool
 	standing   health.Standing
 	reserved   int
 
@@ -54,7 +54,7 @@
 func (t *targetState) usable(tried []string) bool {
 	switch t.standing.State {
 	case peerpb.TargetState_TARGET_STATE_ACTIVE, peerpb.TargetState_TARGET_STATE_COLD:
-		return !t.leaving && !slices.Contains(tried, t.name)
+		return !t.outOfUse && !slices.Contains(tried, t.name)
 	default:
 		return false
 	}
--- a/pkg/entry/detour.go
+++ b/pkg/entry/detour.go
@@ -60,12 +60,12 @@
 	return &detour.Dialer{Monitor: monitor, Zone: i.settings.AvailabilityZone, Direct: direct.Dial, Peers: i.detourPeers, Timeout: targetConnectTimeout}
 }
 
-// targetAddresses returns the addresses of the configured targets that do not leave.
+// targetAddresses returns the addresses of the configured targets in use.
 func (i *Instance) targetAddresses() []string {
 	var addresses []string
 	for _, s := range i.control.View().Config.Config.Services {
 		for _, t := range s.Targets {
-			if !t.Leaving {
+			if !t.OutOfUse() {
 				addresses = append(addresses, t.Address)
 			}
 		}
@@ -73,11 +73,12 @@
 	return addresses
 }
 
-// listsTarget reports whether an address is that of a configured target.
+// listsTarget reports whether an address is that of a configured target whose zone is not
+// evacuated.
 func (i *Instance) listsTarget(address string) bool {
 	for _, s := range i.control.View().Config.Config.Services {
 		for _, t := range s.Targets {
-			if t.Address == address {
+			if t.Address == address && !t.Evacuated {
 				return true
 			}
 		}
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -136,6 +136,9 @@
 	route    string
 }
 
+// Withdrawn reports whether the target has gone out of use since the choice.
+func (a *countingAttempt) Withdrawn() bool { return proxy.IsWithdrawn(a.Attempt) }
+
 // Done counts the result and passes it on to the balancer.
 func (a *countingAttempt) Done(result proxy.Result, latency time.Duration, load proxy.Load) {
 	a.counters.add(1, series{metric: metricAttempts, firstValue: a.route, secondValue: resultName(result)}, tagRoute, tagResult)
@@ -180,6 +183,7 @@
 		scope.Gauge("members").Update(float64(len(view.Membership.Members)))
 		scope.Gauge("fresh").Update(boolValue(i.control.MayServe()))
 		scope.Gauge("member").Update(boolValue(view.Member))
+		scope.Gauge("zones_evacuated").Update(float64(len(view.Config.Config.EvacuatedZones)))
 		scope.Gauge("open_requests").Update(float64(i.proxy.Open()))
 		for service, state := range i.queue.Dump() {
 			tagged := scope.Tagged(map[string]string{tagService: service})
--- a/pkg/entry/operators.go
+++ b/pkg/entry/operators.go
@@ -44,12 +44,27 @@
 func (c *coordinator) Propose(ctx context.Context, p operator.Proposal) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	apply := func(base *config.Config) (*config.Config, error) { return base.Apply(p.MediaType, p.Patch) }
+	apply := func(base *config.Config) (*config.Config, error) {
+		next, err := base.Apply(p.MediaType, p.Patch)
+		if err != nil {
+			return nil, err
+		}
+		return next, next.CheckEvacuations(base, c.instanceZones())
+	}
 	meta := head.Metadata{Author: p.Author, Time: c.instance.clock.Now().UTC(), MediaType: p.MediaType}
 	version, err := c.instance.control.ProposeConfig(ctx, p.Expected, apply, meta)
 	return version, toOperatorError(err)
 }
 
+// instanceZones returns the zones of the members and of this instance.
+func (c *coordinator) instanceZones() []string {
+	zones := []string{c.instance.settings.AvailabilityZone}
+	for _, m := range c.instance.control.View().Membership.Members {
+		zones = append(zones, m.Zone)
+	}
+	return zones
+}
+
 // toOperatorError converts errors of the control loop and the store to those of
 // the operator API.
 func toOperatorError(err error) error {
@@ -138,6 +153,7 @@
 		Instance: c.instance.settings.Instance, Incarnation: view.Self.Incarnation, Member: view.Member, Fresh: loop.MayServe(),
 		ConfigVersion: view.Config.Version, ConfigState: api.Accepted,
 		MembershipVersion: view.Membership.Version, Members: len(view.Membership.Members), Witnesses: len(view.Membership.Witnesses),
+		EvacuatedZones: view.Config.Config.Evacuated(),
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/pkg/health/decide.go
+++ b/pkg/health/decide.go
@@ -68,8 +68,8 @@
 	for _, name := range names {
 		t := s.target(name, now)
 		t.updateLoadAverage(now)
-		t.slots = svc.Targets[name].Slots
-		s.applySelfReport(name, t, now, svc.Targets[name].Leaving)
+		t.slots, t.evacuated = svc.Targets[name].Slots, svc.Targets[name].Evacuated
+		s.applySelfReport(name, t, now, svc.Targets[name].OutOfUse())
 	}
 	s.restoreFloor(now, svc)
 	recent := s.sumWindows(names, now, p.Window)
@@ -98,9 +98,9 @@
 
 // applySelfReport sets the state that the configuration or the target itself
 // announces: draining, cold, or active again.
-func (s *serviceHealth) applySelfReport(name string, t *targetHealth, now time.Duration, leaving bool) {
+func (s *serviceHealth) applySelfReport(name string, t *targetHealth, now time.Duration, outOfUse bool) {
 	switch {
-	case leaving || t.isDraining(now):
+	case outOfUse || t.isDraining(now):
 		s.setState(name, t, draining, now)
 	case t.probe.cold && !ejectedOrTrial(t.state):
 		s.setState(name, t, cold, now)
--- a/pkg/health/floor.go
+++ b/pkg/health/floor.go
@@ -8,23 +8,23 @@
 )
 
 // RequiredSlots returns the number of slots that ejections must leave in use: the
-// percentage FloorPercent of the slots of all configured targets that are not leaving,
-// rounded up.
+// percentage FloorPercent of the slots of all configured targets that are not out of
+// use, rounded up.
 func RequiredSlots(s config.Service) int {
 	total := 0
 	for _, t := range s.Targets {
-		if !t.Leaving {
+		if !t.OutOfUse() {
 			total += t.Slots
 		}
 	}
 	return (total*s.FloorPercent + 99) / 100
 }
 
-// SlotsInUse counts the slots of the active targets that are not leaving.
+// SlotsInUse counts the slots of the active targets that are not out of use.
 func SlotsInUse(s config.Service, state func(target string) peerpb.TargetState) int {
 	total := 0
 	for name, t := range s.Targets {
-		if !t.Leaving && state(name) == peerpb.TargetState_TARGET_STATE_ACTIVE {
+		if !t.OutOfUse() && state(name) == peerpb.TargetState_TARGET_STATE_ACTIVE {
 			total += t.Slots
 		}
 	}
@@ -46,7 +46,7 @@
 	}
 	var candidates []string
 	for name, t := range s.Targets {
-		if !t.Leaving && ejectedOrTrial(state(name)) {
+		if !t.OutOfUse() && ejectedOrTrial(state(name)) {
 			candidates = append(candidates, name)
 		}
 	}
--- a/pkg/health/probe.go
+++ b/pkg/health/probe.go
@@ -148,7 +148,7 @@
 			t.probe.scheduled = true
 			t.probe.nextAt = now + time.Duration(xxhash.Sum64String(name)%uint64(interval))
 		}
-		if t.probe.inFlight || now < t.probe.nextAt || target.Leaving {
+		if t.probe.inFlight || now < t.probe.nextAt || target.OutOfUse() {
 			continue
 		}
 		t.probe.inFlight = true
--- a/pkg/health/service.go
+++ b/pkg/health/service.go
@@ -96,6 +96,8 @@
 	// loadAverage is the moving average of load; it was updated at loadAveragedAt.
 	loadAverage    float64
 	loadAveragedAt time.Duration
+	// evacuated says that the target's zone is evacuated, as of the last evaluation.
+	evacuated bool
 }
 
 // serviceHealth holds the observations of one service and decides the states of its
@@ -234,7 +236,7 @@
 	switch {
 	case to == ejected:
 		event.TargetEjected.Log(s.log).Str("service", s.name).Str("target", name).Stringer("cause", t.cause).Send()
-	case to == draining:
+	case to == draining && !t.evacuated: // event 518 tells of an evacuated zone
 		event.TargetDraining.Log(s.log).Str("service", s.name).Str("target", name).Send()
 	case to == active && ejectedOrTrial(from):
 		t.returnedAt, t.everReturned = now, true
--- a/pkg/proxy/admit.go
+++ b/pkg/proxy/admit.go
@@ -217,7 +217,7 @@
 	if !c.p.ServeChecker.MayServe() {
 		return refusal.New(refusal.InstanceNotFresh, nil)
 	}
-	if a, ok := attempt.(WithdrawableAttempt); ok && a.Withdrawn() {
+	if IsWithdrawn(attempt) {
 		return errors.WithStack(&TargetWithdrawnError{Target: attempt.Target()})
 	}
 	return nil
--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -145,6 +145,12 @@
 	Withdrawn() bool
 }
 
+// IsWithdrawn reports whether the attempt is one whose target is withdrawn.
+func IsWithdrawn(a Attempt) bool {
+	w, ok := a.(WithdrawableAttempt)
+	return ok && w.Withdrawn()
+}
+
 // AttemptWithSize is implemented by attempts whose balancer weighs the size of
 // responses.
 type AttemptWithSize interface {
