arbutusctl: evacuate and restore zones, show evacuated zones in status

zone evacuate and zone restore submit an ordinary patch.

The test of the documented fields skips those that documents do not contain and counts an empty object as a field.

--- a/pkg/ctl/change.go
+++ b/pkg/ctl/change.go
@@ -111,6 +111,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkEvacuations(cl, doc.Config, next); err != nil {
+		return err
+	}
 	differences, err := config.Diff(doc.Config, next)
 	if err != nil {
 		return err
@@ -125,6 +128,23 @@
 	})
 }
 
+// checkEvacuations checks newly evacuated zones as the instance would, which knows the zones
+// of the members.
+func checkEvacuations(cl *client, before, next *config.Config) error {
+	if len(next.EvacuatedZones) == 0 {
+		return nil
+	}
+	var list api.MemberList
+	if err := cl.get(api.MembershipPath, nil, &list); err != nil {
+		return err
+	}
+	zones := make([]string, 0, len(list.Members))
+	for _, m := range list.Members {
+		zones = append(zones, m.Zone)
+	}
+	return next.CheckEvacuations(before, zones)
+}
+
 // entryPatch returns a merge patch that sets one entry of a section of the
 // configuration, such as one team; a nil value removes the entry.
 func entryPatch(section, id string, value any) ([]byte, error) {
@@ -301,6 +321,21 @@
 	return c.app.submitEntry(c.patchFlags, "routes", c.ID, map[string]any{"open_to_all": c.All, "teams": teams})
 }
 
+type zoneCommand struct {
+	app *app
+	patchFlags
+	// value is the entry of the zone; nil restores it.
+	value any
+	Args  struct {
+		Zone string `positional-arg-name:"ZONE" description:"name of the availability zone"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute evacuates or restores the zone.
+func (c *zoneCommand) Execute([]string) error {
+	return c.app.submitEntry(c.patchFlags, "evacuated_zones", c.Args.Zone, c.value)
+}
+
 // removeCommand removes one entry of a section of the configuration document.
 type removeCommand struct {
 	app     *app
--- a/pkg/ctl/ctl.go
+++ b/pkg/ctl/ctl.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
 	"github.com/arbutuslink/arbutuslink/pkg/version"
 )
@@ -171,6 +172,9 @@
 	add(routes, "set", "create or change a route from a JSON file", &routeSetCommand{app: a})
 	add(routes, "access", "set which teams a route is open to", &routeAccessCommand{app: a})
 	add(routes, "remove", "remove a route", &removeCommand{app: a, section: "routes"})
+	zones := add(root, "zone", "evacuate and restore availability zones", &struct{}{})
+	add(zones, "evacuate", "send nothing more to the targets of a zone", &zoneCommand{app: a, value: config.Evacuation{}})
+	add(zones, "restore", "use the targets of a zone again", &zoneCommand{app: a})
 }
 
 // client returns a client for the instance of --server. It fails with *UsageError
--- a/pkg/ctl/ctl_test.go
+++ b/pkg/ctl/ctl_test.go
@@ -36,6 +36,7 @@
 	state      api.State
 	received   bytes.Buffer
 	patchCalls int
+	members    api.MemberList
 }
 
 func (f *fakeFleet) Current(context.Context) (int64, *config.Config, error) {
@@ -62,9 +63,9 @@
 }
 
 func (f *fakeFleet) Status() api.Status {
-	return api.Status{Instance: "entry-1", ConfigVersion: f.version, ConfigState: f.state}
+	return api.Status{Instance: "entry-1", ConfigVersion: f.version, ConfigState: f.state, EvacuatedZones: f.config.Evacuated()}
 }
-func (f *fakeFleet) Members() api.MemberList { return api.MemberList{Version: 3} }
+func (f *fakeFleet) Members() api.MemberList { return f.members }
 func (f *fakeFleet) Dump() any               { return map[string]int{"goroutines": 1} }
 func (f *fakeFleet) Replace(context.Context, []string) error {
 	return f.fail
--- a/pkg/ctl/docs_test.go
+++ b/pkg/ctl/docs_test.go
@@ -127,9 +127,12 @@
 		switch {
 		case v.Kind() == reflect.Map:
 			visit(path+".ID", v.Elem())
-		case v.Kind() == reflect.Struct && v != reflect.TypeFor[time.Time]():
+		case v.Kind() == reflect.Struct && v.NumField() > 0 && v != reflect.TypeFor[time.Time]():
 			for i := range v.NumField() {
 				name, _, _ := strings.Cut(v.Field(i).Tag.Get("json"), ",")
+				if name == "-" { // not in documents
+					continue
+				}
 				visit(strings.TrimPrefix(path+"."+name, "."), v.Field(i).Type)
 			}
 		default:
--- a/pkg/ctl/read.go
+++ b/pkg/ctl/read.go
@@ -76,9 +76,18 @@
 		_, _ = fmt.Fprintf(w, "config      version %d, %s\n", status.ConfigVersion, status.ConfigState)
 		_, _ = fmt.Fprintf(w, "membership  version %d, %d members, %d witnesses\n", status.MembershipVersion, status.Members, status.Witnesses)
 		_, _ = fmt.Fprintf(w, "member      %t\nfresh       %t\n", status.Member, status.Fresh)
+		_, _ = fmt.Fprintf(w, "evacuated   %s\n", zoneList(status.EvacuatedZones))
 	})
 }
 
+// zoneList returns the names of zones for one line.
+func zoneList(zones []string) string {
+	if len(zones) == 0 {
+		return "no zone"
+	}
+	return strings.Join(zones, ", ")
+}
+
 type membersCommand struct{ app *app }
 
 // Execute lists the members.
--- a/pkg/ctl/store.go
+++ b/pkg/ctl/store.go
@@ -59,7 +59,9 @@
 type storeStatus struct {
 	ConfigVersion int64 `json:"config_version"`
 	// Rejected is the reason why the newest document cannot be used.
-	Rejected        string                   `json:"rejected,omitempty"`
+	Rejected string `json:"rejected,omitempty"`
+	// EvacuatedZones are the zones whose targets get no requests.
+	EvacuatedZones  []string                 `json:"evacuated_zones,omitempty"`
 	Teams           int                      `json:"teams"`
 	Routes          int                      `json:"routes"`
 	InstancesByZone map[string]int           `json:"instances_by_zone"`
@@ -111,6 +113,7 @@
 			return err
 		}
 		status := storeStatus{ConfigVersion: update.Version, InstancesByZone: map[string]int{}, Services: map[string]serviceCounts{}}
+		status.EvacuatedZones = update.Evacuations.Evacuated
 		if update.Rejected != nil {
 			status.Rejected = update.Rejected.Error()
 		}
@@ -139,6 +142,7 @@
 	if s.Rejected != "" {
 		_, _ = fmt.Fprintf(w, "rejected  %s\n", s.Rejected)
 	}
+	_, _ = fmt.Fprintf(w, "evacuated  %s\n", zoneList(s.EvacuatedZones))
 	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	_, _ = fmt.Fprintln(table, "ZONE\tINSTANCES")
 	for _, zone := range slices.Sorted(maps.Keys(s.InstancesByZone)) {
--- a/pkg/operator/api/api.go
+++ b/pkg/operator/api/api.go
@@ -75,6 +75,8 @@
 	// Members and Witnesses are counts.
 	Members   int `json:"members"`
 	Witnesses int `json:"witnesses"`
+	// EvacuatedZones are those of the applied configuration; absent if there are none.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 }
 
 // MemberList is the answer to a read of the membership.
