--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -137,6 +137,20 @@
 	RetryDelay() time.Duration
 }
 
+// WithdrawableAttempt is implemented by attempts whose target may go out of use between the
+// choice and the write.
+type WithdrawableAttempt interface {
+	Attempt
+	// Withdrawn reports whether the request must not be sent to the target any more.
+	Withdrawn() bool
+}
+
+// IsWithdrawn reports whether the attempt is one whose target is withdrawn.
+func IsWithdrawn(a Attempt) bool {
+	w, ok := a.(WithdrawableAttempt)
+	return ok && w.Withdrawn()
+}
+
 // AttemptWithSize is implemented by attempts whose balancer weighs the size of
 // responses.
 type AttemptWithSize interface {
