--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -69,6 +69,17 @@
 	HealthPath      string            `json:"health_path"`
 	ProbeIntervalMS int               `json:"probe_interval_ms"`
 	Targets         map[string]Target `json:"targets"`
+	// WarmupMS is the time in ms for which a target is cold after its start, and
+	// WarmupPerSecond the requests per second that a cold one may get from all instances
+	// together. With a WarmupPerSecond of 0, cold targets are not limited.
+	WarmupMS        int     `json:"warmup_ms,omitempty"`
+	WarmupPerSecond float64 `json:"warmup_per_second,omitempty"`
+}
+
+// ColdRate returns the time for which a target of the service is cold after its start, and
+// the requests per second that it may get then; 0 if these are not limited.
+func (s Service) ColdRate() (warmup time.Duration, perSecond float64) {
+	return time.Duration(s.WarmupMS) * time.Millisecond, s.WarmupPerSecond
 }
 
 // Target is one upstream server process that runs requests.
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/hex"
 	"encoding/json"
+	"math"
 	"net/netip"
 	"regexp"
 	"slices"
@@ -22,8 +23,10 @@
 	maxTimeoutMS       = 600_000
 	minProbeIntervalMS = 100
 	maxProbeIntervalMS = 60_000
-	maxAttemptsLimit   = 10
-	maxPriority        = 1000
+	// MaxWarmupMS is the longest time in ms for which targets may be cold after their start.
+	MaxWarmupMS      = 3_600_000
+	maxAttemptsLimit = 10
+	maxPriority      = 1000
 )
 
 var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
@@ -159,6 +162,8 @@
 	v.check(s.FloorPercent >= 0 && s.FloorPercent <= 100, path, ".floor_percent", s.FloorPercent, "0 to 100")
 	v.check(s.Profile == ProfileCareful || s.Profile == ProfileFast, path, ".profile", s.Profile, "careful or fast")
 	v.check(strings.HasPrefix(s.HealthPath, "/"), path, ".health_path", s.HealthPath, "a path that starts with /")
+	v.check(s.WarmupMS >= 0 && s.WarmupMS <= MaxWarmupMS, path, ".warmup_ms", s.WarmupMS, "0 to 3600000")
+	v.check(s.WarmupPerSecond >= 0 && !math.IsInf(s.WarmupPerSecond, 0), path, ".warmup_per_second", s.WarmupPerSecond, "a finite number of at least 0")
 	v.check(s.ProbeIntervalMS >= minProbeIntervalMS && s.ProbeIntervalMS <= maxProbeIntervalMS,
 		path, ".probe_interval_ms", s.ProbeIntervalMS, "100 to 60000")
 	for id, t := range s.Targets {
