Show in the view which silent instances may still serve

A rate that must hold between instances that do not hear each other may not be reassigned when one of them falls silent. The view now names the instances that served when they were last heard (for 10 min), those of the roster that have not been heard (for the first minute of a process), the number of known instances per zone, and whether this instance has served for 2 s, so that the others know it. Changes count in a version of their own; Version and Peers are as before (go test ./pkg/fleet passes).

--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -12,7 +12,7 @@
 // caller holds mu.
 func (f *Fleet) updateView(now time.Duration) {
 	old := f.View()
-	next := &View{Version: old.Version, Self: f.Self, Quiet: map[string]bool{}, Detached: map[string]bool{}}
+	next := &View{Version: old.Version, SharesVersion: old.SharesVersion, Self: f.Self, Quiet: map[string]bool{}, Detached: map[string]bool{}}
 	next.Called = f.shouldServe(now, old.Called)
 	next.Serving = next.Called && f.Ready()
 	if next.Serving {
@@ -21,11 +21,17 @@
 			next.Detached[f.Self.Instance] = true
 		}
 	}
+	next.Settled = f.settled(next.Serving, now)
+	next.ZoneSizes = map[string]int{f.Self.Zone: 1}
 	f.quiet.update(f, next.Serving, now)
 	if f.quiet.value {
 		next.Quiet[f.Self.Instance] = true
 	}
 	for _, k := range f.members {
+		next.ZoneSizes[k.Zone]++
+		if f.maySilentlyServe(k, now) {
+			next.Silent = append(next.Silent, k.Member)
+		}
 		timeout := unresponsiveTimeout
 		if !old.Serving && k.Zone != f.Self.Zone {
 			timeout = otherZoneUnresponsiveTimeout
@@ -41,7 +47,12 @@
 		}
 	}
 	sortByName(next.Peers)
+	sortByName(next.Silent)
 	samePeers := next.Serving == old.Serving && slices.Equal(next.Peers, old.Peers) && maps.Equal(next.Detached, old.Detached)
+	sameShares := next.Settled == old.Settled && slices.Equal(next.Silent, old.Silent) && maps.Equal(next.ZoneSizes, old.ZoneSizes)
+	if !samePeers || !sameShares {
+		next.SharesVersion++
+	}
 	if !samePeers || !maps.Equal(next.Quiet, old.Quiet) {
 		next.Version++
 	}
@@ -116,6 +127,45 @@
 	return now-f.promotableSince >= time.Duration(min(unresponsiveAhead, maxPromotionSteps))*promotionStep
 }
 
+const (
+	// settleTime is the time from which on an instance that serves is known to the others:
+	// four heartbeats of the slowest interval between instances that serve.
+	settleTime = 2 * time.Second
+	// silentReserve is the time for which an instance that served and from which nothing is
+	// received any more may still serve. Partitions last minutes; a machine that is gone for
+	// good is forgotten after it.
+	silentReserve = 10 * time.Minute
+	// unheardReserve is the time since the start of this process for which the same holds
+	// for instances that the roster lists and that have never been heard. Live ones are heard
+	// within seconds.
+	unheardReserve = time.Minute
+)
+
+// settled returns View.Settled. The caller holds mu.
+func (f *Fleet) settled(serving bool, now time.Duration) bool {
+	if !serving {
+		f.servingSince = 0
+		return false
+	}
+	if f.servingSince == 0 {
+		f.servingSince = now
+	}
+	return now-f.servingSince >= settleTime
+}
+
+// maySilentlyServe reports whether k may serve although nothing is received from it.
+func (f *Fleet) maySilentlyServe(k *memberState, now time.Duration) bool {
+	switch {
+	case k.leaving:
+		return false
+	case !k.heard:
+		return now-f.createdAt < unheardReserve
+	default:
+		silent := now - k.lastReceived
+		return k.serving && silent >= unresponsiveTimeout && silent < silentReserve
+	}
+}
+
 func (f *Fleet) pathsLost() bool { return f.Options.PathsLost != nil && f.Options.PathsLost() }
 
 // Connecting returns the instances, standbys included, that are known to have connected to a
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -137,12 +137,15 @@
 	// promotableSince is the time since boot from which this standby has been among
 	// those that should serve, or 0 if it is not.
 	promotableSince time.Duration
-	quiet           quietState
+	// servingSince is the time since boot from which this instance has served, or 0 if it
+	// does not; createdAt that of New.
+	servingSince, createdAt time.Duration
+	quiet                   quietState
 }
 
 // New returns a fleet that knows only this instance.
 func New(o Options) *Fleet {
-	f := &Fleet{Options: o, members: map[string]*memberState{}, calledChanged: make(chan struct{}, 1), push: make(chan struct{}, 1), rejoin: make(chan struct{}, 1)}
+	f := &Fleet{Options: o, members: map[string]*memberState{}, calledChanged: make(chan struct{}, 1), push: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), createdAt: o.Clock.SinceBoot()}
 	f.view.Store(&View{Self: o.Self})
 	return f
 }
@@ -354,6 +357,7 @@
 		Instance: h.Instance, Incarnation: h.Incarnation, Zone: h.Zone, CallerAddress: h.CallerAddress,
 		GossipAddress: h.GossipAddress, Capacity: h.Capacity, DiagnosticsAddress: k.DiagnosticsAddress,
 	}
+	k.heard = true
 	k.lastReceived, k.serving, k.leaving, k.quiet, k.pathsLost, k.rate = now, h.Serving, h.Leaving, h.Quiet, h.PathsLost, float64(h.Rate)
 	if h.ConnectedAgeMs != nil {
 		k.connectedAt = max(k.connectedAt, now-time.Duration(*h.ConnectedAgeMs)*time.Millisecond)
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -52,9 +52,11 @@
 	// lastReceived is the time since boot of the last heartbeat from it, or of the
 	// read of the roster that listed it.
 	lastReceived time.Duration
-	serving      bool
-	leaving      bool
-	quiet        bool
+	// heard says that a heartbeat has come from it.
+	heard   bool
+	serving bool
+	leaving bool
+	quiet   bool
 	// pathsLost says that it connects to no target, connectedAt is the time since boot at
 	// which it last connected to one, as far as it is known.
 	pathsLost   bool
@@ -101,6 +103,15 @@
 	// Detached holds the names of the peers that connect to no target. They go on serving
 	// those who know their address, but callers are not sent there.
 	Detached map[string]bool
+	// SharesVersion counts the changes of Peers and of the next three fields.
+	SharesVersion uint64
+	// Silent are the instances that are no peers and may serve nevertheless: nothing is
+	// received from them, which a network partition may cause.
+	Silent []Member
+	// Settled says that this instance serves for so long that the others know it.
+	Settled bool
+	// ZoneSizes counts the known instances of each zone, standbys and this one included.
+	ZoneSizes map[string]int
 }
 
 // Owners returns the serving instances of a zone that own targets; none if no instance of the
