Pass each listing that was read on, with the times of the call

Entries that only state another warm-up do not change the catalogue: the digest leaves the warm-up out, and the first one stated stays. What targets state later, such as that they are cold again, was lost. Registry.OnRead gives it to a component that needs it; the catalogue is as before.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -111,6 +111,9 @@
 	// OnRestore, if not nil, is called without a lock held when the store may have been
 	// restored from a copy since this process started.
 	OnRestore func()
+	// OnRead, if not nil, is called without a lock held after each listing that this instance
+	// has read from the store, between two times since boot, once the catalogue is updated.
+	OnRead func(listed Listed, requestedAt, readAt time.Duration)
 
 	current atomic.Pointer[Catalogue]
 	// retryAt is the time since boot before which EnsureMaxAge does not repeat a
@@ -271,6 +274,9 @@
 	changed := r.accept(next, digestOf(next), startedAt, now, now < r.settledAt)
 	r.mu.Unlock()
 	r.announceRestore(restored)
+	if r.OnRead != nil {
+		r.OnRead(listed, startedAt, now)
+	}
 	if changed {
 		r.onChange(true)
 	}
