--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -116,6 +116,9 @@
 	i := &Instance{Options: o, clock: c, started: c.Now(), startedAt: c.SinceBoot(), recorder: newRecorder(o.Log)}
 	i.stateFetcher = &stateFetcher{instance: s.Instance, client: drpcpeer.NewClientFrom(hostOf(s.GossipAddress))}
 	i.registry = discovery.NewRegistry(i.clock, o.Platform, i.stateFetcher, fleet.NewCopySources(i.copyDelay), o.Log, func(own bool) { i.fleet.Push(own) })
+	i.registry.OnRead = func(listed discovery.Listed, requestedAt, readAt time.Duration) {
+		i.balancer.ObserveListing(listed, requestedAt, readAt)
+	}
 	i.registry.OnRestore = func() {
 		i.fleet.Rejoin()
 		i.suspects.WriteAgain()
@@ -140,7 +143,7 @@
 			DiagnosticsAddress: s.MetricsAddress,
 		},
 		Clock: i.clock, Roster: o.Platform, Transport: i, StateExchangers: []fleet.StateExchanger{i.limiter, i.balancer, i.registry, i.follower, suspectExchange{i.suspects}},
-		FirstStart: s.FirstStart, Rate: i.balancer.Rate, Ready: i.ready, OnStep: func() { i.freshness.observe() }, HasNews: i.suspects.HasNews,
+		FirstStart: s.FirstStart, Rate: i.balancer.Rate, Ready: i.ready, OnStep: i.step, HasNews: i.suspects.HasNews,
 		PathsLost: i.paths.Lost, ConnectedAt: i.paths.ConnectedAt, AsksForPaths: i.paths.Asking, OnAsked: i.answerPaths, Log: o.Log,
 	})
 	i.proxy = proxy.New(proxy.Ports{
@@ -152,6 +155,7 @@
 		BodyBudget: settings.BodyBudget(o.Memory),
 	})
 	i.balancer.OnUnused = i.proxy.CloseIdle
+	i.balancer.OnCold = func() { i.fleet.Push(true) }
 	return i
 }
 
@@ -163,6 +167,18 @@
 // View returns the fleet's current view of the serving instances.
 func (v fleetViewer) View() *fleet.View { return v.fleet.View() }
 
+// step is called at each step of the fleet.
+func (i *Instance) step() {
+	i.freshness.observe()
+	services := i.follower.View().Config.Config.Services
+	rates := make(map[string]placement.ColdRate, len(services))
+	for name, s := range services {
+		warmup, perSecond := s.ColdRate()
+		rates[name] = placement.ColdRate{Warmup: warmup, PerSecond: perSecond}
+	}
+	i.balancer.StepCold(rates)
+}
+
 // noQueue is a proxy.Queue that admits every request at once, because requests wait
 // for targets in the balancer.
 type noQueue struct{}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -55,6 +55,8 @@
 	TargetLeaving    = Event{515, "target_leaving", zerolog.InfoLevel, "a target says in its responses that it leaves; it gets no further requests, whatever its listing says"}
 	TargetPaused     = Event{516, "target_paused", zerolog.InfoLevel, "a target turned a request away and wants none from this instance for the named time"}
 	PauseUnreadable  = Event{517, "pause_unreadable", zerolog.WarnLevel, "a target turned a request away with a Retry-After that is no number of seconds; it is ignored; look at the target"}
+	TargetCold       = Event{520, "target_cold", zerolog.InfoLevel, "a target is cold or may be; all instances together send it at most the rate that its service sets for cold targets"}
+	TargetWarm       = Event{521, "target_warm", zerolog.InfoLevel, "a target is warm and no longer limited"}
 
 	TargetEnded = Event{514, "target_ended", zerolog.WarnLevel, "a target accepts no connection after it lost that of a request; the same digest at several targets tells that the request crashes them"}
 
@@ -95,7 +97,7 @@
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed, HeadLost, ClaimsWritten,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
-		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable,
+		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable, TargetCold, TargetWarm,
 		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried, QuarantineNotKept,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -39,7 +39,8 @@
 // Reason lists the inputs of the choice: whether the target was a preferred one
 // ("home"), another one of the same zone ("near") or one of another zone ("far"), its
 // load, its failure probability in percent, the age of the listing in ms and, if the
-// target limits its rate, this instance's part of it in requests per second.
+// target limits its rate, this instance's part of it in requests per second; the same of the
+// rate for cold targets if it is cold.
 func (a *attempt) Reason() string {
 	location := "far"
 	switch {
@@ -55,6 +56,9 @@
 	if a.choice.limited {
 		text = strconv.AppendFloat(append(text, ",limit="...), a.choice.limit, 'g', 3, 64)
 	}
+	if a.choice.cold {
+		text = strconv.AppendFloat(append(text, ",cold="...), a.choice.coldRate, 'g', 3, 64)
+	}
 	return string(text)
 }
 
@@ -67,6 +71,9 @@
 	// accepts, if it is limited.
 	limited bool
 	limit   float64
+	// coldRate is the same of the service's rate for cold targets, if the target is cold.
+	cold     bool
+	coldRate float64
 }
 
 // Done reports the result. Calls after the first have no effect.
@@ -87,6 +94,7 @@
 		t.otherLoad, t.otherLoadAt = max(0, float64(load.InFlight+load.Queued-1-len(t.openStarts))), now
 	}
 	a.balancer.observeStatements(s, t, load, now)
+	a.balancer.observeCold(t, result, a.started, now)
 	if s.observeReach(t, result, now) {
 		a.balancer.logReach(s, t, result != proxy.NotSent)
 	}
--- a/pkg/placement/catalogue.go
+++ b/pkg/placement/catalogue.go
@@ -33,6 +33,10 @@
 // that drain since. The caller holds mu.
 func (s *service) update(c *discovery.Catalogue, v *fleet.View, now time.Duration) (draining []*target) {
 	s.self = v.Self.Instance
+	if s.sharesVersion != v.SharesVersion {
+		s.sharesVersion = v.SharesVersion
+		s.assignCold(v, now)
+	}
 	if s.catalogueVersion == c.Version && s.viewVersion == v.Version && len(s.ordered) > 0 {
 		if s.reassign || (s.reassignAt > 0 && now >= s.reassignAt) {
 			s.assignPreferred(v, now)
@@ -63,6 +67,12 @@
 			t = newTarget(entry, now)
 			s.inheritStatements(t)
 		}
+		t.cold.configure(s.coldRate)
+		if s.seeded && (s.targets[entry.ID] != t) {
+			// New, restarted, or listed again.
+			t.cold.suspect(coldListed, now)
+			t.cold.extend(entry.WarmUntil)
+		}
 		delete(s.unlisted, run)
 		if entry.Draining && !t.entry.Draining {
 			draining = append(draining, t)
@@ -79,5 +89,6 @@
 	}
 	maps.DeleteFunc(s.unlisted, func(_ targetRun, t *target) bool { return now-t.unlistedAt >= unlistedMemory })
 	s.targets = listed
+	s.seeded = s.seeded || len(listed) > 0
 	return draining
 }
--- /dev/null
+++ b/pkg/placement/cold.go
@@ -0,0 +1,374 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+)
+
+// A target that is cold crashes if it gets too many requests in a second. The rate that its
+// service sets for cold targets is divided into fixed shares (coldShare); each holder fills a
+// token bucket at its share. The load that it answers is any, up to one that uses all targets
+// up. In any second, a holder sends at most what it has saved up and its share of the rate.
+// Requests that are on the way count, too: they may arrive together after a delay.
+const (
+	// coldBurst is the time over which unused allowance adds up beyond one request. It covers
+	// the time between two requests of a high rate, not a rest of the callers.
+	coldBurst = 100 * time.Millisecond
+	// deliveryTime is the longest time after which a request that was sent and got no response
+	// may still arrive: TCP repeats a lost segment after 0.2, 0.6 and 1.4 s.
+	deliveryTime = 2 * time.Second
+	// maxOnTheWay bounds the requests of an instance at a cold target that have no response
+	// yet. onTheWayTime times the rate is the bound for rates of 5 requests per second and
+	// more: a little more than a request takes.
+	maxOnTheWay  = 2.0
+	onTheWayTime = 400 * time.Millisecond
+	// minColdTestDelay is the shortest time after a failed connection in which an instance
+	// without a share tests whether it reaches the target again. The longest grows by
+	// coldTestStep with each serving instance, so that few send a test before the first one
+	// that succeeds has told the others.
+	minColdTestDelay = 2 * time.Second
+	coldTestStep     = 200 * time.Millisecond
+	// rampTime is the time in which a target that has turned warm takes up its part of the
+	// load, rampCost what it costs more at first: about as much as a target with a request on
+	// each slot. Without it, all instances would send it their next requests at once, since it
+	// has none.
+	rampTime = 2 * time.Second
+	rampCost = 1.0
+	// heartbeatMargin is the time that a heartbeat may take.
+	heartbeatMargin = 100 * time.Millisecond
+	// maxStatedWarmup bounds what the listing or another instance states.
+	maxStatedWarmup = time.Hour
+)
+
+// ColdRate is the limit of a service's cold targets; without a positive PerSecond there is
+// none. Warmup is how long a target is cold after its start.
+type ColdRate struct {
+	Warmup    time.Duration
+	PerSecond float64
+}
+
+// Reasons why a target counts as cold, for logs. Other ones are names of instances that told.
+const (
+	coldListed      = "listed"
+	coldStated      = "listing"
+	coldUnreachable = "unreachable"
+	coldRestored    = "zone_restored"
+)
+
+// coldLimit is what this instance knows of the warm-up of one run of a target, and its part of
+// the rate for cold targets. The zero value is that of a warm target without such a rate.
+type coldLimit struct {
+	ColdRate
+	// until is the time since boot up to which the target counts as cold. unreachable says
+	// that it is cold however long, as the last connection to it has failed.
+	until       time.Duration
+	unreachable bool
+	// beganAt is the time since boot of the event for which the target counts as cold, the
+	// first failed connection if it was unreachable. confirmAt is the time from which on a
+	// listing must have been written that ends it; reachedAgainAt is the same if the target was
+	// unreachable, else 0.
+	beganAt, confirmAt, reachedAgainAt time.Duration
+	// reason says from what it is known, own that this instance knows it by itself.
+	reason string
+	own    bool
+	// statedWarmAt is the time since boot from which on the newest listing that says warm was
+	// written; ownWarmAt that at which this instance read it.
+	statedWarmAt, ownWarmAt time.Duration
+	// lastReachedAt is the latest start of a request that got a response.
+	lastReachedAt time.Duration
+	// logged says that the log has the target as cold.
+	logged bool
+
+	// share is this instance's share of the rate, peers the number of serving instances.
+	share float64
+	peers int
+	// tokens is the number of requests that this instance may send, computed up to updatedAt
+	// (time since boot). onTheWay holds the start times of those without a response.
+	tokens    float64
+	updatedAt time.Duration
+	onTheWay  []time.Duration
+	// testAt is the time since boot from which this instance, without a share, may test
+	// whether it reaches the target.
+	testAt time.Duration
+}
+
+// configure applies what the configuration sets.
+func (c *coldLimit) configure(rate ColdRate) {
+	switch {
+	case rate.PerSecond == 0:
+		*c = coldLimit{logged: c.logged}
+	case c.ColdRate != rate:
+		c.ColdRate = rate
+	}
+}
+
+// assign sets this instance's share of the rate.
+func (c *coldLimit) assign(share float64, peers int, now time.Duration) {
+	c.refill(now)
+	c.share, c.peers = share, peers
+	c.tokens = min(c.tokens, c.maxTokens())
+}
+
+// cold reports whether the target counts as cold.
+func (c *coldLimit) cold(now time.Duration) bool {
+	return c.PerSecond > 0 && (c.unreachable || now < c.until)
+}
+
+// rate returns the requests per second that this instance may send while the target is cold.
+func (c *coldLimit) rate() float64 { return c.PerSecond * c.share }
+
+func (c *coldLimit) maxTokens() float64 {
+	if c.share == 0 {
+		return 0
+	}
+	return max(1, c.rate()*coldBurst.Seconds())
+}
+
+func (c *coldLimit) maxOnTheWay() float64 {
+	return max(1, min(maxOnTheWay, 1+c.rate()), c.rate()*onTheWayTime.Seconds())
+}
+
+func (c *coldLimit) refill(now time.Duration) {
+	if now > c.updatedAt {
+		c.tokens = refilled(c.tokens, c.rate(), c.maxTokens(), now-c.updatedAt)
+		c.updatedAt = now
+	}
+}
+
+// exhausted reports whether the target is cold and gets no request from this instance now.
+func (c *coldLimit) exhausted(now time.Duration) bool {
+	switch {
+	case !c.cold(now):
+		return false
+	case c.share == 0:
+		return !c.unreachable || now < c.testAt
+	}
+	c.refill(now)
+	for len(c.onTheWay) > 0 && now-c.onTheWay[0] >= deliveryTime {
+		c.onTheWay = c.onTheWay[1:]
+	}
+	return c.tokens < 1 || float64(len(c.onTheWay)+1) > c.maxOnTheWay()
+}
+
+// spend counts a request that this instance sends. It is written as soon as there is a
+// connection, at most 0.12 s later.
+func (c *coldLimit) spend(now time.Duration) {
+	if !c.cold(now) {
+		return
+	}
+	c.refill(now)
+	c.tokens--
+	c.onTheWay = append(c.onTheWay, now)
+	c.testAt = now + c.testDelay()
+}
+
+func (c *coldLimit) testDelay() time.Duration {
+	return minColdTestDelay + rand.N(coldTestStep*time.Duration(1+c.peers))
+}
+
+// arrived records that a request is no longer on the way.
+func (c *coldLimit) arrived(began time.Duration) {
+	for i, at := range c.onTheWay {
+		if at == began {
+			c.onTheWay = append(c.onTheWay[:i], c.onTheWay[i+1:]...)
+			return
+		}
+	}
+}
+
+// begin makes the target cold up to a time at least. A target that was warm had requests
+// until now, so that the allowance begins with none.
+func (c *coldLimit) begin(reason string, own bool, until, now time.Duration) {
+	if !c.cold(now) {
+		c.tokens, c.updatedAt, c.reason, c.own, c.beganAt, c.reachedAgainAt = 0, now, reason, own, now, 0
+	}
+	c.own = c.own || own
+	c.until = max(c.until, until)
+}
+
+// suspect records that the target may be cold from now on: it is new, it has returned, or its
+// zone has. A listing that was written later ends it.
+func (c *coldLimit) suspect(reason string, now time.Duration) {
+	if c.PerSecond > 0 {
+		c.begin(reason, true, now+c.Warmup, now)
+		c.beganAt, c.confirmAt, c.reachedAgainAt = now, now, 0
+	}
+}
+
+// extend makes a cold target cold up to a time at least.
+func (c *coldLimit) extend(until time.Duration) {
+	if c.PerSecond > 0 {
+		c.until = max(c.until, until)
+	}
+}
+
+// lost records that a connection to the target has failed.
+func (c *coldLimit) lost(now time.Duration) {
+	if c.PerSecond == 0 {
+		return
+	}
+	if !c.unreachable {
+		c.begin(coldUnreachable, true, 0, now)
+		c.unreachable, c.beganAt = true, now
+	}
+	c.testAt = now + c.testDelay()
+}
+
+// reached records a response to a request that began at the given time. One that began before
+// the connection failed says nothing of the time since.
+func (c *coldLimit) reached(began, now time.Duration) {
+	c.lastReachedAt = max(c.lastReachedAt, began)
+	if c.unreachable && began >= c.beganAt {
+		lostAt := c.beganAt
+		c.suspect(coldUnreachable, now)
+		c.unreachable, c.beganAt, c.reachedAgainAt = false, lostAt, now
+	}
+}
+
+// listingStatement is what one version of a target's entry says of its warm-up.
+type listingStatement struct {
+	// left is how much longer the target is cold; 0 if it is warm.
+	left time.Duration
+	// writtenSince is a time since boot after which the entry was written; never if it is not
+	// known. readAt is that at which this version was first read.
+	writtenSince, readAt time.Duration
+}
+
+// never is a time before all others.
+const never = -time.Hour
+
+// stated applies a statement of the listing, also one that was applied before. It reports
+// whether that tells this instance that a warm target is cold.
+func (c *coldLimit) stated(l listingStatement, now time.Duration) (learned bool) {
+	current := l.writtenSince >= c.confirmAt
+	switch {
+	case c.PerSecond == 0:
+	case l.left == 0:
+		c.statedWarm(l.writtenSince, true, now)
+	case now < l.readAt+l.left:
+		learned = !c.cold(now)
+		c.begin(coldStated, true, 0, now)
+		c.confirmAt = max(c.confirmAt, l.writtenSince)
+		if until := l.readAt + l.left; current {
+			c.until = until
+		} else {
+			c.until = max(c.until, until)
+		}
+	}
+	return learned
+}
+
+// statedWarm applies a listing that says that the target is warm and was written after a time.
+// It ends the warm-up unless the target may have become cold since.
+func (c *coldLimit) statedWarm(writtenSince time.Duration, own bool, now time.Duration) {
+	if c.PerSecond == 0 || writtenSince <= c.statedWarmAt {
+		return
+	}
+	c.statedWarmAt = writtenSince
+	if c.cold(now) && !c.unreachable && writtenSince >= c.confirmAt {
+		c.until = now
+		if own {
+			c.ownWarmAt = now
+		}
+	}
+}
+
+// ramping reports whether the target has turned warm lately.
+func (c *coldLimit) ramping(now time.Duration) bool {
+	return c.PerSecond > 0 && c.until > 0 && !c.unreachable && now >= c.until && now-c.until < rampTime
+}
+
+// rampCost returns what a request costs more at a target that has turned warm lately.
+func (c *coldLimit) rampCost(now time.Duration) float64 {
+	if !c.ramping(now) {
+		return 0
+	}
+	return rampCost * (1 - float64(now-c.until)/float64(rampTime))
+}
+
+// assignCold sets this instance's shares of the rates for cold targets.
+func (s *service) assignCold(v *fleet.View, now time.Duration) {
+	if s.coldRate.PerSecond == 0 {
+		return
+	}
+	for _, t := range s.ordered {
+		t.cold.assign(coldShare(v, t.entry.Zone, t.entry.ID), len(v.Peers), now)
+	}
+}
+
+// observeCold applies the result of an attempt that began at the given time. The caller holds
+// the service's mutex.
+func (b *Balancer) observeCold(t *target, result proxy.Result, began, now time.Duration) {
+	switch result {
+	case proxy.NotSent:
+		t.cold.arrived(began)
+		// An instance without any path says nothing of its targets.
+		if !b.pathsLost() {
+			t.cold.lost(now)
+		}
+	case proxy.Answered, proxy.ServerError, proxy.Shed:
+		t.cold.arrived(began)
+		t.cold.reached(began, now)
+	}
+}
+
+// StepCold applies what the configuration sets for cold targets, by service, and logs which
+// targets have become cold or warm. It is called at short intervals.
+func (b *Balancer) StepCold(rates map[string]ColdRate) {
+	for name, rate := range rates {
+		if rate.PerSecond > 0 {
+			b.service(name)
+		}
+	}
+	now := b.clock.SinceBoot()
+	for _, s := range b.allServices() {
+		s.mu.Lock()
+		if rate := rates[s.name]; rate != s.coldRate {
+			s.coldRate, s.reassign = rate, true
+			for _, t := range s.ordered {
+				t.cold.configure(rate)
+			}
+		}
+		if s.coldRate.PerSecond > 0 {
+			b.update(s, now)
+		}
+		for _, t := range s.ordered {
+			b.logCold(s, t, now)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// logCold logs that the target has become cold or warm since the last call.
+func (b *Balancer) logCold(s *service, t *target, now time.Duration) {
+	c := &t.cold
+	if cold := c.cold(now); cold != c.logged {
+		c.logged = cold
+		if !cold {
+			event.TargetWarm.Log(b.log).Str("target", t.entry.ID).Str("service", s.name).Send()
+			return
+		}
+		event.TargetCold.Log(b.log).Str("target", t.entry.ID).Str("service", s.name).Str("reason", c.reason).
+			Dur("left", max(0, c.until-now)).Float64("per_second", c.PerSecond).Float64("share", c.share).Send()
+	}
+}
+
+// MarkZoneCold marks all targets of a zone as possibly cold from now on: those of a zone that
+// has been restored after an evacuation. It must be called before the first request may be
+// sent to the zone.
+func (b *Balancer) MarkZoneCold(zone string) {
+	now := b.clock.SinceBoot()
+	for _, s := range b.allServices() {
+		s.mu.Lock()
+		for _, t := range s.ordered {
+			if t.entry.Zone == zone {
+				t.cold.suspect(coldRestored, now)
+			}
+		}
+		s.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/pkg/placement/cold_exchange.go
@@ -0,0 +1,165 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/discovery"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+)
+
+const (
+	// warmReportTime is how long heartbeats tell that a target has become warm. Each is told
+	// several times in it.
+	warmReportTime = 2 * time.Second
+	// maxColdReported bounds the cold targets in one heartbeat: about 700 bytes, so that it
+	// mostly fits into a datagram. If there are more, each heartbeat has others.
+	maxColdReported = 24
+)
+
+// listingTimes tells when the entries of targets were written, from the listings in which
+// their versions were first seen. It is safe for concurrent use.
+type listingTimes struct {
+	mu sync.Mutex
+	// requestedAt is the time since boot at which the last listing was requested, in the era
+	// of the store.
+	requestedAt time.Duration
+	era         int64
+	entries     map[string]entryTime
+}
+
+type entryTime struct {
+	version              int64
+	writtenSince, readAt time.Duration
+}
+
+// observe applies a listing that was requested and read at two times since boot.
+func (l *listingTimes) observe(listed discovery.Listed, requestedAt, readAt time.Duration) map[string]entryTime {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	writtenSince := l.requestedAt
+	if l.entries == nil || l.era != listed.Era {
+		// A store that was restored from a copy lists entries that were written long ago.
+		writtenSince, l.entries = never, nil
+	}
+	next := make(map[string]entryTime, len(listed.RowVersions))
+	for id, version := range listed.RowVersions {
+		if e, ok := l.entries[id]; ok && e.version == version {
+			next[id] = e
+		} else {
+			next[id] = entryTime{version, writtenSince, readAt}
+		}
+	}
+	l.requestedAt, l.era, l.entries = requestedAt, listed.Era, next
+	return next
+}
+
+// ObserveListing applies what a listing that this instance has read from the store states of
+// the warm-up of targets. The catalogue must have been updated with it.
+func (b *Balancer) ObserveListing(listed discovery.Listed, requestedAt, readAt time.Duration) {
+	times := b.listings.observe(listed, requestedAt, readAt)
+	learned := false
+	for _, s := range b.allServices() {
+		s.mu.Lock()
+		if s.coldRate.PerSecond > 0 {
+			now := b.clock.SinceBoot()
+			b.update(s, now)
+			for i := range listed.Targets {
+				l := &listed.Targets[i]
+				if t := s.targets[l.ID]; l.Service == s.name && t != nil && t.entry.Started == l.Started && t.entry.Address == l.Address {
+					e := times[l.ID]
+					learned = t.cold.stated(listingStatement{l.WarmupLeft, e.writtenSince, e.readAt}, now) || learned
+				}
+			}
+		}
+		s.mu.Unlock()
+	}
+	if learned && b.OnCold != nil {
+		b.OnCold()
+	}
+}
+
+// fillCold adds the targets that this instance knows by itself to be cold, and those of which
+// it has read that they have become warm.
+func (b *Balancer) fillCold(h *peerpb.Heartbeat, now time.Duration) {
+	var reported []*peerpb.ColdTarget
+	for _, s := range b.allServices() {
+		s.mu.Lock()
+		if s.coldRate.PerSecond > 0 {
+			for _, t := range s.ordered {
+				if m := t.cold.message(now); m != nil {
+					m.Target, m.Started = t.entry.ID, t.entry.Started
+					reported = append(reported, m)
+				}
+			}
+		}
+		s.mu.Unlock()
+	}
+	if len(reported) > maxColdReported {
+		rand.Shuffle(len(reported), func(i, j int) { reported[i], reported[j] = reported[j], reported[i] })
+		reported = reported[:maxColdReported]
+	}
+	h.ColdTargets = reported
+}
+
+// message returns what heartbeats tell of the target, without its name; nil if they do not.
+// While the target is not reached, it may be this instance that is cut off.
+func (c *coldLimit) message(now time.Duration) *peerpb.ColdTarget {
+	switch {
+	case c.unreachable || !c.own:
+		return nil
+	case !c.cold(now):
+		if c.ownWarmAt > 0 && now-c.ownWarmAt < warmReportTime {
+			return &peerpb.ColdTarget{AgeMs: millis(now - c.statedWarmAt)}
+		}
+		return nil
+	}
+	m := &peerpb.ColdTarget{LeftMs: millis(c.until - now), AgeMs: millis(now - c.beganAt)}
+	if c.reachedAgainAt > 0 {
+		age := millis(now - c.reachedAgainAt)
+		m.ReachedAgeMs = &age
+	}
+	return m
+}
+
+// millis returns a time in ms, rounded up, within the range of the messages.
+func millis(d time.Duration) uint32 {
+	return uint32((min(max(d, 0), maxStatedWarmup) + time.Millisecond - 1).Milliseconds())
+}
+
+// mergeCold applies the cold targets in another instance's heartbeat. The caller holds mu.
+func (s *service) mergeCold(from string, told []*peerpb.ColdTarget, now time.Duration) {
+	for _, m := range told {
+		if t := s.targets[m.Target]; t != nil && t.entry.Started == m.Started {
+			t.cold.told(from, m, now)
+		}
+	}
+}
+
+// told applies what another instance tells of the target.
+func (c *coldLimit) told(from string, m *peerpb.ColdTarget, now time.Duration) {
+	if c.PerSecond == 0 {
+		return
+	}
+	age := func(ms uint32) time.Duration { return now - time.Duration(ms)*time.Millisecond }
+	if m.LeftMs == 0 {
+		c.statedWarm(age(m.AgeMs)-heartbeatMargin, false, now)
+		return
+	}
+	beganAt, confirmAt, reachedAgainAt := age(m.AgeMs), age(m.AgeMs), time.Duration(0)
+	if m.ReachedAgeMs != nil {
+		reachedAgainAt = age(*m.ReachedAgeMs)
+		confirmAt = reachedAgainAt
+		if c.lastReachedAt > beganAt && c.lastReachedAt < reachedAgainAt-heartbeatMargin {
+			return // it was reached from here meanwhile: only the other instance was cut off
+		}
+	}
+	if c.statedWarmAt >= confirmAt {
+		return
+	}
+	c.begin(from, false, now+min(time.Duration(m.LeftMs)*time.Millisecond, maxStatedWarmup), now)
+	c.confirmAt = max(c.confirmAt, confirmAt)
+	// The other instance reaches it; if this one does not, its next connection tells.
+	c.unreachable = false
+}
--- a/pkg/placement/dump.go
+++ b/pkg/placement/dump.go
@@ -21,6 +21,11 @@
 	// Limit is the request rate in 1/s that the target accepts from all instances
 	// together; it is absent if the target accepts any rate.
 	Limit *float64 `json:"limit_per_second,omitempty"`
+	// ColdMS is how long the target counts as cold from now on, in ms; -1 while it is not
+	// reached. ColdRate is this instance's part, in 1/s, of the rate for cold targets. Both
+	// are absent if the target is warm.
+	ColdMS   *int64   `json:"cold_ms,omitempty"`
+	ColdRate *float64 `json:"cold_per_second,omitempty"`
 	// BlockedMS is how long the target gets no requests from now on, in ms, because it was
 	// not reached; PausedMS how long because it has asked for a pause.
 	BlockedMS int64 `json:"blocked_ms"`
@@ -50,6 +55,13 @@
 				perSecond := t.limit.perSecond
 				state.Limit = &perSecond
 			}
+			if t.cold.cold(now) {
+				left, part := (t.cold.until - now).Milliseconds(), t.cold.rate()
+				if t.cold.unreachable {
+					left = -1
+				}
+				state.ColdMS, state.ColdRate = &left, &part
+			}
 			states = append(states, state)
 		}
 		s.mu.Unlock()
--- a/pkg/placement/limit.go
+++ b/pkg/placement/limit.go
@@ -105,11 +105,16 @@
 // refill updates tokens.
 func (l *rateLimit) refill(now time.Duration) {
 	if now > l.updatedAt {
-		l.tokens = min(l.tokens+l.rate()*(now-l.updatedAt).Seconds(), l.maxTokens())
+		l.tokens = refilled(l.tokens, l.rate(), l.maxTokens(), now-l.updatedAt)
 		l.updatedAt = now
 	}
 }
 
+// refilled returns the tokens of a bucket that is filled at a rate per second for a time.
+func refilled(tokens, rate, maxTokens float64, elapsed time.Duration) float64 {
+	return min(tokens+rate*elapsed.Seconds(), maxTokens)
+}
+
 // exhausted reports whether the limit leaves no request for this instance now.
 func (l *rateLimit) exhausted(now time.Duration) bool {
 	if !l.limited {
--- a/pkg/placement/obstacle.go
+++ b/pkg/placement/obstacle.go
@@ -22,13 +22,16 @@
 	backingOff
 	// overRate: the rate that the target has named leaves no request for this instance.
 	overRate
+	// overColdRate: the target is cold, and its service's rate for cold targets leaves no
+	// request for this instance.
+	overColdRate
 	// full: the target has as many requests as it may have, or shed one lately.
 	full
 )
 
 // String returns the name of the obstacle in dumps; it is empty for none.
 func (o obstacle) String() string {
-	return [...]string{"", "draining", "leaving", "paused", "backing_off", "over_rate", "full"}[o]
+	return [...]string{"", "draining", "leaving", "paused", "backing_off", "over_rate", "cold", "full"}[o]
 }
 
 // excludes reports whether the target is out of use: it takes no request however few it has.
@@ -48,6 +51,8 @@
 		return backingOff
 	case t.limit.exhausted(now):
 		return overRate
+	case t.cold.exhausted(now):
+		return overColdRate
 	case now < t.fullUntil || t.load(now) >= loadPerSlot*float64(t.entry.Slots):
 		return full
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -65,6 +65,9 @@
 	// OnUnused, if not nil, is called when a target gets no further requests because it
 	// leaves. It must not call the balancer.
 	OnUnused func(address string)
+	// OnCold, if not nil, is called when this instance learns first that a target is cold, so
+	// that heartbeats tell others at once. It must not call the balancer.
+	OnCold func()
 
 	clock   clock.Clock
 	targets CatalogueSource
@@ -76,6 +79,8 @@
 	// mu guards services, which holds them by name.
 	mu       sync.Mutex
 	services map[string]*service
+
+	listings listingTimes
 }
 
 // New returns a balancer that has no observations of any target.
@@ -86,6 +91,8 @@
 // Rate returns the recent request rate in requests per second.
 func (b *Balancer) Rate() float64 { return b.rate.get(b.clock.SinceBoot()) }
 
+func (b *Balancer) pathsLost() bool { return b.PathsLost != nil && b.PathsLost() }
+
 // service returns the state of the named service and creates it on first use.
 func (b *Balancer) service(name string) *service {
 	b.mu.Lock()
@@ -165,7 +172,7 @@
 func (b *Balancer) newAttempt(s *service, t *target, r proxy.Request, tried []string, now time.Duration) *attempt {
 	a := &attempt{balancer: b, service: s, target: t, route: r.Route, started: now, retryDelay: s.retryDelay(), last: !r.Idempotent || len(tried) > 0, choice: choice{
 		preferred: t.preferred, sameZone: t.sameZone, load: t.load(now), failProb: t.failProb(now), listingAge: now - b.targets.Catalogue().ReadAt,
-		limited: t.limit.limited, limit: t.limit.rate(),
+		limited: t.limit.limited, limit: t.limit.rate(), cold: t.cold.cold(now), coldRate: t.cold.rate(),
 	}}
 	t.addOpen(now)
 	return a
@@ -214,10 +221,11 @@
 // Fill adds this instance's evidence on targets to a heartbeat for other serving
 // instances.
 func (b *Balancer) Fill(h *peerpb.Heartbeat, to fleet.Audience) {
+	now, lost := b.clock.SinceBoot(), b.pathsLost()
+	b.fillCold(h, now)
 	if !to.Serving() {
 		return
 	}
-	now, lost := b.clock.SinceBoot(), b.PathsLost != nil && b.PathsLost()
 	for _, s := range b.allServices() {
 		s.mu.Lock()
 		s.fillRateLimits(h, now)
@@ -303,6 +311,7 @@
 				t.applyReport(e, now)
 			}
 		}
+		s.mergeCold(from, h.ColdTargets, now)
 		b.mergeRateLimits(s, from, h.RateLimits, now)
 		b.mergeLeaving(s, from, h.LeavingTargets)
 		s.mergeUnreachable(from, h.UnreachableTargets, now)
--- a/pkg/placement/rate_division.go
+++ b/pkg/placement/rate_division.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 )
 
@@ -82,6 +84,57 @@
 	return owner
 }
 
+// maxColdHolders is the number of instances that share the rate of a cold target. Each may save
+// up one request and have two at once on the way, so that three of them stay within the bound
+// of a rate of 4.5 requests per second, 14 in a second, also if all of these arrive together.
+const maxColdHolders = 3
+
+// coldShare returns this instance's share, from 0 to 1, of the rate of a cold target. Unlike a
+// rate that a target names, this one has to hold in each second and also between instances that
+// do not hear each other. It answers for any demand, of which it takes no account: the holders
+// are the first maxColdHolders of the zone's serving instances in an order of the target's own.
+// Instances from which nothing is received come first in it. Of instances that knew each other
+// before they were separated, only those that were holders then are holders afterwards, however
+// many others begin to serve on either side. An even part of a fixed number is left unused
+// where there are fewer holders.
+func coldShare(v *fleet.View, zone, target string) float64 {
+	if !v.Settled {
+		return 0
+	}
+	size, anyZone := v.ZoneSizes[zone], false
+	if size == 0 {
+		// A zone without instances: those of all zones count.
+		anyZone = true
+		for _, n := range v.ZoneSizes {
+			size += n
+		}
+	}
+	if !anyZone && zone != v.Self.Zone {
+		return 0
+	}
+	before, own := 0, coldRank(v.Self, target)
+	for _, m := range v.Silent {
+		if anyZone || m.Zone == zone {
+			before++
+		}
+	}
+	for _, m := range v.Peers {
+		if (anyZone || m.Zone == zone) && m.Instance != v.Self.Instance && coldRank(m, target) < own {
+			before++
+		}
+	}
+	if before >= maxColdHolders {
+		return 0
+	}
+	return 1 / float64(min(size, maxColdHolders))
+}
+
+// coldRank returns the place of an instance in the order of a target (rendezvous hashing): an
+// instance that begins or ceases to serve changes at most one holder.
+func coldRank(m fleet.Member, target string) uint64 {
+	return xxhash.Sum64String(m.Instance + " " + target)
+}
+
 // rateSharers returns up to maxRateSharers of some instances other than the holder, from the
 // given number on.
 func rateSharers(instances []fleet.Member, holder fleet.Member, first int) []fleet.Member {
--- a/pkg/placement/reach.go
+++ b/pkg/placement/reach.go
@@ -151,6 +151,7 @@
 		s.mu.Lock()
 		for _, t := range s.ordered {
 			t.failedDials, t.blockedUntil = 0, 0
+			t.cold.unreachable = false
 			if !t.lastAnswered {
 				t.own, t.failedProb = newEvidence(now), 0
 			}
--- a/pkg/placement/refuse.go
+++ b/pkg/placement/refuse.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -45,7 +46,7 @@
 func (s *service) forcedWait(tried []string, ahead int, now time.Duration) forcedWait {
 	rate, tokens := 0.0, 0.0
 	stated, limited, usableNext := false, false, false
-	least, back := maxForcedWait, maxForcedWait
+	least, back, warm := maxForcedWait, maxForcedWait, maxForcedWait
 	for _, t := range s.ordered {
 		isTried := slices.Contains(tried, t.entry.ID)
 		switch t.obstacle(maxLoadPerSlot, now) {
@@ -60,23 +61,24 @@
 			}
 			continue
 		}
+		allowed, isLimited := t.allowance(now)
 		switch {
 		case isTried:
 			usableNext = true
 			continue
-		case !t.limit.limited:
+		case !isLimited:
 			return forcedWait{}
 		}
 		limited = true
-		t.limit.refill(now)
-		rate += t.limit.rate()
-		tokens += min(t.limit.tokens, 1)
+		rate += allowed.rate
+		tokens += min(allowed.tokens, 1)
+		warm = min(warm, allowed.until-now)
 	}
 	if !stated && !limited {
 		return forcedWait{} // all were tried; others may be listed soon
 	}
 	if limited {
-		wait := limitWait(float64(ahead+1)-tokens, rate)
+		wait := min(limitWait(float64(ahead+1)-tokens, rate), warm)
 		least, back = min(least, wait), min(back, wait, maxLimitRetryAfter)
 	}
 	w := forcedWait{forced: true, least: least, kind: refusal.Overloaded, retryAfter: max(back, retryAfter)}
@@ -89,6 +91,32 @@
 	return w
 }
 
+// allowance is what limits leave an instance at a target: tokens now, a rate of more per
+// second, and the time since boot at which the limits end, if it is known.
+type allowance struct {
+	rate, tokens float64
+	until        time.Duration
+}
+
+// allowance returns what the rate that the target has named and the one for cold targets leave
+// to this instance; limited is false if neither applies. A cold target that is out of reach
+// counts as not limited, since it may become usable at any moment.
+func (t *target) allowance(now time.Duration) (a allowance, limited bool) {
+	a = allowance{rate: math.Inf(1), tokens: math.Inf(1), until: now + maxForcedWait}
+	if t.limit.limited {
+		t.limit.refill(now)
+		a.rate, a.tokens = t.limit.rate(), t.limit.tokens
+	}
+	if t.cold.cold(now) && !t.cold.unreachable {
+		t.cold.refill(now)
+		if !t.limit.limited {
+			a.until = t.cold.until
+		}
+		a.rate, a.tokens = min(a.rate, t.cold.rate()), min(a.tokens, t.cold.tokens)
+	}
+	return a, !math.IsInf(a.rate, 1)
+}
+
 // limitWait returns the time in which a rate of requests per second allows the missing ones.
 func limitWait(missing, rate float64) time.Duration {
 	switch seconds := missing / rate; {
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -103,6 +103,13 @@
 	suspectCredit float64
 	// idempotentArrivals is the rate of idempotent requests.
 	idempotentArrivals arrivalRate
+	// coldRate is what the configuration sets for cold targets. seeded says that targets of
+	// the service have been listed: one that is new from then on may be cold.
+	coldRate ColdRate
+	seeded   bool
+	// sharesVersion is the version of the view from which shares of the rates for cold
+	// targets were taken.
+	sharesVersion uint64
 	// sizes are the sizes of responses by route.
 	sizes responseSizes
 	// candidates is choose's buffer, kept to avoid an allocation per request.
@@ -174,6 +181,7 @@
 		t.sameZone = t.entry.Zone == v.Self.Zone
 		byZone[t.entry.Zone] = append(byZone[t.entry.Zone], t)
 	}
+	s.assignCold(v, now)
 	for zone, targets := range byZone {
 		owners, sharing := responsible(v, zone)
 		if len(owners) == 0 {
@@ -304,6 +312,7 @@
 	if t.stalled(now, s.typicalLatency) {
 		cost += stallCost
 	}
+	cost += t.cold.rampCost(now)
 	return cost
 }
 
@@ -317,7 +326,7 @@
 	}
 	var oldest *target
 	for _, t := range s.byDistance[distancePreferred] {
-		if t.obstacle(idleLoadPerSlot, now) != noObstacle || !t.trialDue(r.Idempotent, now) {
+		if t.obstacle(idleLoadPerSlot, now) != noObstacle || !t.trialDue(r.Idempotent, now) || (t.cold.ramping(now) && len(t.openStarts) > 0) {
 			continue
 		}
 		if oldest == nil || max(t.lastTrialAt, t.lastUsedAt) < max(oldest.lastTrialAt, oldest.lastUsedAt) {
--- a/pkg/placement/target.go
+++ b/pkg/placement/target.go
@@ -79,6 +79,8 @@
 
 	// limit is the request rate that the target accepts.
 	limit rateLimit
+	// cold tells whether the target is cold, and what this instance may send it then.
+	cold coldLimit
 	// leaving records that the target says that it leaves.
 	leaving leaving
 	// pausedUntil is the time since boot up to which the target wants no requests from this
@@ -181,6 +183,7 @@
 	t.openStarts = append(t.openStarts, now)
 	t.lastUsedAt = now
 	t.limit.spend(now)
+	t.cold.spend(now)
 }
 
 // removeOpen removes an open request that started at the given time.
