Hold the rate of cold targets across separated instances

TestColdTargetsGetTooMuch (real views and balancers in virtual time, with partitions, kills, starts, lost heartbeats, instances without the store, restarts and returns of targets) found requests beyond the bound, up to 207 in a second at 4.5/s where 14.75 are allowed. Causes: an instance that had not used the target while it was away took it for warm; a peer's report ended an instance's own mark of an unreachable target; a warm-up ended by the clock at a target that was away; an instance that was cut off, or had just started, could not know. Now heartbeats tell which targets are not reached; only a listing written later ends a warm-up early, and one is waited for 2 s; an instance that cannot know keeps to its place among the holders.

While instances do not hear each other, what only a listing tells is counted from its age of 2 s on.

--- a/pkg/placement/catalogue.go
+++ b/pkg/placement/catalogue.go
@@ -24,9 +24,13 @@
 // update applies the current catalogue and set of serving instances. The caller holds the
 // service's mutex.
 func (b *Balancer) update(s *service, now time.Duration) {
-	for _, t := range s.update(b.targets.Catalogue(), b.peers.View(), now) {
+	catalogue, view := b.targets.Catalogue(), b.peers.View()
+	for _, t := range s.update(catalogue, view, now) {
 		b.closeConnections(t)
 	}
+	if s.coldRate.PerSecond > 0 {
+		s.observeKnowledge(catalogue.ReadAt, b.createdAt, view, now)
+	}
 }
 
 // update applies a new catalogue or set of serving instances, and returns the targets
--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -10,7 +10,7 @@
 )
 
 // A target that is cold crashes if it gets too many requests in a second. The rate that its
-// service sets for cold targets is divided into fixed shares (coldShare); each holder fills a
+// service sets for cold targets is divided into fixed shares (divideColdRate); each holder fills a
 // token bucket at its share. The load that it answers is any, up to one that uses all targets
 // up. In any second, a holder sends at most what it has saved up and its share of the rate.
 // Requests that are on the way count, too: they may arrive together after a delay.
@@ -32,12 +32,25 @@
 	// that succeeds has told the others.
 	minColdTestDelay = 2 * time.Second
 	coldTestStep     = 200 * time.Millisecond
+	// startSpan is the time since the start of the process after which other instances have
+	// told it of cold targets. staleListing is the age of the listing from which on an instance
+	// that hears few others may be cut off: a listing is at most that old otherwise.
+	startSpan    = 1500 * time.Millisecond
+	staleListing = 2 * time.Second
 	// rampTime is the time in which a target that has turned warm takes up its part of the
 	// load, rampCost what it costs more at first: about as much as a target with a request on
 	// each slot. Without it, all instances would send it their next requests at once, since it
 	// has none.
 	rampTime = 2 * time.Second
 	rampCost = 1.0
+	// confirmWait is the time for which a target counts as cold after the end of its warm-up
+	// unless its listing says that it is warm. A target writes its entry at the end, and others
+	// learn of it within this time. Without it, one that has ended or restarted meanwhile
+	// would count as warm.
+	confirmWait = 2 * time.Second
+	// brokenTogether is the time within which two requests that lose their connections tell that
+	// the target's process has ended: it ends all of them at once.
+	brokenTogether = 100 * time.Millisecond
 	// heartbeatMargin is the time that a heartbeat may take.
 	heartbeatMargin = 100 * time.Millisecond
 	// maxStatedWarmup bounds what the listing or another instance states.
@@ -56,6 +69,7 @@
 	coldListed      = "listed"
 	coldStated      = "listing"
 	coldUnreachable = "unreachable"
+	coldBroken      = "connections_lost"
 	coldRestored    = "zone_restored"
 )
 
@@ -63,7 +77,7 @@
 // the rate for cold targets. The zero value is that of a warm target without such a rate.
 type coldLimit struct {
 	ColdRate
-	// until is the time since boot up to which the target counts as cold. unreachable says
+	// until is the time since boot up to which the target counts as cold, with confirmWait. unreachable says
 	// that it is cold however long, as the last connection to it has failed.
 	until       time.Duration
 	unreachable bool
@@ -72,20 +86,29 @@
 	// listing must have been written that ends it; reachedAgainAt is the same if the target was
 	// unreachable, else 0.
 	beganAt, confirmAt, reachedAgainAt time.Duration
+	// unsure says that this instance cannot know whether the target is cold.
+	unsure bool
 	// reason says from what it is known, own that this instance knows it by itself.
 	reason string
 	own    bool
 	// statedWarmAt is the time since boot from which on the newest listing that says warm was
 	// written; ownWarmAt that at which this instance read it.
 	statedWarmAt, ownWarmAt time.Duration
+	// listedUntil is the end of the warm-up by the last listing that this instance read and that
+	// says cold, listedAt the time since boot at which it read that.
+	listedUntil, listedAt time.Duration
 	// lastReachedAt is the latest start of a request that got a response.
 	lastReachedAt time.Duration
+	// lastLostAt is the time since boot of the last connection that failed.
+	lastLostAt time.Duration
+	// brokenAt is the time since boot at which a request last lost its connection.
+	brokenAt time.Duration
 	// logged says that the log has the target as cold.
 	logged bool
 
-	// share is this instance's share of the rate, peers the number of serving instances.
-	share float64
-	peers int
+	// shares are this instance's shares of the rate, peers the number of serving instances.
+	shares coldShares
+	peers  int
 	// tokens is the number of requests that this instance may send, computed up to updatedAt
 	// (time since boot). onTheWay holds the start times of those without a response.
 	tokens    float64
@@ -100,17 +123,17 @@
 func (c *coldLimit) configure(rate ColdRate) {
 	switch {
 	case rate.PerSecond == 0:
-		*c = coldLimit{logged: c.logged}
+		*c = coldLimit{logged: c.logged, unsure: c.unsure}
 	case c.ColdRate != rate:
 		c.ColdRate = rate
 	}
 }
 
 // assign sets this instance's share of the rate.
-func (c *coldLimit) assign(share float64, peers int, now time.Duration) {
+func (c *coldLimit) assign(shares coldShares, peers int, now time.Duration) {
 	c.refill(now)
-	c.share, c.peers = share, peers
-	c.tokens = min(c.tokens, c.maxTokens())
+	c.shares, c.peers = shares, peers
+	c.tokens = min(c.tokens, maxTokens(c.rate(now)))
 }
 
 // cold reports whether the target counts as cold.
@@ -118,46 +141,67 @@
 	return c.PerSecond > 0 && (c.unreachable || now < c.until)
 }
 
-// rate returns the requests per second that this instance may send while the target is cold.
-func (c *coldLimit) rate() float64 { return c.PerSecond * c.share }
+// limited reports whether this instance may send the target a limited rate only.
+func (c *coldLimit) limited(now time.Duration) bool {
+	return c.cold(now) || (c.PerSecond > 0 && c.unsure)
+}
 
-func (c *coldLimit) maxTokens() float64 {
-	if c.share == 0 {
+// rate returns the requests per second that this instance may send while the target is limited.
+func (c *coldLimit) rate(now time.Duration) float64 {
+	if c.cold(now) {
+		return c.PerSecond * c.shares.known
+	}
+	return c.PerSecond * c.shares.unsure
+}
+
+// maxTokens returns the number of requests that an instance with a rate may save up.
+func maxTokens(rate float64) float64 {
+	if rate == 0 {
 		return 0
 	}
-	return max(1, c.rate()*coldBurst.Seconds())
+	return max(1, rate*coldBurst.Seconds())
 }
 
-func (c *coldLimit) maxOnTheWay() float64 {
-	return max(1, min(maxOnTheWay, 1+c.rate()), c.rate()*onTheWayTime.Seconds())
+// maxUnanswered returns the number of requests that an instance with a rate may have on the way.
+func maxUnanswered(rate float64) float64 {
+	return max(1, min(maxOnTheWay, 1+rate), rate*onTheWayTime.Seconds())
 }
 
 func (c *coldLimit) refill(now time.Duration) {
 	if now > c.updatedAt {
-		c.tokens = refilled(c.tokens, c.rate(), c.maxTokens(), now-c.updatedAt)
+		rate := c.rate(now)
+		c.tokens = refilled(c.tokens, rate, maxTokens(rate), now-c.updatedAt)
 		c.updatedAt = now
 	}
 }
 
-// exhausted reports whether the target is cold and gets no request from this instance now.
+// setUnsure sets whether this instance cannot know whether the target is cold.
+func (c *coldLimit) setUnsure(unsure bool, now time.Duration) {
+	if unsure && !c.limited(now) {
+		c.tokens, c.updatedAt = maxTokens(c.PerSecond*c.shares.unsure), now
+	}
+	c.unsure = unsure
+}
+
+// exhausted reports whether the target is limited and gets no request from this instance now.
 func (c *coldLimit) exhausted(now time.Duration) bool {
 	switch {
-	case !c.cold(now):
+	case !c.limited(now):
 		return false
-	case c.share == 0:
+	case c.cold(now) && c.shares.known == 0:
 		return !c.unreachable || now < c.testAt
 	}
 	c.refill(now)
 	for len(c.onTheWay) > 0 && now-c.onTheWay[0] >= deliveryTime {
 		c.onTheWay = c.onTheWay[1:]
 	}
-	return c.tokens < 1 || float64(len(c.onTheWay)+1) > c.maxOnTheWay()
+	return c.tokens < 1 || float64(len(c.onTheWay)+1) > maxUnanswered(c.rate(now))
 }
 
 // spend counts a request that this instance sends. It is written as soon as there is a
 // connection, at most 0.12 s later.
 func (c *coldLimit) spend(now time.Duration) {
-	if !c.cold(now) {
+	if !c.limited(now) {
 		return
 	}
 	c.refill(now)
@@ -194,7 +238,7 @@
 // zone has. A listing that was written later ends it.
 func (c *coldLimit) suspect(reason string, now time.Duration) {
 	if c.PerSecond > 0 {
-		c.begin(reason, true, now+c.Warmup, now)
+		c.begin(reason, true, now+c.Warmup+confirmWait, now)
 		c.beganAt, c.confirmAt, c.reachedAgainAt = now, now, 0
 	}
 }
@@ -202,7 +246,7 @@
 // extend makes a cold target cold up to a time at least.
 func (c *coldLimit) extend(until time.Duration) {
 	if c.PerSecond > 0 {
-		c.until = max(c.until, until)
+		c.until = max(c.until, until+confirmWait)
 	}
 }
 
@@ -215,7 +259,15 @@
 		c.begin(coldUnreachable, true, 0, now)
 		c.unreachable, c.beganAt = true, now
 	}
-	c.testAt = now + c.testDelay()
+	c.lastLostAt, c.testAt = now, now+c.testDelay()
+}
+
+// broken records a request that lost its connection to the target.
+func (c *coldLimit) broken(now time.Duration) {
+	if c.brokenAt > 0 && now-c.brokenAt < brokenTogether {
+		c.suspect(coldBroken, now)
+	}
+	c.brokenAt = now
 }
 
 // reached records a response to a request that began at the given time. One that began before
@@ -249,11 +301,12 @@
 	case c.PerSecond == 0:
 	case l.left == 0:
 		c.statedWarm(l.writtenSince, true, now)
-	case now < l.readAt+l.left:
+	case now < l.readAt+l.left+confirmWait:
 		learned = !c.cold(now)
+		c.listedUntil, c.listedAt = l.readAt+l.left, l.readAt
 		c.begin(coldStated, true, 0, now)
 		c.confirmAt = max(c.confirmAt, l.writtenSince)
-		if until := l.readAt + l.left; current {
+		if until := l.readAt + l.left + confirmWait; current {
 			c.until = until
 		} else {
 			c.until = max(c.until, until)
@@ -296,7 +349,19 @@
 		return
 	}
 	for _, t := range s.ordered {
-		t.cold.assign(coldShare(v, t.entry.Zone, t.entry.ID), len(v.Peers), now)
+		t.cold.assign(divideColdRate(v, t.entry.Zone, t.entry.ID), len(v.Peers), now)
+	}
+}
+
+// observeKnowledge sets whether this instance cannot know which targets are cold: it has just
+// started, or it may be cut off from the store and from most others.
+func (s *service) observeKnowledge(listingReadAt, createdAt time.Duration, v *fleet.View, now time.Duration) {
+	unsure := now-createdAt < startSpan || (now-listingReadAt >= staleListing && len(v.Silent) >= len(v.Peers))
+	if unsure != s.unsure || s.unsureTargets != len(s.ordered) {
+		s.unsure, s.unsureTargets = unsure, len(s.ordered)
+		for _, t := range s.ordered {
+			t.cold.setUnsure(unsure, now)
+		}
 	}
 }
 
@@ -310,6 +375,8 @@
 		if !b.pathsLost() {
 			t.cold.lost(now)
 		}
+	case proxy.Broken:
+		t.cold.broken(now)
 	case proxy.Answered, proxy.ServerError, proxy.Shed:
 		t.cold.arrived(began)
 		t.cold.reached(began, now)
@@ -353,7 +420,7 @@
 			return
 		}
 		event.TargetCold.Log(b.log).Str("target", t.entry.ID).Str("service", s.name).Str("reason", c.reason).
-			Dur("left", max(0, c.until-now)).Float64("per_second", c.PerSecond).Float64("share", c.share).Send()
+			Dur("left", max(0, c.until-now)).Float64("per_second", c.PerSecond).Float64("share", c.shares.known).Send()
 	}
 }
 
--- a/pkg/placement/cold_exchange.go
+++ b/pkg/placement/cold_exchange.go
@@ -13,6 +13,9 @@
 	// warmReportTime is how long heartbeats tell that a target has become warm. Each is told
 	// several times in it.
 	warmReportTime = 2 * time.Second
+	// minToldUnreachable is the time since an instance has not reached a target from which on
+	// others believe it. They have had a response of the target since, if they reach it and use it.
+	minToldUnreachable = 500 * time.Millisecond
 	// maxColdReported bounds the cold targets in one heartbeat: about 700 bytes, so that it
 	// mostly fits into a datagram. If there are more, each heartbeat has others.
 	maxColdReported = 24
@@ -104,18 +107,21 @@
 }
 
 // message returns what heartbeats tell of the target, without its name; nil if they do not.
-// While the target is not reached, it may be this instance that is cut off.
 func (c *coldLimit) message(now time.Duration) *peerpb.ColdTarget {
 	switch {
-	case c.unreachable || !c.own:
+	case c.PerSecond > 0 && now < c.listedUntil && c.statedWarmAt < c.listedAt:
+		return &peerpb.ColdTarget{LeftMs: millis(c.listedUntil - now), AgeMs: millis(now - c.listedAt)}
+	case !c.own:
 		return nil
+	case c.unreachable:
+		return &peerpb.ColdTarget{LeftMs: millis(c.Warmup), AgeMs: millis(now - c.beganAt), Unreachable: true}
 	case !c.cold(now):
 		if c.ownWarmAt > 0 && now-c.ownWarmAt < warmReportTime {
 			return &peerpb.ColdTarget{AgeMs: millis(now - c.statedWarmAt)}
 		}
 		return nil
 	}
-	m := &peerpb.ColdTarget{LeftMs: millis(c.until - now), AgeMs: millis(now - c.beganAt)}
+	m := &peerpb.ColdTarget{LeftMs: max(1, millis(c.until-confirmWait-now)), AgeMs: millis(now - c.beganAt)}
 	if c.reachedAgainAt > 0 {
 		age := millis(now - c.reachedAgainAt)
 		m.ReachedAgeMs = &age
@@ -147,19 +153,28 @@
 		c.statedWarm(age(m.AgeMs)-heartbeatMargin, false, now)
 		return
 	}
-	beganAt, confirmAt, reachedAgainAt := age(m.AgeMs), age(m.AgeMs), time.Duration(0)
-	if m.ReachedAgeMs != nil {
-		reachedAgainAt = age(*m.ReachedAgeMs)
-		confirmAt = reachedAgainAt
-		if c.lastReachedAt > beganAt && c.lastReachedAt < reachedAgainAt-heartbeatMargin {
-			return // it was reached from here meanwhile: only the other instance was cut off
+	beganAt := age(m.AgeMs)
+	confirmAt := beganAt
+	switch {
+	case m.Unreachable:
+		// Only the other instance may be cut off. One with requests at the target knows then.
+		if now-beganAt < minToldUnreachable || c.lastReachedAt > beganAt {
+			return
+		}
+		confirmAt = now
+	case m.ReachedAgeMs != nil:
+		confirmAt = age(*m.ReachedAgeMs)
+		if c.lastReachedAt > beganAt && c.lastReachedAt < confirmAt-heartbeatMargin {
+			return // it was reached from here meanwhile
 		}
 	}
 	if c.statedWarmAt >= confirmAt {
 		return
 	}
-	c.begin(from, false, now+min(time.Duration(m.LeftMs)*time.Millisecond, maxStatedWarmup), now)
+	c.begin(from, false, now+min(time.Duration(m.LeftMs)*time.Millisecond, maxStatedWarmup)+confirmWait, now)
 	c.confirmAt = max(c.confirmAt, confirmAt)
-	// The other instance reaches it; if this one does not, its next connection tells.
-	c.unreachable = false
+	if m.ReachedAgeMs != nil && confirmAt > c.lastLostAt {
+		// If this instance still does not reach it, its next connection tells.
+		c.unreachable = false
+	}
 }
--- a/pkg/placement/dump.go
+++ b/pkg/placement/dump.go
@@ -22,7 +22,7 @@
 	// together; it is absent if the target accepts any rate.
 	Limit *float64 `json:"limit_per_second,omitempty"`
 	// ColdMS is how long the target counts as cold from now on, in ms; -1 while it is not
-	// reached. ColdRate is this instance's part, in 1/s, of the rate for cold targets. Both
+	// reached, 0 if this instance cannot know whether it is cold. ColdRate is this instance's part, in 1/s, of the rate for cold targets. Both
 	// are absent if the target is warm.
 	ColdMS   *int64   `json:"cold_ms,omitempty"`
 	ColdRate *float64 `json:"cold_per_second,omitempty"`
@@ -55,8 +55,8 @@
 				perSecond := t.limit.perSecond
 				state.Limit = &perSecond
 			}
-			if t.cold.cold(now) {
-				left, part := (t.cold.until - now).Milliseconds(), t.cold.rate()
+			if t.cold.limited(now) {
+				left, part := max(0, t.cold.until-now).Milliseconds(), t.cold.rate(now)
 				if t.cold.unreachable {
 					left = -1
 				}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -81,11 +81,13 @@
 	services map[string]*service
 
 	listings listingTimes
+	// createdAt is the time since boot of New.
+	createdAt time.Duration
 }
 
 // New returns a balancer that has no observations of any target.
 func New(c clock.Clock, targets CatalogueSource, peers ViewSource, log *zerolog.Logger) *Balancer {
-	return &Balancer{clock: c, targets: targets, peers: peers, log: log, services: map[string]*service{}}
+	return &Balancer{clock: c, targets: targets, peers: peers, log: log, services: map[string]*service{}, createdAt: c.SinceBoot()}
 }
 
 // Rate returns the recent request rate in requests per second.
@@ -172,7 +174,7 @@
 func (b *Balancer) newAttempt(s *service, t *target, r proxy.Request, tried []string, now time.Duration) *attempt {
 	a := &attempt{balancer: b, service: s, target: t, route: r.Route, started: now, retryDelay: s.retryDelay(), last: !r.Idempotent || len(tried) > 0, choice: choice{
 		preferred: t.preferred, sameZone: t.sameZone, load: t.load(now), failProb: t.failProb(now), listingAge: now - b.targets.Catalogue().ReadAt,
-		limited: t.limit.limited, limit: t.limit.rate(), cold: t.cold.cold(now), coldRate: t.cold.rate(),
+		limited: t.limit.limited, limit: t.limit.rate(), cold: t.cold.limited(now), coldRate: t.cold.rate(now),
 	}}
 	t.addOpen(now)
 	return a
--- a/pkg/placement/rate_division.go
+++ b/pkg/placement/rate_division.go
@@ -89,18 +89,24 @@
 // of a rate of 4.5 requests per second, 14 in a second, also if all of these arrive together.
 const maxColdHolders = 3
 
-// coldShare returns this instance's share, from 0 to 1, of the rate of a cold target. Unlike a
-// rate that a target names, this one has to hold in each second and also between instances that
-// do not hear each other. It answers for any demand, of which it takes no account: the holders
-// are the first maxColdHolders of the zone's serving instances in an order of the target's own.
-// Instances from which nothing is received come first in it. Of instances that knew each other
-// before they were separated, only those that were holders then are holders afterwards, however
-// many others begin to serve on either side. An even part of a fixed number is left unused
-// where there are fewer holders.
-func coldShare(v *fleet.View, zone, target string) float64 {
-	if !v.Settled {
-		return 0
-	}
+// coldShares are this instance's shares, from 0 to 1, of the rate of a cold target.
+type coldShares struct {
+	// known is the share at a target that is known to be cold.
+	known float64
+	// unsure is the share while this instance cannot know which targets are cold.
+	unsure float64
+}
+
+// divideColdRate returns this instance's shares of the rate of a cold target. Unlike a rate that a
+// target names, this one has to hold in each second and also between instances that do not hear
+// each other. It answers for any demand, of which it takes no account: the holders are the first
+// maxColdHolders of the zone's serving instances in an order of the target's own. Instances from
+// which nothing is received come first in it. Of instances that knew each other before they were
+// separated, only those that were holders then are holders afterwards, however many others begin
+// to serve on either side. One that may be cut off from everything itself keeps to its place
+// before the separation. An even part of a fixed number is left unused where there are fewer
+// holders.
+func divideColdRate(v *fleet.View, zone, target string) coldShares {
 	size, anyZone := v.ZoneSizes[zone], false
 	if size == 0 {
 		// A zone without instances: those of all zones count.
@@ -109,13 +115,17 @@
 			size += n
 		}
 	}
-	if !anyZone && zone != v.Self.Zone {
-		return 0
+	if size == 0 || (!anyZone && zone != v.Self.Zone) {
+		return coldShares{}
 	}
-	before, own := 0, coldRank(v.Self, target)
+	own := coldRank(v.Self, target)
+	silent, silentBefore, before := 0, 0, 0
 	for _, m := range v.Silent {
 		if anyZone || m.Zone == zone {
-			before++
+			silent++
+			if coldRank(m, target) < own {
+				silentBefore++
+			}
 		}
 	}
 	for _, m := range v.Peers {
@@ -123,10 +133,15 @@
 			before++
 		}
 	}
-	if before >= maxColdHolders {
-		return 0
+	var shares coldShares
+	part := 1 / float64(min(size, maxColdHolders))
+	if v.Settled && silent+before < maxColdHolders {
+		shares.known = part
+	}
+	if silentBefore+before < maxColdHolders {
+		shares.unsure = part
 	}
-	return 1 / float64(min(size, maxColdHolders))
+	return shares
 }
 
 // coldRank returns the place of an instance in the order of a target (rendezvous hashing): an
--- a/pkg/placement/refuse.go
+++ b/pkg/placement/refuse.go
@@ -107,12 +107,12 @@
 		t.limit.refill(now)
 		a.rate, a.tokens = t.limit.rate(), t.limit.tokens
 	}
-	if t.cold.cold(now) && !t.cold.unreachable {
+	if t.cold.limited(now) && !t.cold.unreachable {
 		t.cold.refill(now)
-		if !t.limit.limited {
+		if !t.limit.limited && !t.cold.unsure {
 			a.until = t.cold.until
 		}
-		a.rate, a.tokens = min(a.rate, t.cold.rate()), min(a.tokens, t.cold.tokens)
+		a.rate, a.tokens = min(a.rate, t.cold.rate(now)), min(a.tokens, t.cold.tokens)
 	}
 	return a, !math.IsInf(a.rate, 1)
 }
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -110,6 +110,10 @@
 	// sharesVersion is the version of the view from which shares of the rates for cold
 	// targets were taken.
 	sharesVersion uint64
+	// unsure says that this instance cannot know which targets are cold, as it was set for
+	// unsureTargets targets.
+	unsure        bool
+	unsureTargets int
 	// sizes are the sizes of responses by route.
 	sizes responseSizes
 	// candidates is choose's buffer, kept to avoid an allocation per request.
