--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -57,6 +57,8 @@
 	PauseUnreadable  = Event{517, "pause_unreadable", zerolog.WarnLevel, "a target turned a request away with a Retry-After that is no number of seconds; it is ignored; look at the target"}
 	ZoneEvacuated    = Event{518, "zone_evacuated", zerolog.WarnLevel, "an operator has ordered that the targets of a zone get no requests; this instance obeys from now on"}
 	ZoneRestored     = Event{519, "zone_restored", zerolog.InfoLevel, "the order to evacuate a zone was withdrawn; its targets get requests again"}
+	TargetCold       = Event{520, "target_cold", zerolog.InfoLevel, "a target is cold or may be; all instances together send it at most the rate that its service sets for cold targets"}
+	TargetWarm       = Event{521, "target_warm", zerolog.InfoLevel, "a target is warm and no longer limited"}
 
 	TargetEnded = Event{514, "target_ended", zerolog.WarnLevel, "a target accepts no connection after it lost that of a request; the same digest at several targets tells that the request crashes them"}
 
@@ -97,7 +99,7 @@
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed, HeadLost, ClaimsWritten,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
-		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable, ZoneEvacuated, ZoneRestored,
+		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable, ZoneEvacuated, ZoneRestored, TargetCold, TargetWarm,
 		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried, QuarantineNotKept,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
--- a/pkg/placement/catalogue.go
+++ b/pkg/placement/catalogue.go
@@ -24,17 +24,25 @@
 // update applies the current catalogue and set of serving instances. The caller holds the
 // service's mutex.
 func (b *Balancer) update(s *service, now time.Duration) {
-	for _, t := range s.update(b.targets.Catalogue(), b.peers.View(), now) {
+	catalogue, view := b.targets.Catalogue(), b.peers.View()
+	for _, t := range s.update(catalogue, view, now) {
 		b.closeConnections(t)
 	}
+	if s.coldRate.PerSecond > 0 {
+		s.observeKnowledge(catalogue.ReadAt, b.createdAt, view, now)
+	}
 }
 
 // update applies a new catalogue, set of serving instances or set of evacuated zones, and
 // returns the targets that drain or are evacuated since. The caller holds mu.
 func (s *service) update(c *discovery.Catalogue, v *fleet.View, now time.Duration) (draining []*target) {
 	s.self = v.Self.Instance
+	if s.sharesVersion != v.SharesVersion {
+		s.sharesVersion = v.SharesVersion
+		s.assignCold(v, now)
+	}
 	if s.catalogueVersion == c.Version && s.viewVersion == v.Version && len(s.ordered) > 0 {
-		if gone, changed := s.evacuationChange(); changed {
+		if gone, changed := s.evacuationChange(now); changed {
 			s.assignPreferred(v, now)
 			return gone
 		}
@@ -44,7 +52,7 @@
 		return nil
 	}
 	s.catalogueVersion, s.viewVersion = c.Version, v.Version
-	draining, _ = s.evacuationChange()
+	draining, _ = s.evacuationChange(now)
 	draining = append(draining, s.updateTargets(c.Services[s.name], now)...)
 	s.assignPreferred(v, now)
 	s.retryBudget.setServing(v.Serving, now)
@@ -68,6 +76,12 @@
 			t = newTarget(entry, now)
 			s.inheritStatements(t)
 		}
+		t.cold.configure(s.coldRate)
+		if s.seeded && (s.targets[entry.ID] != t) {
+			// New, restarted, or listed again.
+			t.cold.suspect(coldListed, now)
+			t.cold.extend(entry.WarmUntil)
+		}
 		delete(s.unlisted, run)
 		if entry.Draining && !t.entry.Draining {
 			draining = append(draining, t)
@@ -84,5 +98,6 @@
 	}
 	maps.DeleteFunc(s.unlisted, func(_ targetRun, t *target) bool { return now-t.unlistedAt >= unlistedMemory })
 	s.targets = listed
+	s.seeded = s.seeded || len(listed) > 0
 	return draining
 }
--- a/pkg/placement/evacuation.go
+++ b/pkg/placement/evacuation.go
@@ -21,19 +21,22 @@
 }
 
 // evacuationChange reports whether the set of evacuated zones has changed for the listed
-// targets since their owners were assigned, and returns the targets evacuated since.
-func (s *service) evacuationChange() (gone []*target, changed bool) {
+// targets since their owners were assigned, and returns the targets evacuated since. Those of a
+// zone that was restored may be cold.
+func (s *service) evacuationChange(now time.Duration) (gone []*target, changed bool) {
 	if s.evacuations == nil {
 		return nil, false
 	}
 	for zone, was := range s.evacuatedZones {
 		is := s.evacuations.Evacuated(zone)
 		changed = changed || is != was
-		if is && !was {
-			for _, t := range s.ordered {
-				if t.entry.Zone == zone {
-					gone = append(gone, t)
-				}
+		for _, t := range s.ordered {
+			switch {
+			case t.entry.Zone != zone || is == was:
+			case is:
+				gone = append(gone, t)
+			default:
+				t.cold.suspect(coldRestored, now)
 			}
 		}
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -69,6 +69,9 @@
 	// Evacuations, if not nil, tells the zones whose targets get no requests. It is set
 	// before the first call.
 	Evacuations Evacuations
+	// OnCold, if not nil, is called when this instance learns first that a target is cold, so
+	// that heartbeats tell others at once. It must not call the balancer.
+	OnCold func()
 
 	clock   clock.Clock
 	targets CatalogueSource
@@ -80,16 +83,22 @@
 	// mu guards services, which holds them by name.
 	mu       sync.Mutex
 	services map[string]*service
+
+	listings listingTimes
+	// createdAt is the time since boot of New.
+	createdAt time.Duration
 }
 
 // New returns a balancer that has no observations of any target.
 func New(c clock.Clock, targets CatalogueSource, peers ViewSource, log *zerolog.Logger) *Balancer {
-	return &Balancer{clock: c, targets: targets, peers: peers, log: log, services: map[string]*service{}}
+	return &Balancer{clock: c, targets: targets, peers: peers, log: log, services: map[string]*service{}, createdAt: c.SinceBoot()}
 }
 
 // Rate returns the recent request rate in requests per second.
 func (b *Balancer) Rate() float64 { return b.rate.get(b.clock.SinceBoot()) }
 
+func (b *Balancer) pathsLost() bool { return b.PathsLost != nil && b.PathsLost() }
+
 // service returns the state of the named service and creates it on first use.
 func (b *Balancer) service(name string) *service {
 	b.mu.Lock()
@@ -171,7 +180,7 @@
 func (b *Balancer) newAttempt(s *service, t *target, r proxy.Request, tried []string, now time.Duration) *attempt {
 	a := &attempt{balancer: b, service: s, target: t, zone: t.entry.Zone, route: r.Route, started: now, retryDelay: s.retryDelay(), last: !r.Idempotent || len(tried) > 0, choice: choice{
 		preferred: t.preferred, sameZone: t.sameZone, load: t.load(now), failProb: t.failProb(now), listingAge: now - b.targets.Catalogue().ReadAt,
-		limited: t.limit.limited, limit: t.limit.rate(),
+		limited: t.limit.limited, limit: t.limit.rate(), cold: t.cold.limited(now), coldRate: t.cold.rate(now),
 	}}
 	t.addOpen(now)
 	return a
@@ -220,10 +229,11 @@
 // Fill adds this instance's evidence on targets to a heartbeat for other serving
 // instances.
 func (b *Balancer) Fill(h *peerpb.Heartbeat, to fleet.Audience) {
+	now, lost := b.clock.SinceBoot(), b.pathsLost()
+	b.fillCold(h, now)
 	if !to.Serving() {
 		return
 	}
-	now, lost := b.clock.SinceBoot(), b.PathsLost != nil && b.PathsLost()
 	for _, s := range b.allServices() {
 		s.mu.Lock()
 		s.fillRateLimits(h, now)
@@ -309,6 +319,7 @@
 				t.applyReport(e, now)
 			}
 		}
+		s.mergeCold(from, h.ColdTargets, now)
 		b.mergeRateLimits(s, from, h.RateLimits, now)
 		b.mergeLeaving(s, from, h.LeavingTargets)
 		s.mergeUnreachable(from, h.UnreachableTargets, now)
