--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/hex"
 	"encoding/json"
-	"math"
 	"net/netip"
 	"regexp"
 	"slices"
@@ -162,8 +161,9 @@
 	v.check(s.FloorPercent >= 0 && s.FloorPercent <= 100, path, ".floor_percent", s.FloorPercent, "0 to 100")
 	v.check(s.Profile == ProfileCareful || s.Profile == ProfileFast, path, ".profile", s.Profile, "careful or fast")
 	v.check(strings.HasPrefix(s.HealthPath, "/"), path, ".health_path", s.HealthPath, "a path that starts with /")
-	v.check(s.WarmupMS >= 0 && s.WarmupMS <= MaxWarmupMS, path, ".warmup_ms", s.WarmupMS, "0 to 3600000")
-	v.check(s.WarmupPerSecond >= 0 && !math.IsInf(s.WarmupPerSecond, 0), path, ".warmup_per_second", s.WarmupPerSecond, "a finite number of at least 0")
+	// Only arbutus-edge limits cold targets, and its configuration is not validated here.
+	v.check(s.WarmupMS == 0, path, ".warmup_ms", s.WarmupMS, "nothing; instances of arbutus-entry do not limit cold targets")
+	v.check(s.WarmupPerSecond == 0, path, ".warmup_per_second", s.WarmupPerSecond, "nothing; instances of arbutus-entry do not limit cold targets")
 	v.check(s.ProbeIntervalMS >= minProbeIntervalMS && s.ProbeIntervalMS <= maxProbeIntervalMS,
 		path, ".probe_interval_ms", s.ProbeIntervalMS, "100 to 60000")
 	for id, t := range s.Targets {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -105,6 +105,9 @@
 		for reason, targets := range i.balancer.Obstacles() {
 			scope.Tagged(map[string]string{tagReason: reason}).Gauge(metricTargetsWithheld).Update(float64(targets))
 		}
+		cold, unsure := i.balancer.ColdTargets()
+		scope.Tagged(map[string]string{tagState: "cold"}).Gauge(metricTargetsCold).Update(float64(cold))
+		scope.Tagged(map[string]string{tagState: "unsure"}).Gauge(metricTargetsCold).Update(float64(unsure))
 		if i.clock.Sleep(ctx, gaugeInterval) != nil {
 			return
 		}
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -23,6 +23,7 @@
 	metricBudgetRefused = "edge_body_budget_refused"
 
 	metricTargetsWithheld = "edge_targets_withheld"
+	metricTargetsCold     = "edge_targets_cold"
 
 	tagStatus  = "status"
 	tagCode    = "code"
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -54,6 +54,9 @@
 	// Limit is this instance's part of the rate that the target accepts, in requests per
 	// second, if it limits its rate.
 	Limit *float64 `json:"limit,omitempty"`
+	// Cold is the same of the service's rate for cold targets, if the target was cold or may
+	// have been.
+	Cold *float64 `json:"cold,omitempty"`
 	// Via is the instance through which the connection to the target led; empty for a direct
 	// one.
 	Via string `json:"via,omitempty"`
@@ -235,6 +238,8 @@
 			a.ListingAge = time.Duration(number) * time.Millisecond
 		case "limit":
 			a.Limit = &number
+		case "cold":
+			a.Cold = &number
 		}
 	}
 }
--- a/pkg/placement/dump.go
+++ b/pkg/placement/dump.go
@@ -88,3 +88,22 @@
 	}
 	return counts
 }
+
+// ColdTargets returns the number of targets that this instance sends a limited rate because they
+// count as cold, and because it cannot know whether they are.
+func (b *Balancer) ColdTargets() (cold, unsure int) {
+	now := b.clock.SinceBoot()
+	for _, s := range b.allServices() {
+		s.mu.Lock()
+		for _, t := range s.ordered {
+			switch {
+			case t.cold.cold(now):
+				cold++
+			case t.cold.limited(now):
+				unsure++
+			}
+		}
+		s.mu.Unlock()
+	}
+	return cold, unsure
+}
