--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -24,6 +24,7 @@
 
 	metricTargetsWithheld = "edge_targets_withheld"
 	metricZonesEvacuated  = "edge_zones_evacuated"
+	metricTargetsCold     = "edge_targets_cold"
 
 	tagStatus  = "status"
 	tagCode    = "code"
