Soak: evacuate zones, and check that their targets get nothing

A request that reaches a target of the zone 2 s after the order is a violation, unless the instance had a fault lately or the store was never readable since.

--- a/pkg/lab/soak/check.go
+++ b/pkg/lab/soak/check.go
@@ -46,8 +46,9 @@
 		}
 		tb.checkRequest(r, byID[r.id])
 	}
+	zones := tb.targetZones()
 	for _, r := range runs {
-		tb.checkRun(r, requestsByID[r.ID])
+		tb.checkRun(r, requestsByID[r.ID], zones)
 	}
 	for _, team := range teams {
 		tb.checkLimit(team, runs)
@@ -69,6 +70,17 @@
 	return runs
 }
 
+// targetZones returns the zone of each target, of those that have ended, too.
+func (tb *testbed) targetZones() map[string]string {
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	zones := map[string]string{}
+	for _, t := range append(slices.Clone(tb.targets), tb.removedTargets...) {
+		zones[t.ID] = t.Zone
+	}
+	return zones
+}
+
 // statusMeansNotRun reports whether a response with this status promises that no
 // target ran the request.
 func statusMeansNotRun(status int) bool {
@@ -112,7 +124,7 @@
 
 // checkRun compares a run at a target with its request; r is nil if no caller
 // recorded a request with this id.
-func (tb *testbed) checkRun(run upstreamsim.Execution, r *request) {
+func (tb *testbed) checkRun(run upstreamsim.Execution, r *request, zones map[string]string) {
 	if run.KeySeen {
 		tb.addViolation("no target sees a key", "%s at %s", run.ID, run.Target)
 	}
@@ -132,6 +144,7 @@
 	tb.checkService(run, r)
 	tb.checkConfigChanges(run, r)
 	tb.checkDrain(run, r)
+	tb.checkEvacuations(run, r, zones[run.Target])
 }
 
 // checkService checks that only the moving route reaches the second service.
--- a/pkg/lab/soak/restore.go
+++ b/pkg/lab/soak/restore.go
@@ -51,6 +51,7 @@
 	end()
 	tb.mu.Lock()
 	tb.submitConfig(nil)
+	tb.submitEvacuations()
 	tb.mu.Unlock()
 	_ = sleep(ctx, time.Duration(rng.Int64N(int64(reportInterval))))
 	tb.mu.Lock()
--- a/pkg/lab/soak/soak.go
+++ b/pkg/lab/soak/soak.go
@@ -101,6 +101,7 @@
 	injectors.Go(func() { tb.injectDeadlyRequests(further, callers, report) })
 	injectors.Go(func() { tb.injectPathCuts(further, report) })
 	injectors.Go(func() { tb.injectStatements(further, report) })
+	injectors.Go(func() { tb.injectEvacuations(further, report) })
 	tb.injectFaults(ctx, report)
 	endFurther()
 	injectors.Wait()
@@ -108,6 +109,9 @@
 		return nil, err
 	}
 	calmSince := time.Now()
+	if err := tb.evacuateInCalm(ctx); err != nil {
+		return nil, err
+	}
 	if err := tb.restartInCalm(ctx); err != nil {
 		return nil, err
 	}
--- a/pkg/lab/soak/testbed.go
+++ b/pkg/lab/soak/testbed.go
@@ -104,7 +104,10 @@
 	pathCuts          []pathCut
 	// pauseSpans are the times in which at least half of the targets ask for pauses, or
 	// such pauses last.
-	pauseSpans  []span
+	pauseSpans []span
+	// evacuated are the zones that the operator wants evacuated, evacuations the orders.
+	evacuated   []string
+	evacuations []evacuation
 	targetCount int
 	violations  []Violation
 }
