--- a/pkg/ctl/store.go
+++ b/pkg/ctl/store.go
@@ -186,8 +186,8 @@
 	})
 }
 
-// storeDump prints the dumps of all instances, and their configuration versions if
-// these differ.
+// storeDump prints the dumps of all instances, and their configuration versions and
+// evacuated zones if these differ.
 func (a *app) storeDump() error {
 	return a.withStore(func(ctx context.Context, s Store) error {
 		members, err := s.Members(ctx)
@@ -195,13 +195,14 @@
 			return err
 		}
 		dumps := fleetDump{Instances: map[string]json.RawMessage{}, Unreachable: map[string]string{}}
-		versions := map[int64][]string{}
+		versions := map[string][]string{}
+		evacuations := map[string][]string{}
 		var mu sync.Mutex
 		group, _ := errgroup.WithContext(ctx)
 		group.SetLimit(maxConcurrentDumps)
 		for _, m := range members {
 			group.Go(func() error {
-				dump, version, err := fetchDump(m.DiagnosticsAddress)
+				dump, state, err := fetchDump(m.DiagnosticsAddress)
 				mu.Lock()
 				defer mu.Unlock()
 				if err != nil {
@@ -209,7 +210,9 @@
 					return nil
 				}
 				dumps.Instances[m.Instance] = dump
+				version := fmt.Sprintf("config version %d", state.ConfigVersion)
 				versions[version] = append(versions[version], m.Instance)
+				evacuations[state.evacuated()] = append(evacuations[state.evacuated()], m.Instance)
 				return nil
 			})
 		}
@@ -219,34 +222,57 @@
 		if len(dumps.Instances) == 0 {
 			return &RefusedError{Failure: api.Failure{Message: "no instance answered"}}
 		}
-		for _, version := range slices.Sorted(maps.Keys(versions)) {
-			if len(versions) > 1 {
-				slices.Sort(versions[version])
-				dumps.Differences = append(dumps.Differences, fmt.Sprintf("config version %d only at %v", version, versions[version]))
-			}
-		}
+		dumps.Differences = append(differingGroups(versions), differingGroups(evacuations)...)
 		return a.print(dumps, nil)
 	})
 }
 
-// fetchDump returns the dump at a diagnostics address and the configuration
-// version in it.
-func fetchDump(address string) (json.RawMessage, int64, error) {
+// differingGroups describes the values that instances report, if there are several. The
+// instances are grouped by value.
+func differingGroups(groups map[string][]string) []string {
+	if len(groups) < 2 {
+		return nil
+	}
+	var differences []string
+	for _, value := range slices.Sorted(maps.Keys(groups)) {
+		slices.Sort(groups[value])
+		differences = append(differences, fmt.Sprintf("%s only at %v", value, groups[value]))
+	}
+	return differences
+}
+
+// comparedState is what storeDump compares of a dump.
+type comparedState struct {
+	ConfigVersion int64 `json:"config_version"`
+	// Evacuations is absent at an instance that does not know the evacuated zones.
+	Evacuations *struct {
+		Zones []string `json:"zones"`
+	} `json:"evacuations"`
+}
+
+// evacuated describes the evacuated zones.
+func (s *comparedState) evacuated() string {
+	if s.Evacuations == nil {
+		return "evacuated zones unknown"
+	}
+	return "evacuated " + zoneList(s.Evacuations.Zones)
+}
+
+// fetchDump returns the dump at a diagnostics address and what storeDump compares of it.
+func fetchDump(address string) (json.RawMessage, *comparedState, error) {
 	if address == "" {
-		return nil, 0, errors.WithStack(&UsageError{Reason: "the instance serves no dump"})
+		return nil, nil, errors.WithStack(&UsageError{Reason: "the instance serves no dump"})
 	}
 	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/dump", dumpTimeout)
 	if err != nil {
-		return nil, 0, errors.WithStack(&CallError{Server: address, Cause: err})
-	}
-	var dump struct {
-		ConfigVersion int64 `json:"config_version"`
+		return nil, nil, errors.WithStack(&CallError{Server: address, Cause: err})
 	}
+	dump := &comparedState{}
 	if status != fasthttp.StatusOK {
-		return nil, 0, errors.WithStack(&RefusedError{Status: status})
+		return nil, nil, errors.WithStack(&RefusedError{Status: status})
 	}
-	if err := json.Unmarshal(body, &dump); err != nil {
-		return nil, 0, errors.WithStack(&CallError{Server: address, Cause: err})
+	if err := json.Unmarshal(body, dump); err != nil {
+		return nil, nil, errors.WithStack(&CallError{Server: address, Cause: err})
 	}
-	return body, dump.ConfigVersion, nil
+	return body, dump, nil
 }
--- a/pkg/ctl/store_test.go
+++ b/pkg/ctl/store_test.go
@@ -13,20 +13,21 @@
 
 	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/discovery"
+	"github.com/arbutuslink/arbutuslink/pkg/evacuation"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/follow"
 )
 
-// fakeStore is a platform's store with two instances, one of which serves no dump.
+// fakeStore is a platform's store with three instances, the second of which serves no dump.
 type fakeStore struct {
-	dumpAddress string
-	err         error
+	dumpAddress, otherDumpAddress string
+	err                           error
 }
 
 func (s *fakeStore) Await(context.Context, follow.Cursor) (follow.Update, error) {
 	c := config.Empty()
 	c.Teams["red"] = config.Team{Batch: "default"}
-	return follow.Update{Version: 7, Config: c}, s.err
+	return follow.Update{Version: 7, Config: c, Evacuations: evacuation.Change{Complete: true, Evacuated: []string{"b"}}}, s.err
 }
 
 func (s *fakeStore) Targets(context.Context) (discovery.Listed, error) {
@@ -37,7 +38,9 @@
 
 func (s *fakeStore) Members(context.Context) ([]fleet.Member, error) {
 	return []fleet.Member{
-		{Instance: "e1", Zone: "a", DiagnosticsAddress: s.dumpAddress}, {Instance: "e2", Zone: "b"},
+		{Instance: "e1", Zone: "a", DiagnosticsAddress: s.dumpAddress},
+		{Instance: "e2", Zone: "b"},
+		{Instance: "e3", Zone: "b", DiagnosticsAddress: s.otherDumpAddress},
 	}, s.err
 }
 
@@ -51,7 +54,12 @@
 		is.NoErr(err)
 	}))
 	defer instance.Close()
-	store := &fakeStore{dumpAddress: strings.TrimPrefix(instance.URL, "http://")}
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write([]byte(`{"config_version":7,"instance":"e3","evacuations":{"zones":["b"]}}`))
+		is.NoErr(err)
+	}))
+	defer other.Close()
+	store := &fakeStore{otherDumpAddress: strings.TrimPrefix(other.URL, "http://"), dumpAddress: strings.TrimPrefix(instance.URL, "http://")}
 	run := func(args ...string) (int, string, string) {
 		var out, errOut bytes.Buffer
 		code := Run(append([]string{"--store", "10.0.0.1:80"}, args...), &out, &errOut, func(address string) Store {
@@ -61,10 +69,10 @@
 		return code, out.String(), errOut.String()
 	}
 	for command, wants := range map[string][]string{
-		"status":  {"version 7, 1 teams", "pay", "2      1         6"},
+		"status":  {"version 7, 1 teams", "evacuated  b", "pay", "2      1         6"},
 		"members": {"e1", "e2", store.dumpAddress},
 		"config":  {`"version": 7`, `"red"`},
-		"dump":    {`"instance": "e1"`, `"e2": "the instance serves no dump"`},
+		"dump":    {`"instance": "e1"`, `"e2": "the instance serves no dump"`, "evacuated b only at [e3]", "evacuated zones unknown only at [e1]"},
 	} {
 		code, out, errOut := run(command)
 		is.Equal(errOut, "")
