--- a/pkg/placement/evacuation_test.go
+++ b/pkg/placement/evacuation_test.go
@@ -54,14 +54,14 @@
 		return a
 	}
 	used := map[bool]map[string]int{true: {}, false: {}}
-	for step := range 12000 {
-		out := step >= 3000 && step < 9000
+	for step := range 20000 {
+		out := step >= 5000 && step < 15000
 		switch step {
-		case 3000:
-			zones.set("a")
 		case 5000:
-			f.setTargets(7) // a target that is new while the order is in force
+			zones.set("a")
 		case 9000:
+			f.setTargets(7) // a target that is new while the order is in force
+		case 15000:
 			zones.set()
 		}
 		var tried []string
