Wait for a listing before a cold target counts as warm

Causes: a target that was away at the end of its warm-up counted as warm 2 s later, before its entry lapsed; instances without a share tested a target at once when it was listed again; one that was cut off from the store took its old listing for good as soon as it heard others; standbys got listings from instances that did not tell of the cold targets in them.

--- a/pkg/fleet/cold_property_test.go
+++ b/pkg/fleet/cold_property_test.go
@@ -46,6 +46,8 @@
 	// cut reports whether two instances do not hear each other, separated whether there are any.
 	cut       func(a, b string) bool
 	separated bool
+	// passedOn are the listings in heartbeats, by their digests.
+	passedOn []*discovery.Catalogue
 	// later holds what happens at a time.
 	later []coldEvent
 }
@@ -182,16 +184,16 @@
 
 func (r relay) Fill(h *peerpb.Heartbeat, to fleet.Audience) {
 	if now := r.sim.clock.SinceBoot(); r.catalogue.ReadAt == r.readAt || !to.Serving() {
-		h.Listing = &peerpb.Listing{AgeMs: uint32((now - r.catalogue.ReadAt).Milliseconds())}
+		h.Listing = &peerpb.Listing{Digest: uint64(len(r.sim.passedOn)), AgeMs: uint32((now - r.catalogue.ReadAt).Milliseconds())}
+		r.sim.passedOn = append(r.sim.passedOn, r.catalogue)
 	}
 }
 
-func (r relay) Merge(from string, h *peerpb.Heartbeat) {
-	sender := r.sim.instances[slices.IndexFunc(r.sim.instances, func(m *coldInstance) bool { return m.self.Instance == from })]
-	if h.Listing == nil || sender.catalogue.ReadAt <= r.catalogue.ReadAt {
+func (r relay) Merge(_ string, h *peerpb.Heartbeat) {
+	if h.Listing == nil || r.sim.passedOn[h.Listing.Digest].ReadAt <= r.catalogue.ReadAt {
 		return
 	}
-	copied := *sender.catalogue
+	copied := *r.sim.passedOn[h.Listing.Digest]
 	copied.Version = r.catalogue.Version + 1
 	r.catalogue = &copied
 }
@@ -201,7 +203,8 @@
 func (n *coldInstance) isLister() bool {
 	before := 0
 	for _, m := range n.View().Peers {
-		if i := slices.IndexFunc(n.sim.instances, func(o *coldInstance) bool { return o.self.Instance == m.Instance }); m.Instance < n.self.Instance && !n.sim.instances[i].cutOff {
+		i := slices.IndexFunc(n.sim.instances, func(o *coldInstance) bool { return o.self.Instance == m.Instance })
+		if m.Instance < n.self.Instance && !n.sim.instances[i].cutOff {
 			before++
 		}
 	}
@@ -231,6 +234,9 @@
 			if now >= t.reportAt && t.up {
 				t.report(now)
 			}
+			if t.listed && now-t.reportAt > 2*reportEvery { // three reports are missing
+				t.listed = false
+			}
 		}
 		due := s.later
 		s.later = nil
@@ -249,7 +255,7 @@
 			if (now+phase)%(250*time.Millisecond) < coldStep {
 				n.Recheck()
 			}
-			if (now+phase)%(500*time.Millisecond) < coldStep {
+			if (now+phase)%(500*time.Millisecond) < coldStep || ((now+phase)%(125*time.Millisecond) < coldStep && now-n.catalogue.ReadAt >= relayMaxAge) {
 				s.list(n)
 			}
 			demand := s.demand
@@ -348,13 +354,13 @@
 		s.start(n)
 	case 5: // an instance loses the store, or has it again
 		s.instances[n].cutOff = !s.instances[n].cutOff
-	case 6: // a target restarts
+	case 6: // a target restarts; after less than a second, only the listing tells all of it
 		if !t.up {
 			return
 		}
 		t.up = false
-		s.after(time.Duration(500+s.rng.IntN(3000))*time.Millisecond, func() {
-			t.up = true
+		s.after(time.Duration(1000+s.rng.IntN(3000))*time.Millisecond, func() {
+			t.up, t.listed = true, true
 			t.entry.Started++
 			s.setCold(t, s.knownFrom())
 		})
@@ -368,7 +374,7 @@
 		}
 		t.up = false
 		s.after(time.Duration(1500+s.rng.IntN(3000))*time.Millisecond, func() {
-			t.up = true
+			t.up, t.listed = true, true
 			s.setCold(t, s.knownFrom())
 		})
 	case 9: // all targets of a zone are not listed for a while, and cold afterwards
--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -28,12 +28,12 @@
 	onTheWayTime = 400 * time.Millisecond
 	// minColdTestDelay is the shortest time after a failed connection in which an instance
 	// without a share tests whether it reaches the target again. The longest grows by
-	// coldTestStep with each serving instance, so that few send a test before the first one
-	// that succeeds has told the others.
+	// coldTestStep with each instance that may serve, so that all of them together send 2.5
+	// tests per second, also if they do not hear of each other's success.
 	minColdTestDelay = 2 * time.Second
-	coldTestStep     = 200 * time.Millisecond
-	// startSpan is the time since the start of the process after which other instances have
-	// told it of cold targets. staleListing is the age of the listing from which on an instance
+	coldTestStep     = 400 * time.Millisecond
+	// startSpan is the time since the start of the process, or since it has reached the store or
+	// others again, after which these have told it of cold targets. staleListing is the age of the listing from which on an instance
 	// that hears few others may be cut off: a listing is at most that old otherwise.
 	startSpan    = 1500 * time.Millisecond
 	staleListing = 2 * time.Second
@@ -44,10 +44,10 @@
 	rampTime = time.Second
 	rampCost = 1.0
 	// confirmWait is the time for which a target counts as cold after the end of its warm-up
-	// unless its listing says that it is warm. A target writes its entry at the end, and others
-	// learn of it within this time. Without it, one that has ended or restarted meanwhile
-	// would count as warm.
-	confirmWait = 2 * time.Second
+	// unless its listing says that it is warm. A target writes its entry each 1.5 s, and one that
+	// misses three reports is no longer listed. Without the wait, a target that is away at the
+	// end would count as warm when it is back.
+	confirmWait = 4500 * time.Millisecond
 	// brokenTogether is the time within which two requests that lose their connections tell that
 	// the target's process has ended: it ends all of them at once.
 	brokenTogether = 100 * time.Millisecond
@@ -106,7 +106,7 @@
 	// logged says that the log has the target as cold.
 	logged bool
 
-	// shares are this instance's shares of the rate, peers the number of serving instances.
+	// shares are this instance's shares of the rate, peers the number of instances that may serve.
 	shares coldShares
 	peers  int
 	// tokens is the number of requests that this instance may send, computed up to updatedAt
@@ -240,6 +240,8 @@
 	if c.PerSecond > 0 {
 		c.begin(reason, true, now+c.Warmup+confirmWait, now)
 		c.beganAt, c.confirmAt, c.reachedAgainAt = now, now, 0
+		// Tests of a target that was not listed are due at all instances at once.
+		c.testAt = max(c.testAt, now+c.testDelay())
 	}
 }
 
@@ -349,14 +351,17 @@
 		return
 	}
 	for _, t := range s.ordered {
-		t.cold.assign(divideColdRate(v, t.entry.Zone, t.entry.ID), len(v.Peers), now)
+		t.cold.assign(divideColdRate(v, t.entry.Zone, t.entry.ID), len(v.Peers)+len(v.Silent), now)
 	}
 }
 
 // observeKnowledge sets whether this instance cannot know which targets are cold: it has just
-// started, or it may be cut off from the store and from most others.
+// started, or it was cut off from the store and from most others until lately.
 func (s *service) observeKnowledge(listingReadAt, createdAt time.Duration, v *fleet.View, now time.Duration) {
-	unsure := now-createdAt < startSpan || (now-listingReadAt >= staleListing && len(v.Silent) >= len(v.Peers))
+	if now-listingReadAt >= staleListing && (len(v.Silent) >= len(v.Peers) || now < s.unsureUntil) {
+		s.unsureUntil = now + startSpan
+	}
+	unsure := now-createdAt < startSpan || now < s.unsureUntil
 	if unsure != s.unsure || s.unsureTargets != len(s.ordered) {
 		s.unsure, s.unsureTargets = unsure, len(s.ordered)
 		for _, t := range s.ordered {
--- a/pkg/placement/cold_exchange.go
+++ b/pkg/placement/cold_exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/discovery"
+	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
 
@@ -84,14 +85,15 @@
 }
 
 // fillCold adds the targets that this instance knows by itself to be cold, and those of which
-// it has read that they have become warm.
-func (b *Balancer) fillCold(h *peerpb.Heartbeat, now time.Duration) {
+// it has read that they have become warm. Standbys get their listing from any serving instance,
+// so that they are told what this one was told, too.
+func (b *Balancer) fillCold(h *peerpb.Heartbeat, to fleet.Audience, now time.Duration) {
 	var reported []*peerpb.ColdTarget
 	for _, s := range b.allServices() {
 		s.mu.Lock()
 		if s.coldRate.PerSecond > 0 {
 			for _, t := range s.ordered {
-				if m := t.cold.message(now); m != nil {
+				if m := t.cold.message(to == fleet.Standbys, now); m != nil {
 					m.Target, m.Started = t.entry.ID, t.entry.Started
 					reported = append(reported, m)
 				}
@@ -107,11 +109,12 @@
 }
 
 // message returns what heartbeats tell of the target, without its name; nil if they do not.
-func (c *coldLimit) message(now time.Duration) *peerpb.ColdTarget {
+// passOn says that they also tell what this instance was told.
+func (c *coldLimit) message(passOn bool, now time.Duration) *peerpb.ColdTarget {
 	switch {
 	case c.PerSecond > 0 && now < c.listedUntil && c.statedWarmAt < c.listedAt:
 		return &peerpb.ColdTarget{LeftMs: millis(c.listedUntil - now), AgeMs: millis(now - c.listedAt)}
-	case !c.own:
+	case !c.own && !passOn:
 		return nil
 	case c.unreachable:
 		return &peerpb.ColdTarget{LeftMs: millis(c.Warmup), AgeMs: millis(now - c.beganAt), Unreachable: true}
--- a/pkg/placement/cold_test.go
+++ b/pkg/placement/cold_test.go
@@ -109,7 +109,7 @@
 			f := newColdFixture(t, 4.5)
 			d.happen(f)
 			is.Equal(f.cold("a0"), d.cold)
-			f.clock.Advance(time.Second + confirmWait/2)
+			f.clock.Advance(confirmWait - time.Second)
 			is.Equal(f.cold("a0"), d.cold) // no listing has said that it is warm
 			f.clock.Advance(testWarmup + confirmWait)
 			is.True(!f.cold("a0") || f.service("s").targets["a0"].cold.unreachable)
@@ -159,7 +159,7 @@
 	f.state("a0", 1, time.Second)
 	h := tell()
 	is.True(other.cold("a0"))
-	is.Equal(other.service("s").targets["a0"].cold.message(other.clock.SinceBoot()) == nil, true) // not passed on
+	is.Equal(other.service("s").targets["a0"].cold.message(false, other.clock.SinceBoot()) == nil, true) // not passed on
 	f.clock.Advance(time.Second)
 	other.clock.Advance(time.Second)
 	f.state("a0", 2, 0)
@@ -273,7 +273,7 @@
 	for _, state := range f.Dump() {
 		if state.Target == a.Target() {
 			is.Equal(*state.ColdRate, 2.25)
-			is.Equal(*state.ColdMS, int64(4000)) // testWarmup and confirmWait, less a second
+			is.Equal(*state.ColdMS, (testWarmup + confirmWait - time.Second).Milliseconds())
 		}
 	}
 }
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -224,7 +224,7 @@
 // instances.
 func (b *Balancer) Fill(h *peerpb.Heartbeat, to fleet.Audience) {
 	now, lost := b.clock.SinceBoot(), b.pathsLost()
-	b.fillCold(h, now)
+	b.fillCold(h, to, now)
 	if !to.Serving() {
 		return
 	}
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -114,6 +114,8 @@
 	// unsureTargets targets.
 	unsure        bool
 	unsureTargets int
+	// unsureUntil is the time since boot up to which that holds after this instance was cut off.
+	unsureUntil time.Duration
 	// sizes are the sizes of responses by route.
 	sizes responseSizes
 	// candidates is choose's buffer, kept to avoid an allocation per request.
