--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -171,10 +171,11 @@
 func (i *Instance) step() {
 	i.freshness.observe()
 	services := i.follower.View().Config.Config.Services
-	rates := make(map[string]placement.ColdRate, len(services))
+	rates := map[string]placement.ColdRate{}
 	for name, s := range services {
-		warmup, perSecond := s.ColdRate()
-		rates[name] = placement.ColdRate{Warmup: warmup, PerSecond: perSecond}
+		if warmup, perSecond := s.ColdRate(); perSecond > 0 {
+			rates[name] = placement.ColdRate{Warmup: warmup, PerSecond: perSecond}
+		}
 	}
 	i.balancer.StepCold(rates)
 }
--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -123,7 +123,7 @@
 func (c *coldLimit) configure(rate ColdRate) {
 	switch {
 	case rate.PerSecond == 0:
-		*c = coldLimit{logged: c.logged, unsure: c.unsure}
+		*c = coldLimit{unsure: c.unsure}
 	case c.ColdRate != rate:
 		c.ColdRate = rate
 	}
@@ -407,9 +407,9 @@
 		}
 		if s.coldRate.PerSecond > 0 {
 			b.update(s, now)
-		}
-		for _, t := range s.ordered {
-			b.logCold(s, t, now)
+			for _, t := range s.ordered {
+				b.logCold(s, t, now)
+			}
 		}
 		s.mu.Unlock()
 	}
--- a/pkg/placement/cold_exchange.go
+++ b/pkg/placement/cold_exchange.go
@@ -63,15 +63,18 @@
 // the warm-up of targets. The catalogue must have been updated with it.
 func (b *Balancer) ObserveListing(listed discovery.Listed, requestedAt, readAt time.Duration) {
 	times := b.listings.observe(listed, requestedAt, readAt)
+	byService := map[string][]discovery.Target{}
+	for _, t := range listed.Targets {
+		byService[t.Service] = append(byService[t.Service], t)
+	}
 	learned := false
 	for _, s := range b.allServices() {
 		s.mu.Lock()
 		if s.coldRate.PerSecond > 0 {
 			now := b.clock.SinceBoot()
 			b.update(s, now)
-			for i := range listed.Targets {
-				l := &listed.Targets[i]
-				if t := s.targets[l.ID]; l.Service == s.name && t != nil && t.entry.Started == l.Started && t.entry.Address == l.Address {
+			for _, l := range byService[s.name] {
+				if t := s.targets[l.ID]; t != nil && runOf(t.entry) == (targetRun{l.ID, l.Address, l.Started}) {
 					e := times[l.ID]
 					learned = t.cold.stated(listingStatement{l.WarmupLeft, e.writtenSince, e.readAt}, now) || learned
 				}
