Hedge idempotent requests of arbutus-edge within a limit

The fixed HedgeDelay, which no program set, is replaced by a port: the hedger says when a hedge is due, finds its target without delaying the response to the first attempt, and learns how the race ended. The balancer of arbutus-edge implements it. A hedge goes to a trusted target with a free slot, in another zone if the zone of the first attempt is slow, and is paid for by the operators' limit and then by the retry budget, of which it leaves one retry. A hedge that fails leaves the request as it was, with its retry. A first attempt that is cancelled for a hedge makes its target look slow, not failing: one request in fifty is slow by chance.

Off until limits are set.

--- a/pkg/config/config.go
+++ b/pkg/config/config.go
@@ -116,6 +116,8 @@
 	// MaxAttempts is the maximum number of connections that an idempotent
 	// request is written to.
 	MaxAttempts int `json:"max_attempts"`
+	// HedgePercent limits hedges, in percent of the route's requests; 0 means none.
+	HedgePercent float64 `json:"hedge_percent,omitempty"`
 	// MaxRedirects is the maximum number of further targets for a non-idempotent
 	// request, which is sent to another target only after the previous one proved
 	// that it did not run the request.
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -24,6 +24,7 @@
 	maxProbeIntervalMS = 60_000
 	maxAttemptsLimit   = 10
 	maxPriority        = 1000
+	maxHedgePercent    = 20 // hedge.MaxPercent
 )
 
 var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
@@ -192,6 +193,8 @@
 	v.check(r.TimeoutMS >= 1 && r.TimeoutMS <= maxTimeoutMS, path, ".timeout_ms", r.TimeoutMS, "1 to 600000")
 	v.check(r.MaxAttempts >= 1 && r.MaxAttempts <= maxAttemptsLimit, path, ".max_attempts", r.MaxAttempts, "1 to 10")
 	v.check(r.Idempotent || r.MaxAttempts == 1, path, ".max_attempts", r.MaxAttempts, "1 on a route that is not idempotent")
+	v.check(r.HedgePercent >= 0 && r.HedgePercent <= maxHedgePercent, path, ".hedge_percent", r.HedgePercent, "0 to 20")
+	v.check(r.HedgePercent == 0 || r.Idempotent, path, ".hedge_percent", r.HedgePercent, "0 on a route that is not idempotent")
 	v.check(r.Priority >= 0 && r.Priority <= maxPriority, path, ".priority", r.Priority, "0 to 1000")
 	v.check(r.ObjectiveMS >= 0 && r.ObjectiveMS <= maxTimeoutMS, path, ".objective_ms", r.ObjectiveMS, "0 to 600000")
 	v.check(r.MaxRedirects >= 0 && r.MaxRedirects < maxAttemptsLimit && (r.MaxRedirects == 0 || !r.Idempotent),
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -14,6 +15,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/discovery"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/hedge"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
@@ -72,6 +74,8 @@
 	log     *zerolog.Logger
 	// rate is the request rate over all services.
 	rate rate
+	// hedgeLimits are the operators' limits on hedges; nil means none are sent.
+	hedgeLimits atomic.Pointer[hedge.Limits]
 
 	// mu guards services, which holds them by name.
 	mu       sync.Mutex
@@ -109,6 +113,7 @@
 	if len(tried) == 0 {
 		s.retryBudget.earn(began)
 		s.recordArrival(r.Idempotent, r.Objective, began)
+		b.countForHedges(s, r)
 		b.rate.add(began)
 	}
 	waitUntil := min(began+time.Duration(maxWaitRatio*float64(r.Objective)), r.Deadline-s.typicalLatency)
@@ -127,6 +132,7 @@
 				return nil, b.refuse(refusal.NoTarget, s, tried, now-began, retryAfter)
 			}
 		}
+		s.recordShortage(now)
 		if forced := s.forcedWait(tried, s.queue.ahead(w, r.Priority), now); forced.exceeds(waitUntil, now) {
 			s.dequeue(w)
 			return nil, b.refuse(forced.kind, s, tried, now-began, forced.retryAfter)
@@ -198,7 +204,12 @@
 	s := b.service(r.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.retryBudget.spend(b.clock.SinceBoot())
+	now := b.clock.SinceBoot()
+	granted := s.retryBudget.spend(now)
+	if !granted {
+		s.recordShortage(now)
+	}
+	return granted
 }
 
 // retryDelayFactor times the typical latency is how long an idempotent request
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/hedge"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 )
 
@@ -95,6 +96,8 @@
 	// queue holds the requests that wait for a target with free capacity.
 	queue       waitQueue
 	retryBudget retryBudget
+	// hedges decides on hedges; nil as long as none were permitted.
+	hedges *hedge.Decider
 	// outcomes counts the recent requests and failures.
 	outcomes outcomes
 	// arrivals is the rate of requests, suspectCredit the number of requests that
--- a/pkg/proxy/admit.go
+++ b/pkg/proxy/admit.go
@@ -151,6 +151,7 @@
 	teamConfig := snapshot.Config.Teams[team]
 	c.request = Request{
 		ID: c.requestID, Team: team, Batch: teamConfig.Batch, Route: match.ID, Service: c.request.Service,
+		PathPrefix: match.Route.PathPrefix, HedgePercent: match.Route.HedgePercent,
 		Idempotent: match.Route.Idempotent, Priority: match.Route.Priority, Objective: match.Route.Objective(),
 		Deadline: c.request.Deadline,
 	}
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -127,24 +127,30 @@
 // awaitResponse waits for the first byte of the response. fasthttp does not report
 // that a caller has disconnected, so the caller's connection is checked every
 // PollInterval; a response within the first interval costs no extra system call.
-// It also starts the hedge, and at the time for a retry a second attempt beside this one: a
+// It also starts a hedge, and at the time for a retry a second attempt beside this one: a
 // request may take long because of its own size, and would take as long elsewhere. If there
 // is no target that can take a second attempt at once, it fails with AttemptTimeoutError.
 func (x *exchange) awaitResponse() error {
+	err := x.awaitFirstByte()
+	x.releaseHedge()
+	return err
+}
+
+// awaitFirstByte is awaitResponse without the release of a hedge's target that came too late.
+func (x *exchange) awaitFirstByte() error {
 	now := time.Now()
-	// TakeRetry is called at most once for a hedge and once for a retry. The
-	// retry comes when the time left, divided equally among this attempt and the
+	// TakeRetry is called at most once. The retry comes when the time left, divided equally among this attempt and the
 	// remaining ones, or the balancer's timeout has passed.
 	retryAt, hedgeAt := now.Add(x.ioDeadline.Sub(now)/time.Duration(max(1, x.maxAttempts-x.writeCount+1))), x.ioDeadline
 	if p, ok := x.attempt.(AttemptWithRetryDelay); ok && p.RetryDelay() > 0 {
 		retryAt = earliest(now.Add(p.RetryDelay()), retryAt)
 	}
 	mayStartAttempt := x.writeCount < x.maxAttempts
-	if mayStartAttempt && x.p.options.HedgeDelay > 0 {
-		hedgeAt = now.Add(x.p.options.HedgeDelay)
+	if delay := x.hedgeDelay(); mayStartAttempt && delay > 0 {
+		hedgeAt = now.Add(delay)
 	}
 	for {
-		if err := x.conn.SetReadDeadline(earliest(now.Add(x.p.options.PollInterval), hedgeAt, x.retryWaitEnd(mayStartAttempt, retryAt), x.ioDeadline)); err != nil {
+		if err := x.conn.SetReadDeadline(earliest(now.Add(x.pollInterval()), hedgeAt, x.retryWaitEnd(mayStartAttempt, retryAt), x.ioDeadline)); err != nil {
 			return newExchangeError(AwaitingResponse, err)
 		}
 		_, err := x.conn.reader.Peek(1)
@@ -162,9 +168,13 @@
 		}
 		if mayStartAttempt && !now.Before(hedgeAt) {
 			hedgeAt = x.ioDeadline
-			if second := x.hedge(now); second != nil {
-				return x.race(second)
+			x.askForHedge()
+		}
+		if second := x.startHedge(now); second != nil {
+			if err := x.race(second); !errors.Is(err, errHedgeFailed) {
+				return err
 			}
+			now = time.Now()
 			mayStartAttempt = x.writeCount < x.maxAttempts
 		}
 		if mayStartAttempt && !now.Before(retryAt) {
--- a/pkg/proxy/fixture_test.go
+++ b/pkg/proxy/fixture_test.go
@@ -96,6 +96,8 @@
 	mu        sync.Mutex
 	results   []Result
 	load      Load
+	// hedges is the Hedger of tests with hedges.
+	hedges testHedger
 }
 
 func (r *testProxy) View() *control.View                { return r.view.Load() }
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -164,6 +164,12 @@
 	retryGranted bool
 	// isRetry says that this attempt runs beside an earlier one that took too long.
 	isRetry bool
+	// isFirst says that this is the first attempt that wrote to a target. hedgeAfter is the
+	// age that it had reached when this attempt, a hedge, was sent; 0 for others.
+	isFirst    bool
+	hedgeAfter time.Duration
+	// pendingHedge delivers the target of a hedge; nil if none was asked for.
+	pendingHedge <-chan Attempt
 	// mayHaveRunBefore is the value of call.mayHaveRun before this exchange wrote.
 	mayHaveRunBefore bool
 	// suspicion is what was known of the request before the write. loss is the check of
@@ -197,7 +203,7 @@
 // connection can be used again; otherwise it closes it. A large response is not
 // complete yet; responseStream ends its exchange.
 func (x *exchange) run() error {
-	x.beganAt = x.p.Clock.SinceBoot()
+	x.beganAt, x.isFirst = x.p.Clock.SinceBoot(), x.writeCount == 0
 	err := x.write()
 	if err == nil {
 		err = x.read()
@@ -339,6 +345,10 @@
 	latency := x.p.Clock.SinceBoot() - x.beganAt
 	x.attempt.Done(result, latency, x.responseInfo.Load)
 	x.recordAttempt(x.attempt, result, latency, x.conn.via())
+	x.attemptRecords[len(x.attemptRecords)-1].HedgeAfter = x.hedgeAfter
+	if result == Answered {
+		x.observeForHedges(latency)
+	}
 	if x.p.Reporter != nil {
 		x.p.Reporter.Report(x.request.Service, result, latency)
 	}
--- a/pkg/proxy/forward_test.go
+++ b/pkg/proxy/forward_test.go
@@ -236,7 +236,8 @@
 		return respond("HTTP/1.1 200 OK\nContent-Length: "+strconv.Itoa(len(id))+"\n\n"+id+surplus)(c, r, n)
 	})
 	address := tg.ln.Addr().String()
-	r := newTestProxy(t, Options{HedgeDelay: delay}, address, address)
+	r := newTestProxy(t, Options{}, address, address)
+	r.hedgeAfter(delay)
 	r.publish(func(c *config.Config) {
 		c.Routes = map[string]config.Route{"put": {PathPrefix: "/put", OpenToAll: true, TimeoutMS: 100, Idempotent: true, MaxAttempts: 2}}
 	})
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -1,42 +1,134 @@
 package proxy
 
 import (
+	"net"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 )
 
-// hedge writes the request to a second target and returns that exchange. It
-// returns nil if the retry budget, the time left or the lack of a usable target
-// prevents it; the first attempt then continues alone.
-func (x *exchange) hedge(now time.Time) *exchange {
-	if !x.hasTimeForRetry() || x.suspicion.Crashes > 0 || !x.p.Balancer.TakeRetry(x.request) {
+const (
+	// hedgeConnectTimeout bounds connecting for a hedge, during which a response of the first
+	// attempt has to wait. Connecting takes 1 ms.
+	hedgeConnectTimeout = 25 * time.Millisecond
+	// hedgePollInterval is the time between checks whether a hedge has got its target, from
+	// balancers that may make it wait.
+	hedgePollInterval = 5 * time.Millisecond
+)
+
+// errHedgeFailed reports that a hedge ended without a response that can be used, and that the
+// first attempt goes on.
+var errHedgeFailed = errors.New("the hedge failed")
+
+// hedgeDelay returns the age of this attempt at which a hedge is due, or 0. Only the first
+// attempt is hedged, and no request that is suspected of crashing targets.
+func (x *exchange) hedgeDelay() time.Duration {
+	if x.p.Hedger == nil || !x.request.Idempotent || !x.isFirst || x.suspicion.Crashes > 0 {
+		return 0
+	}
+	return x.p.Hedger.HedgeDelay(x.request, time.Until(x.ioDeadline))
+}
+
+// askForHedge asks for the target of a hedge.
+func (x *exchange) askForHedge() {
+	if x.hasTimeForRetry() {
+		// The Hedger may still use the list when this request has gone on to other targets.
+		x.pendingHedge = x.p.Hedger.StartHedge(x.request, slices.Clone(x.triedTargets), x.p.Clock.SinceBoot()-x.beganAt, time.Until(x.ioDeadline))
+	}
+}
+
+// pollInterval is the longest wait for the first attempt's response until something else is
+// checked.
+func (x *exchange) pollInterval() time.Duration {
+	if x.pendingHedge != nil {
+		return min(hedgePollInterval, x.p.options.PollInterval)
+	}
+	return x.p.options.PollInterval
+}
+
+// startHedge writes the request to the target of a hedge if one has been got. It returns nil
+// if not, or if that fails; the first attempt then continues alone.
+func (x *exchange) startHedge(now time.Time) *exchange {
+	if x.pendingHedge == nil {
 		return nil
 	}
-	attempt, err := x.p.Balancer.Acquire(x.request, x.triedTargets)
-	if err != nil {
+	var attempt Attempt
+	select {
+	case attempt = <-x.pendingHedge:
+	default:
+		return nil
+	}
+	x.pendingHedge = nil
+	if attempt == nil {
 		return nil
 	}
-	return x.startSecond(attempt, false, now)
+	if x.writeCount >= x.maxAttempts || slices.Contains(x.triedTargets, attempt.Target()) {
+		attempt.Done(Canceled, 0, Load{})
+		return nil
+	}
+	second := x.startSecond(attempt, false, now)
+	if second == nil {
+		x.p.Hedger.HedgeEnded(x.request, false, 0)
+	}
+	return second
+}
+
+// releaseHedge ends the attempt of a hedge whose target comes after the end of the wait.
+func (x *exchange) releaseHedge() {
+	pending := x.pendingHedge
+	if pending == nil {
+		return
+	}
+	x.pendingHedge = nil
+	go func() {
+		if attempt := <-pending; attempt != nil {
+			attempt.Done(Canceled, 0, Load{})
+		}
+	}()
+}
+
+// observeForHedges reports the latency of a first attempt, which is that of this one or of the
+// one that was canceled for it.
+func (x *exchange) observeForHedges(latency time.Duration) {
+	if x.p.Hedger == nil || !x.request.Idempotent {
+		return
+	}
+	switch {
+	case x.canceledFirstAge > 0:
+		x.p.Hedger.ObserveFirst(x.request, x.canceledFirstAge, x.bodyBytes, true)
+	case x.isFirst:
+		x.p.Hedger.ObserveFirst(x.request, latency, x.bodyBytes, false)
+	}
 }
 
 // startSecond writes the request to the target of a second attempt, a retry or a hedge. It
 // returns nil, and the first attempt continues alone, if that fails.
 func (x *exchange) startSecond(attempt Attempt, isRetry bool, now time.Time) *exchange {
 	x.triedTargets = append(x.triedTargets, attempt.Target())
-	// The first response may arrive meanwhile, so connecting is limited to PollInterval.
-	conn, err := x.p.pool.get(attempt.Address(), 0, earliest(now.Add(x.p.options.PollInterval), x.ioDeadline))
+	// The first response may arrive meanwhile, so the time for connecting is short.
+	connectTime, hedgeAfter := x.p.options.PollInterval, time.Duration(0)
+	if !isRetry {
+		connectTime, hedgeAfter = min(connectTime, hedgeConnectTimeout), x.p.Clock.SinceBoot()-x.beganAt
+	}
+	conn, err := x.p.pool.get(attempt.Address(), 0, earliest(now.Add(connectTime), x.ioDeadline))
 	if err != nil {
-		attempt.Done(NotSent, 0, Load{})
-		x.recordAttempt(attempt, NotSent, time.Since(now), "")
+		result := NotSent
+		if !isRetry && isTimeout(err) {
+			result = Canceled // hedgeConnectTimeout is too short to be evidence against the target
+		}
+		attempt.Done(result, 0, Load{})
+		x.recordAttempt(attempt, result, time.Since(now), "")
+		x.attemptRecords[len(x.attemptRecords)-1].HedgeAfter = hedgeAfter
 		return nil
 	}
-	if err := x.recheckAdmission(); err != nil {
+	if err := x.recheckAdmission(); err != nil || (!isRetry && x.call.suspicion.Crashes > 0) {
 		x.releaseUnwritten(conn, attempt)
 		return nil
 	}
-	second := &exchange{call: x.call, conn: conn, attempt: attempt, beganAt: x.p.Clock.SinceBoot(), suspicion: x.call.suspicion, isRetry: isRetry}
+	second := &exchange{call: x.call, conn: conn, attempt: attempt, beganAt: x.p.Clock.SinceBoot(), suspicion: x.call.suspicion, isRetry: isRetry, hedgeAfter: hedgeAfter}
 	if err := second.write(); err != nil {
 		second.abort(err)
 		return nil
@@ -44,6 +136,12 @@
 	return second
 }
 
+// isTimeout reports whether an operation took too long.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // abort closes the connection of an exchange whose response will not be used,
 // and reports its result.
 func (x *exchange) abort(err error) {
@@ -63,13 +161,9 @@
 // statusLineBytes is the length of a status line up to the end of the status.
 const statusLineBytes = len("HTTP/1.1 200")
 
-// awaitStatus waits for the status of the response.
+// awaitStatus waits for the status of the response up to the deadline of the connection.
 func (x *exchange) awaitStatus() raceResult {
-	err := x.conn.SetReadDeadline(x.ioDeadline)
-	if err == nil {
-		_, err = x.conn.reader.Peek(1)
-	}
-	if err != nil {
+	if _, err := x.conn.reader.Peek(1); err != nil {
 		return raceResult{x, 0, err}
 	}
 	line, err := x.conn.reader.Peek(statusLineBytes)
@@ -93,7 +187,9 @@
 	first := *x
 	events := make(chan raceResult, 2)
 	for _, contender := range []*exchange{&first, second} {
-		// The goroutine ends at the deadline or when the connection is closed.
+		// The goroutine ends at the deadline or when the connection is closed. stopWaiting changes
+		// the deadline, so the goroutine must not set it.
+		_ = contender.conn.SetReadDeadline(x.ioDeadline)
 		go func() { events <- contender.awaitStatus() }()
 	}
 	ticker := time.NewTicker(x.p.options.PollInterval)
@@ -107,6 +203,13 @@
 			pending--
 			if callerGone {
 				e.err = &CallerGoneError{}
+			} else if e.x == second && second.hedgeAfter > 0 && pending == 1 && (e.err != nil || e.mayBeBeaten()) {
+				e.end()
+				x.endHedge(second, false, second)
+				if e = first.stopWaiting(events); isTimeout(e.err) && time.Now().Before(x.ioDeadline) {
+					return errHedgeFailed
+				}
+				return e.asExchangeError()
 			}
 			if pending == 1 && e.err == nil && e.mayBeBeaten() {
 				held = &e
@@ -127,11 +230,21 @@
 				held.x.abandonRejected()
 			}
 			x.conn, x.attempt, x.beganAt, x.suspicion = e.x.conn, e.x.attempt, e.x.beganAt, e.x.suspicion
+			x.isFirst, x.hedgeAfter = e.x.isFirst, e.x.hedgeAfter
 			if e.err == nil && pending == 1 {
 				_ = other.conn.Close()
 				<-events
+				x.endHedge(second, e.x == second, other)
+				other.observeLost(e.x)
 				other.abort(other.lostTo(e.x))
 			}
+			if pending == 0 {
+				unused := second
+				if e.x == second {
+					unused = &first
+				}
+				x.endHedge(second, e.err == nil && e.x == second, unused)
+			}
 			if e.err == nil || pending == 0 {
 				return e.asExchangeError()
 			}
@@ -146,6 +259,42 @@
 	}
 }
 
+// end ends the exchange of a response that is not passed on.
+func (e raceResult) end() {
+	if e.err != nil {
+		e.x.abort(e.asExchangeError())
+		return
+	}
+	e.x.abandonRejected()
+}
+
+// stopWaiting ends the wait for the status of the response. The result may have come before.
+func (x *exchange) stopWaiting(events <-chan raceResult) raceResult {
+	_ = x.conn.SetReadDeadline(time.Now())
+	return <-events
+}
+
+// endHedge reports the end of a hedge, if second is one. unused is the attempt whose response
+// is not used.
+func (x *exchange) endHedge(second *exchange, won bool, unused *exchange) {
+	if second.hedgeAfter > 0 {
+		x.p.Hedger.HedgeEnded(x.request, won, x.p.Clock.SinceBoot()-unused.beganAt)
+	}
+}
+
+// observeLost records how long the attempt had taken when another one responded. If that was
+// a hedge, which is sent earlier than a retry, this tells how slow the target is, but is no
+// failure.
+func (x *exchange) observeLost(winner *exchange) {
+	age := x.p.Clock.SinceBoot() - x.beganAt
+	if x.isFirst {
+		x.canceledFirstAge = age
+	}
+	if a, ok := x.attempt.(AttemptWithAge); ok && winner.hedgeAfter > 0 {
+		a.ObserveSlow(age)
+	}
+}
+
 // lostTo returns why an exchange ends whose request another target answered first. If that
 // was a retry and took less than half as long, this is evidence that the first target is slow.
 func (x *exchange) lostTo(winner *exchange) error {
--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -27,9 +27,13 @@
 	Batch string
 	// Route is the id of the matched route, Service the group of targets chosen
 	// for it.
-	Route      string
-	Service    string
-	Idempotent bool
+	Route   string
+	Service string
+	// PathPrefix is the prefix of the paths that the route matches. HedgePercent is the
+	// operators' limit on hedges in the route's configuration, in percent of its requests.
+	PathPrefix   string
+	HedgePercent float64
+	Idempotent   bool
 	// Priority ranks requests when targets are full; 0 is the highest.
 	Priority int
 	// Objective is the latency objective of the route: a response that takes no
@@ -154,6 +158,33 @@
 	AcquireNow(r Request, tried []string) Attempt
 }
 
+// Hedger decides whether and when an idempotent request is also sent to a second target
+// while the first one has not responded (a hedge). Its methods do not wait.
+type Hedger interface {
+	// HedgeDelay returns the age of a first attempt at which a hedge is due, or 0 if none
+	// is. left is the time up to the deadline.
+	HedgeDelay(r Request, left time.Duration) time.Duration
+	// StartHedge asks for the target of a hedge that is due, of a request whose first
+	// attempt has reached an age. It returns nil if none may be sent. Otherwise the channel
+	// delivers one attempt, or nil if there is no target. The caller must end the attempt.
+	StartHedge(r Request, tried []string, age, left time.Duration) <-chan Attempt
+	// ObserveFirst reports the time that the first attempt of an idempotent request took,
+	// or after which it was canceled because another attempt had responded, and the size
+	// of the response's body.
+	ObserveFirst(r Request, latency time.Duration, bytes int64, canceled bool)
+	// HedgeEnded reports whether a hedge responded first, and for how long the attempt took
+	// a slot whose response was not used.
+	HedgeEnded(r Request, won bool, wasted time.Duration)
+}
+
+// AttemptWithAge is implemented by attempts whose balancer observes how slow targets are.
+type AttemptWithAge interface {
+	Attempt
+	// ObserveSlow reports before Done that a hedge responded first when this attempt had
+	// reached an age.
+	ObserveSlow(age time.Duration)
+}
+
 // AttemptWithReason is implemented by attempts whose balancer can say why it
 // chose the target.
 type AttemptWithReason interface {
@@ -172,6 +203,9 @@
 	// Via is the name of the instance through which the connection led; empty for a direct
 	// one.
 	Via string
+	// HedgeAfter is the age that the first attempt had reached when this one, a hedge, was
+	// sent; 0 for others.
+	HedgeAfter time.Duration
 }
 
 // Record describes how one request ended, for logs and metrics.
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -37,7 +37,9 @@
 	Limiter      Limiter
 	Queue        Queue
 	Balancer     Balancer
-	Claims       Claims
+	// Hedger may be nil; then there are no hedges.
+	Hedger Hedger
+	Claims Claims
 	// Reporter may be nil.
 	Reporter Reporter
 	// Recorder may be nil.
@@ -67,10 +69,6 @@
 	// non-idempotent request may reuse. With the default of zero each opens a new
 	// connection: docs/decisions/at-most-once.md gives the reason.
 	NonIdempotentMaxIdle time.Duration
-	// HedgeDelay is the time without a byte of a response after which an
-	// idempotent request is also sent to a second target, if the retry budget of
-	// its route permits. The default of zero turns hedging off.
-	HedgeDelay time.Duration
 	// IdleTimeout closes idle connections to targets; default 5 s.
 	IdleTimeout time.Duration
 	// MaxIdlePerTarget bounds the idle connections to one target; default 8,
@@ -187,8 +185,11 @@
 	// current is the attempt in progress.
 	current Attempt
 	// nextAttempt is the target that a retry got before the previous attempt ended.
-	nextAttempt       Attempt
-	writeCount        int
+	nextAttempt Attempt
+	writeCount  int
+	// canceledFirstAge is the age that the first attempt had reached when it was canceled
+	// because another one had responded; 0 otherwise.
+	canceledFirstAge  time.Duration
 	provenNotRunCount int
 	// refusalCode and refusalCause describe the refusal that the caller got.
 	refusalCode  refusal.Code
--- a/pkg/proxy/retry_test.go
+++ b/pkg/proxy/retry_test.go
@@ -71,7 +71,8 @@
 		is := is.New(t)
 		var fault atomic.Bool
 		a, b := newStallingTarget(t, &fault), newStallingTarget(t, &fault)
-		r := newTestProxy(t, Options{HedgeDelay: delay}, a, b)
+		r := newTestProxy(t, Options{}, a, b)
+		r.hedgeAfter(delay)
 		for range 2 {
 			is.Equal(r.countRefused(t, "/get"), int64(0))
 			r.targets = []string{b, a}
@@ -87,7 +88,8 @@
 func TestHedge(t *testing.T) {
 	is := is.New(t)
 	slow, fast := newTarget(t, failures["silent"].answer), newTarget(t, respond(okText))
-	r := newTestProxy(t, Options{HedgeDelay: 20 * time.Millisecond}, slow.ln.Addr().String(), fast.ln.Addr().String())
+	r := newTestProxy(t, Options{}, slow.ln.Addr().String(), fast.ln.Addr().String())
+	r.hedgeAfter(20 * time.Millisecond)
 	began := time.Now()
 	_, body := r.dial(t).send("POST", "/get", "", r.keyLine())
 	is.Equal(body, "ok")
