Set limits on hedges in the settings of arbutus-edge

hedge_percent and hedge_routes are read at the start, on SIGHUP and, checked once a second, when the file changes: operators change the limit while the fleet runs, and a platform renders the file anew without a signal. A change is event 609. Counts of hedges are metrics and part of the dump; a hedge is marked in the trail of event 602, and arbutusctl explain no longer places it after the first attempt.

Default 0: nothing is recorded or sent.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"sync/atomic"
 	"time"
@@ -145,16 +146,27 @@
 	})
 	i.proxy = proxy.New(proxy.Ports{
 		Viewer: i.follower, ServeChecker: i.freshness, Clock: i.clock, Limiter: i.limiter, Queue: noQueue{},
-		Balancer: i.balancer, Recorder: i.recorder, Quarantine: i.suspects, Log: o.Log,
+		Balancer: i.balancer, Hedger: i.balancer, Recorder: i.recorder, Quarantine: i.suspects, Log: o.Log,
 	}, proxy.Options{
 		Dialect: o.Dialect, DialTarget: i.paths.Dial, NonIdempotentMaxIdle: maxReuseIdle, IdleTimeout: targetIdleTimeout,
 		PollInterval: pollInterval, CallerIdleTimeout: callerIdleTimeout, MaxRequestBody: maxBodyBytes,
 		BodyBudget: settings.BodyBudget(o.Memory),
 	})
 	i.balancer.OnUnused = i.proxy.CloseIdle
+	i.balancer.SetHedgeLimits(s.HedgeLimits())
 	return i
 }
 
+// apply applies the settings that can change while the process runs.
+func (i *Instance) apply(s *settings.Edge) {
+	setLevel(s)
+	limits := s.HedgeLimits()
+	if current := i.balancer.HedgeLimits(); current.Percent != limits.Percent || !maps.Equal(current.Routes, limits.Routes) {
+		i.balancer.SetHedgeLimits(limits)
+		event.HedgeLimitsChanged.Log(i.Log).Float64("hedge_percent", limits.Percent).Any("hedge_routes", limits.Routes).Send()
+	}
+}
+
 // fleetViewer gives the balancer the view of a fleet that is built after it. It
 // breaks the cycle between the balancer, which needs the serving instances, and the
 // fleet, which needs the balancer's request rate.
--- a/pkg/edge/main.go
+++ b/pkg/edge/main.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
@@ -13,7 +12,6 @@
 
 	"github.com/arbutuslink/arbutuslink/pkg/bytebudget"
 	"github.com/arbutuslink/arbutuslink/pkg/daemon"
-	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/hangup"
 	"github.com/arbutuslink/arbutuslink/pkg/settings"
 )
@@ -23,7 +21,8 @@
 Example:
   arbutus-edge --settings /etc/arbutuslink/boot.toml
 
-SIGTERM and SIGINT start a graceful shutdown, SIGHUP reads the log level again. docs/edge-settings.md lists the settings.`
+SIGTERM and SIGINT start a graceful shutdown, SIGHUP reads the log level and the limits on hedges
+again, as does a change of the file. docs/edge-settings.md lists the settings.`
 
 // Builder returns the parts of an instance that depend on the platform.
 type Builder func(s *settings.Edge, log *zerolog.Logger) Options
@@ -46,7 +45,6 @@
 	setLevel(s)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reload(ctx, hangup.Received(), file, &log)
 	machine, err := bytebudget.MachineMemory()
 	if err != nil {
 		log.Error().Err(err).Msg("the machine's memory is unknown")
@@ -55,7 +53,11 @@
 	options := build(s, &log)
 	options.Memory = s.Memory(machine)
 	debug.SetMemoryLimit(settings.SoftMemoryLimit(options.Memory))
-	if err := New(options).Run(ctx); err != nil {
+	instance := New(options)
+	reloader := &reloader{file: file, apply: instance.apply, clock: instance.clock, log: &log}
+	reloader.seen, _ = stampOf(file)
+	go reloader.run(ctx, hangup.Received())
+	if err := instance.Run(ctx); err != nil {
 		log.Error().Err(err).Msg("the instance failed")
 		return daemon.ExitFailed
 	}
@@ -70,22 +72,3 @@
 	}
 	zerolog.SetGlobalLevel(level)
 }
-
-// reload reads the settings file again on each signal. Only the log level changes
-// while the process runs; other settings take effect at the next start.
-func reload(ctx context.Context, signals <-chan os.Signal, file string, log *zerolog.Logger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-signals:
-		}
-		s, err := settings.LoadEdge(file)
-		if err != nil {
-			event.SettingsRejected.Log(log).Err(err).Send()
-			continue
-		}
-		setLevel(s)
-		event.SettingsReloaded.Log(log).Str("log_level", s.LogLevel).Send()
-	}
-}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -46,6 +46,10 @@
 	// may.
 	Quarantine      []quarantine.State `json:"quarantine"`
 	SuspectRequests int                `json:"suspect_requests"`
+	// HedgePercent and HedgeRoutes are the limits on hedges, Hedges the state by service.
+	HedgePercent float64                `json:"hedge_percent"`
+	HedgeRoutes  map[string]float64     `json:"hedge_routes"`
+	Hedges       []placement.HedgeState `json:"hedges"`
 }
 
 func (i *Instance) dump() *dump {
@@ -56,6 +60,8 @@
 		Fleet:        i.fleet.View(), Teams: map[string]float64{}, Targets: i.balancer.Dump(), BodyBudget: i.proxy.Budget(),
 	}
 	d.Quarantine, d.SuspectRequests = i.suspects.Dump()
+	limits := i.balancer.HedgeLimits()
+	d.HedgePercent, d.HedgeRoutes, d.Hedges = limits.Percent, limits.Routes, i.balancer.Hedges()
 	d.PathsLost, d.DetoursCarried = i.paths.Lost(), i.detours.Open()
 	for team := range i.follower.View().Config.Config.Teams {
 		d.Teams[team] = i.limiter.Level(team)
@@ -105,12 +111,26 @@
 		for reason, targets := range i.balancer.Obstacles() {
 			scope.Tagged(map[string]string{tagReason: reason}).Gauge(metricTargetsWithheld).Update(float64(targets))
 		}
+		reportHedges(scope, i.balancer.Hedges())
 		if i.clock.Sleep(ctx, gaugeInterval) != nil {
 			return
 		}
 	}
 }
 
+// reportHedges updates the gauges of hedges.
+func reportHedges(scope tally.Scope, hedges []placement.HedgeState) {
+	for _, h := range hedges {
+		service := scope.Tagged(map[string]string{tagService: h.Service})
+		service.Gauge(metricHedgesSent).Update(float64(h.Sent))
+		service.Gauge(metricHedgesWon).Update(float64(h.Won))
+		service.Gauge(metricHedgesWasted).Update(h.WastedSeconds)
+		for reason, count := range h.Refused {
+			scope.Tagged(map[string]string{tagService: h.Service, tagReason: reason}).Gauge(metricHedgesRefused).Update(float64(count))
+		}
+	}
+}
+
 func (i *Instance) serveDump(c *fasthttp.RequestCtx) {
 	body, err := json.MarshalIndent(i.dump(), "", "  ")
 	if err != nil {
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -24,6 +24,11 @@
 
 	metricTargetsWithheld = "edge_targets_withheld"
 
+	metricHedgesSent    = "edge_hedges_sent"
+	metricHedgesWon     = "edge_hedges_won"
+	metricHedgesWasted  = "edge_hedges_wasted_slot_seconds"
+	metricHedgesRefused = "edge_hedges_refused"
+
 	tagStatus  = "status"
 	tagCode    = "code"
 	tagService = "service"
@@ -87,7 +92,7 @@
 }
 
 // formatAttempts lists the attempts as target:result:microseconds:reason, separated by
-// spaces.
+// spaces. The reason of a hedge says how old the first attempt was in ms.
 func formatAttempts(attempts []proxy.AttemptRecord) string {
 	var b strings.Builder
 	for i, t := range attempts {
@@ -104,6 +109,9 @@
 		if t.Via != "" {
 			b.WriteString(",via=" + t.Via)
 		}
+		if t.HedgeAfter > 0 {
+			b.WriteString(",hedge=" + strconv.FormatInt(max(1, t.HedgeAfter.Milliseconds()), 10))
+		}
 	}
 	return b.String()
 }
--- a/pkg/edge/record_test.go
+++ b/pkg/edge/record_test.go
@@ -28,13 +28,14 @@
 		Attempts: []proxy.AttemptRecord{
 			{Target: "i-1", Result: proxy.Shed, Latency: 2 * time.Millisecond, Reason: "home"},
 			{Target: "i-2", Result: proxy.TimedOut, Latency: time.Second, Reason: "far"},
+			{Target: "i-3", Result: proxy.Canceled, Latency: time.Millisecond, Reason: "near", HedgeAfter: 412 * time.Millisecond},
 		},
 	})
 	var line map[string]any
 	is.NoErr(json.Unmarshal(out.Bytes(), &line))
 	want := map[string]any{
 		"event": 602.0, "request_id": "r-1", "team": "red", "config_version": 7.0, "status": 504.0, "refusal": "target_timeout",
-		"elapsed_us": 1200000.0, "queued_us": 3000.0, "trail": "i-1:shed:2000:home i-2:timed_out:1000000:far", "idempotent": false,
+		"elapsed_us": 1200000.0, "queued_us": 3000.0, "trail": "i-1:shed:2000:home i-2:timed_out:1000000:far i-3:canceled:1000:near,hedge=412", "idempotent": false,
 	}
 	for field, value := range want {
 		is.Equal(line[field], value)
@@ -47,7 +48,7 @@
 	is := is.New(t)
 	page, err := os.ReadFile("../../docs/edge-metrics.md")
 	is.NoErr(err)
-	names := []string{metricRequests, metricAttempts, metricLatency, metricBudget, metricBudgetRefused, metricTargetsWithheld}
+	names := []string{metricRequests, metricAttempts, metricLatency, metricBudget, metricBudgetRefused, metricTargetsWithheld, metricHedgesSent, metricHedgesWon, metricHedgesWasted, metricHedgesRefused}
 	for _, name := range names {
 		is.True(strings.Contains(string(page), "| `arbutus_"+name+"` |"))
 	}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -66,6 +66,7 @@
 
 	RequestQuarantined = Event{605, "request_quarantined", zerolog.WarnLevel, "a request has crashed three targets one after the other and is refused from now on; look at the targets, and at the request by its digest"}
 	RequestCleared     = Event{606, "request_cleared", zerolog.InfoLevel, "a request in quarantine was run by a target without a crash and is admitted again"}
+	HedgeLimitsChanged = Event{609, "hedge_limits_changed", zerolog.InfoLevel, "the limits on hedges in the settings have changed and are in force from now on"}
 	QuarantineNotKept  = Event{608, "quarantine_not_kept", zerolog.WarnLevel, "the requests in quarantine could not be read from or written to the platform's store; it is tried again"}
 	RequestTried       = Event{607, "request_tried", zerolog.WarnLevel, "a request in quarantine is sent to one target as a trial"}
 
@@ -96,7 +97,7 @@
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
 		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable,
-		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried, QuarantineNotKept,
+		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried, QuarantineNotKept, HedgeLimitsChanged,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
 	}
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -57,6 +57,9 @@
 	// Via is the instance through which the connection to the target led; empty for a direct
 	// one.
 	Via string `json:"via,omitempty"`
+	// HedgeAfter is the age that the first attempt had reached when this one, a hedge, was
+	// sent beside it; 0 for others.
+	HedgeAfter time.Duration `json:"hedge_after_ns,omitempty"`
 	// Known are the lines of this instance about the target, oldest first.
 	Known []*Line `json:"known,omitempty"`
 	// Answered and Failed count the results of other requests at the target at that time, of
@@ -185,8 +188,8 @@
 // answered is the name of the result of an attempt that the target served.
 const answered = "answered"
 
-// parseTrail returns the attempts in the line of a request. They are listed in their order,
-// and the last one ended with the request.
+// parseTrail returns the attempts in the line of a request. They are listed in the order of
+// their ends, and the last one ended with the request. All but hedges follow one another.
 func parseTrail(l *Line) []Attempt {
 	var attempts []Attempt
 	for _, text := range strings.Fields(l.Trail) {
@@ -206,12 +209,30 @@
 	}
 	end := l.Time
 	for i := len(attempts) - 1; i >= 0; i-- {
-		end = end.Add(-attempts[i].Took)
-		attempts[i].Began = end
+		if attempts[i].HedgeAfter == 0 {
+			end = end.Add(-attempts[i].Took)
+			attempts[i].Began = end
+		}
+	}
+	for i := range attempts {
+		if attempts[i].HedgeAfter > 0 {
+			attempts[i].Began = hedgedBegan(attempts, l.Time.Add(-attempts[i].Took)).Add(attempts[i].HedgeAfter)
+		}
 	}
 	return attempts
 }
 
+// hedgedBegan returns the beginning of the first attempt that wrote to a target, or otherwise if
+// there is none.
+func hedgedBegan(attempts []Attempt, otherwise time.Time) time.Time {
+	for _, a := range attempts {
+		if a.HedgeAfter == 0 && a.Result != "not_sent" {
+			return a.Began
+		}
+	}
+	return otherwise
+}
+
 // parseReason reads why the target was chosen, for example
 // "near,load=1,failing=25,listing=421,limit=0.75". Parts that it does not know are passed over.
 func (a *Attempt) parseReason(reason string) {
@@ -235,6 +256,8 @@
 			a.ListingAge = time.Duration(number) * time.Millisecond
 		case "limit":
 			a.Limit = &number
+		case "hedge":
+			a.HedgeAfter = time.Duration(number) * time.Millisecond
 		}
 	}
 }
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -81,9 +81,41 @@
 	is.Equal(e.Logs.Unreadable, 2)
 }
 
+// Guards against a hedge and its first attempt that seem to follow one another, and against an
+// explanation that does not tell which is the hedge.
+func TestHedgeRunsBesideTheFirstAttempt(t *testing.T) {
+	is := is.New(t)
+	end := time.Date(2026, 12, 5, 10, 0, 5, 0, time.UTC)
+	for _, tc := range []struct {
+		trail         string
+		first, hedged time.Duration // before the end
+	}{
+		{"t0:canceled:500000:home t1:answered:100000:near,hedge=400", 500 * time.Millisecond, 100 * time.Millisecond},
+		{"t1:canceled:200000:near,hedge=400 t0:answered:600000:home", 600 * time.Millisecond, 200 * time.Millisecond},
+		{"t9:not_sent:1000:home t1:shed:1000:near,hedge=400 t0:answered:600000:home", 600 * time.Millisecond, 200 * time.Millisecond},
+	} {
+		for _, a := range parseTrail(&Line{Trail: tc.trail, Time: end}) {
+			switch a.Target {
+			case "t0":
+				is.Equal(a.Began, end.Add(-tc.first))
+				is.Equal(a.HedgeAfter, time.Duration(0))
+			case "t1":
+				is.Equal(a.Began, end.Add(-tc.hedged))
+				is.Equal(a.HedgeAfter, 400*time.Millisecond)
+			}
+		}
+	}
+	e, err := Explain("r7", source(`{"event":602,"instance":"e1","request_id":"r7","trail":"t0:canceled:500000:home t1:answered:100000:near,hedge=400","time":"2026-12-05T10:00:05Z"}`+"\n"))
+	is.NoErr(err)
+	text := e.Text()
+	is.True(strings.Contains(text, "Attempt 1: t0") && strings.Contains(text, "Attempt 2: t1"))
+	is.Equal(strings.Count(text, "A hedge: it ran beside the first attempt, which had not responded for 400ms"), 1)
+}
+
 // Guards against trails that a fault of the logs has spoiled.
 func FuzzParseTrail(f *testing.F) {
 	f.Add("t0:shed:100000:home,load=2,failing=1,listing=300 t1:timed_out:500000:near,limit=0.75")
+	f.Add("t0:canceled:1:home,hedge=NaN t1:answered:1:near,hedge=1e99")
 	f.Add("a:b:c d:e:1: ::-1:far,load=")
 	f.Fuzz(func(t *testing.T, trail string) {
 		for _, a := range parseTrail(&Line{Trail: trail}) {
--- a/pkg/explain/text.go
+++ b/pkg/explain/text.go
@@ -107,6 +107,9 @@
 	fmt.Fprintf(b, "Attempt %d: %s, %s, got it %s before the end; %s after %s.\n", i+1, a.Target, locationTexts[a.Location], rounded(e.Request.Time.Sub(a.Began)),
 		result, rounded(a.Took))
 	fmt.Fprintf(b, "  Chosen with load %d and a failure probability of %d%% (%s), from a listing %s old.\n", a.Load, a.FailingPercent, knowledge(a.FailingPercent), a.ListingAge)
+	if a.HedgeAfter > 0 {
+		fmt.Fprintf(b, "  A hedge: it ran beside the first attempt, which had not responded for %s.\n", a.HedgeAfter)
+	}
 	if a.Limit != nil {
 		fmt.Fprintf(b, "  The target limited its rate; this instance could send it %.3g requests/s.\n", *a.Limit)
 	}
--- a/pkg/placement/hedge.go
+++ b/pkg/placement/hedge.go
@@ -25,6 +25,14 @@
 // request is hedged before the first call.
 func (b *Balancer) SetHedgeLimits(l *hedge.Limits) { b.hedgeLimits.Store(l) }
 
+// HedgeLimits returns the operators' limits on hedges, which must not be changed.
+func (b *Balancer) HedgeLimits() *hedge.Limits {
+	if l := b.hedgeLimits.Load(); l != nil {
+		return l
+	}
+	return &hedge.Limits{}
+}
+
 // hedgeLimit returns the account and the operators' limit for a request; 0 means no hedges.
 func (b *Balancer) hedgeLimit(r proxy.Request) (key string, percent float64) {
 	limits := b.hedgeLimits.Load()
--- a/pkg/settings/edge.go
+++ b/pkg/settings/edge.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/arbutuslink/arbutuslink/pkg/document"
+	"github.com/arbutuslink/arbutuslink/pkg/hedge"
 )
 
 // Edge holds the settings of arbutus-edge, an instance that runs on a platform's
@@ -45,6 +46,10 @@
 	// DirectoryTTLMS is how long callers may use a response of the directory, in ms.
 	DirectoryTTLMS int    `json:"directory_ttl_ms"`
 	LogLevel       string `json:"log_level"`
+	// HedgePercent limits hedges in percent of a service's requests; 0 means none. HedgeRoutes
+	// has other limits by path prefix of a route or by name of a service.
+	HedgePercent float64            `json:"hedge_percent"`
+	HedgeRoutes  map[string]float64 `json:"hedge_routes"`
 	// ClockOffsetMS is added to the wall clock, in ms, to test with wrong clocks.
 	ClockOffsetMS int `json:"clock_offset_ms"`
 	// TargetFaultFile is a file that, while it exists, makes connections to targets fail, to
@@ -105,9 +110,23 @@
 	v.Check(err == nil && grace >= minGrace, "$.grace", e.Grace, fmt.Sprintf("a duration of at least %s", minGrace))
 	v.checkRange("$.directory_ttl_ms", e.DirectoryTTLMS, 100, maxDirectoryTTLMS)
 	v.Check(slices.Contains(logLevels, e.LogLevel), "$.log_level", e.LogLevel, "debug, info, warn or error")
+	v.checkPercent("$.hedge_percent", e.HedgePercent)
+	for route, percent := range e.HedgeRoutes {
+		v.Check(route != "", "$.hedge_routes", route, "path prefixes that start with /, and names of services")
+		v.checkPercent("$.hedge_routes."+route, percent)
+	}
 	return v.Err()
 }
 
+func (v *validator) checkPercent(path string, percent float64) {
+	v.Check(percent >= 0 && percent <= hedge.MaxPercent, path, percent, fmt.Sprintf("0 to %d", hedge.MaxPercent))
+}
+
+// HedgeLimits returns the operators' limits on hedges.
+func (e *Edge) HedgeLimits() *hedge.Limits {
+	return &hedge.Limits{Percent: e.HedgePercent, Routes: e.HedgeRoutes}
+}
+
 // GracePeriod is Grace as a duration. It panics unless the settings are valid.
 func (e *Edge) GracePeriod() time.Duration {
 	grace, err := time.ParseDuration(e.Grace)
--- a/pkg/settings/edge_test.go
+++ b/pkg/settings/edge_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/arbutuslink/arbutuslink/pkg/document"
+	"github.com/arbutuslink/arbutuslink/pkg/hedge"
 )
 
 const edgeJSON = `{"instance":"e-1","availability_zone":"a","caller_address":"10.0.0.1:1","ready_address":"10.0.0.1:2",
@@ -40,6 +41,10 @@
 	is.Equal(e.Memory(8e9), int64(184e6))
 	is.Equal(BodyBudget(e.Memory(8e9)), int64(184e6)/6)
 	is.Equal(DefaultEdge().Memory(8e9), int64(8e9))
+	is.True(e.HedgeLimits().Off())
+	e, err = loadEdge(t, strings.Replace(edgeJSON, `"grace"`, `"hedge_percent":1.5,"hedge_routes":{"/a":3,"shop":0},"grace"`, 1))
+	is.NoErr(err)
+	is.Equal(e.HedgeLimits(), &hedge.Limits{Percent: 1.5, Routes: map[string]float64{"/a": 3, "shop": 0}})
 }
 
 // Guards against a capacity that ignores a slow link: 10 Mbit/s carry 125
@@ -68,6 +73,8 @@
 		"cores":             {`"cores":2`, `"cores":0`},
 		"memory_mb":         {`"memory_mb":184`, `"memory_mb":8`},
 		"grace":             {`"6s"`, `"soon"`},
+		"hedge_percent":     {`"grace"`, `"hedge_percent":20.5,"grace"`},
+		"hedge_routes./a":   {`"grace"`, `"hedge_routes":{"/a":-1,"shop":3},"grace"`},
 	}
 	for field, edit := range cases {
 		t.Run(field, func(t *testing.T) {
@@ -101,7 +108,11 @@
 			t.Errorf("docs/edge-settings.md lacks %s", path)
 			return
 		}
-		if want := fmt.Sprint(v.Interface()); want != "" && row[0] != want {
+		want := fmt.Sprint(v.Interface())
+		if v.Kind() == reflect.Map && v.Len() == 0 {
+			want = "{}"
+		}
+		if want != "" && row[0] != want {
 			t.Errorf("%s: the default is %s, the docs say %q", path, want, row[0])
 		}
 	})
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -1,6 +1,6 @@
 // Package settings holds the static settings of one process. They are read from
-// a file and used from the start on; only the log level of arbutus-edge can be
-// reloaded. The configuration that changes at run time is in package config.
+// a file and used from the start on; only the log level and the limits on hedges of
+// arbutus-edge can be reloaded. The configuration that changes at run time is in package config.
 package settings
 
 import (
