--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -14,16 +14,18 @@
 	// MaxPercent is the largest limit on hedges, in percent of the requests. Beyond it hedges
 	// of ordinary requests take more work than they save.
 	MaxPercent = 20
-	// maxSaved is the number of unused hedges that an account keeps. With 100 instances they
-	// add up to 200 hedges at once, a sixth of a second's requests.
-	maxSaved = 2.0
+	// maxSaved is the number of unused hedges that an account keeps. Few instances serve, 3 to
+	// 5 per zone, so that all together may send 80 hedges at once in four zones. With 2, a sixth
+	// of the hedges that were due at half load found none, although under the limit on average.
+	maxSaved = 4.0
 	// Hold is the time without hedges after a request has waited, or was refused for lack of
 	// capacity, or a retry was refused. Demand arrives in bursts, and between two requests that
 	// wait there may be several hundred ms.
 	Hold = 2 * time.Second
-	// maxUtilization is the fraction of the slots in use from which no hedges are sent.
-	// Requests begin to wait for targets from about 0.9 on; a burst must fit between the two.
-	maxUtilization = 0.7
+	// maxUtilization is the fraction of the slots in use from which no hedges are sent. An
+	// instance sees the slots of its own targets, often 24, of which so many are in use at times
+	// at a load of 0.7. With 0.7 here, two thirds of the hedges were refused at that load.
+	maxUtilization = 0.85
 	// maxSlowRatio is the fraction of the targets in use that may be stalled. Beyond it,
 	// another target is as likely to be slow, and hedges only add load.
 	maxSlowRatio = 0.5
@@ -214,20 +216,16 @@
 	return l
 }
 
-// Delay returns the age of a first attempt at which a hedge is due, if the time left for the
-// request then still allows a usual response. Without such an age it is 0. The age is that which
-// the permitted percentage of the requests exceeds, or the next one at which a hedge is likely
-// to respond first.
-func (d *Decider) Delay(route string, percent float64, left, now time.Duration) time.Duration {
+// Delay returns the age of a first attempt at which a hedge is due: before the time at which a
+// retry starts beside the attempt anyway, and while the time left for the request still allows a
+// usual response. Without such an age it is 0. The age is that which the permitted percentage of
+// the requests exceeds, or the next one at which a hedge is likely to respond first.
+func (d *Decider) Delay(route string, percent float64, retryIn, left, now time.Duration) time.Duration {
 	l := d.routes[route]
 	if l == nil || percent <= 0 {
 		return 0
 	}
-	delay := l.delay(percent, now)
-	if delay == 0 || delay+l.usual > left {
-		return 0
-	}
-	return delay
+	return l.delay(percent, retryIn, left, now)
 }
 
 // Question is asked when a hedge is due.
@@ -294,7 +292,7 @@
 func (d *Decider) Delays() map[string]time.Duration {
 	delays := map[string]time.Duration{}
 	for route, l := range d.routes {
-		for _, delay := range l.delays {
+		for _, delay := range l.delays { // several, if limits or timeouts differ
 			if delay > 0 && (delays[route] == 0 || delay < delays[route]) {
 				delays[route] = delay
 			}
--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -1,6 +1,7 @@
 package hedge
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -42,12 +43,27 @@
 func TestDelayFollowsTheDistribution(t *testing.T) {
 	is := is.New(t)
 	d := newTestDecider(2000, usual, 100)
-	delay := d.Delay("r", 3, 1200*time.Millisecond, time.Second)
+	delay := d.Delay("r", 3, time.Minute, 1200*time.Millisecond, time.Second)
 	is.True(delay >= 360*time.Millisecond && delay <= 500*time.Millisecond)
-	is.Equal(d.Delay("r", 3, delay+100*time.Millisecond, time.Second), time.Duration(0)) // too late to help
-	is.Equal(d.Delay("r", 0, time.Minute, time.Second), time.Duration(0))                // off
-	is.Equal(d.Delay("other", 3, time.Minute, time.Second), time.Duration(0))            // nothing known
-	is.Equal(newTestDecider(minSamples-1, usual, 100).Delay("r", 20, time.Minute, time.Second), time.Duration(0))
+	is.Equal(d.Delay("r", 3, time.Minute, delay+100*time.Millisecond, time.Second), time.Duration(0)) // too late to help
+	is.Equal(d.Delay("r", 0, time.Minute, time.Minute, time.Second), time.Duration(0))                // off
+	is.Equal(d.Delay("other", 3, time.Minute, time.Minute, time.Second), time.Duration(0))            // nothing known
+	is.Equal(newTestDecider(minSamples-1, usual, 100).Delay("r", 20, time.Minute, time.Minute, time.Second), time.Duration(0))
+}
+
+// Guards against a hedge that comes when the request gets a retry anyway, or too late for the
+// deadline: at an earlier age it reaches a part of the slow requests.
+func TestHedgeComesBeforeTheRetry(t *testing.T) {
+	is := is.New(t)
+	d := newTestDecider(2000, func(r *rand.Rand) time.Duration {
+		return time.Duration(150/math.Pow(1-r.Float64(), 1/1.9)) * time.Millisecond
+	}, 100)
+	late := d.Delay("r", 3, time.Minute, time.Minute, time.Second)
+	is.True(late > 800*time.Millisecond)
+	early := d.Delay("r", 3, 600*time.Millisecond, time.Minute, time.Second)
+	is.True(early > 300*time.Millisecond && early <= 550*time.Millisecond)
+	early = d.Delay("r", 3, time.Minute, 700*time.Millisecond, time.Second)
+	is.True(early > 300*time.Millisecond && early <= 500*time.Millisecond)
 }
 
 // Guards against hedges of requests that take long because of what they ask for: the second
@@ -59,11 +75,11 @@
 	for range 50 {
 		d.Observe("r", time.Duration(900+200*random.Float64())*time.Millisecond, 1<<20, 0)
 	}
-	is.Equal(d.Delay("r", 3, time.Minute, time.Second), time.Duration(0))
+	is.Equal(d.Delay("r", 3, time.Minute, time.Minute, time.Second), time.Duration(0))
 	for range 150 {
 		d.Observe("r", time.Duration(900+200*random.Float64())*time.Millisecond, 1000, 0)
 	}
-	is.True(d.Delay("r", 3, time.Minute, 2*time.Second) > 0) // now most slow ones are slow by chance
+	is.True(d.Delay("r", 3, time.Minute, time.Minute, 2*time.Second) > 0) // now most slow ones are slow by chance
 }
 
 // Guards against hedges that make themselves look useless: the attempts that they replace are
@@ -75,7 +91,7 @@
 	now, delay := time.Second, time.Duration(0)
 	for range 5000 {
 		now += 20 * time.Millisecond
-		delay = d.Delay("r", 3, 10*time.Second, now)
+		delay = d.Delay("r", 3, time.Minute, 10*time.Second, now)
 		first, second := usual(random), delay+usual(random)
 		if delay > 0 && first > delay && second < first {
 			d.ObserveCanceled("r", second, 100, now)
@@ -94,8 +110,8 @@
 	for i := range 3000 {
 		d.Observe("r", usual(random), 100, time.Duration(i)*40*time.Millisecond)
 	}
-	is.True(d.Delay("r", 3, time.Minute, 2*time.Minute) < time.Second)
-	is.Equal(d.Delay("r", 3, time.Minute, time.Hour), time.Duration(0)) // forgotten
+	is.True(d.Delay("r", 3, time.Minute, time.Minute, 2*time.Minute) < time.Second)
+	is.Equal(d.Delay("r", 3, time.Minute, time.Minute, time.Hour), time.Duration(0)) // forgotten
 }
 
 // Guards against more hedges over a fleet than the limit permits, while no instance hears of
@@ -136,7 +152,7 @@
 	d := newTestDecider(200, usual, 100)
 	d.Arrived("s", 3)
 	q := Question{Key: "s", Route: "r", Left: time.Second}
-	d.Delay("r", 3, time.Second, time.Second)
+	d.Delay("r", 3, time.Minute, time.Second, time.Second)
 	is.Equal(d.Ask(q, time.Second), NoAllowance)
 	for range 200 {
 		d.Arrived("s", 3)
@@ -155,14 +171,15 @@
 		is.Equal(d.Ask(Question{"s", "r", tc.left, tc.load}, time.Second), tc.want)
 	}
 	is.Equal(d.Take("s", none{}, time.Second), NoRetry)
-	is.Equal(d.Take("s", plenty{}, time.Second), Allowed)
-	is.Equal(d.Take("s", plenty{}, time.Second), Allowed)
-	is.Equal(d.Take("s", plenty{}, time.Second), NoAllowance) // two were saved
+	for range int(maxSaved) {
+		is.Equal(d.Take("s", plenty{}, time.Second), Allowed)
+	}
+	is.Equal(d.Take("s", plenty{}, time.Second), NoAllowance)
 	d.Shortage(10 * time.Second)
 	is.Equal(d.Ask(q, 10*time.Second+Hold-1), Shortage)
 	is.Equal(d.Ask(q, 10*time.Second+Hold), NoAllowance)
 	counts := d.Counts()
-	is.Equal(counts.Sent, int64(2))
+	is.Equal(counts.Sent, int64(maxSaved))
 	is.Equal(counts.Refused[NoRetry], int64(1))
 }
 
--- a/pkg/hedge/latencies.go
+++ b/pkg/hedge/latencies.go
@@ -34,6 +34,11 @@
 	// canceledFactor times its age is the assumed latency of a cancelled attempt. With the
 	// age alone no hedge would seem to win any more.
 	canceledFactor = 2
+	// timeStep is the step in which the times up to a retry and the deadline count: delays
+	// are kept for each. A hedge that is sent shorter before a retry saves too little.
+	timeStep = 50 * time.Millisecond
+	// maxDelays bounds the delays that are kept; timeouts of callers may all differ.
+	maxDelays = 64
 	// recomputeInterval is how long a delay is used. Its computation takes about 100 us.
 	recomputeInterval = time.Second
 	// classBits and classCount divide responses by size: up to 4 KiB, 64 KiB, 1 MiB, and above.
@@ -51,15 +56,15 @@
 type latencies struct {
 	classes   [classCount]*hdrhistogram.Histogram
 	decayedAt time.Duration
-	// delays holds the computed delay by percentage; computedAt is the time of the oldest.
-	delays     map[float64]time.Duration
+	// delays holds the computed delays; computedAt is the time of the oldest.
+	delays     map[delayKey]time.Duration
 	computedAt time.Duration
 	// usual is the median latency.
 	usual time.Duration
 }
 
 func newLatencies(now time.Duration) *latencies {
-	return &latencies{decayedAt: now, delays: map[float64]time.Duration{}, computedAt: -recomputeInterval}
+	return &latencies{decayedAt: now, delays: map[delayKey]time.Duration{}, computedAt: -recomputeInterval}
 }
 
 func (l *latencies) observe(latency time.Duration, bytes int64, now time.Duration) {
@@ -90,23 +95,31 @@
 	}
 }
 
+// delayKey is what a computed delay depends on besides the latencies: the permitted percentage,
+// and the time up to a retry and up to the deadline in units of timeStep, rounded down.
+type delayKey struct {
+	percent       float64
+	retryIn, left time.Duration
+}
+
 // delay returns the age from which on a hedge is due, or 0 if none is worth its work.
-func (l *latencies) delay(percent float64, now time.Duration) time.Duration {
-	if now-l.computedAt >= recomputeInterval {
+func (l *latencies) delay(percent float64, retryIn, left, now time.Duration) time.Duration {
+	if now-l.computedAt >= recomputeInterval || len(l.delays) >= maxDelays {
 		l.decay(now)
 		clear(l.delays)
 		l.computedAt = now
 	}
-	delay, known := l.delays[percent]
+	key := delayKey{percent, retryIn / timeStep, left / timeStep}
+	delay, known := l.delays[key]
 	if !known {
-		delay = l.compute(percent)
-		l.delays[percent] = delay
+		delay = l.compute(percent, key.retryIn*timeStep, key.left*timeStep)
+		l.delays[key] = delay
 	}
 	return delay
 }
 
 // compute finds the age of an attempt from which on a hedge is due. It also updates usual.
-func (l *latencies) compute(percent float64) time.Duration {
+func (l *latencies) compute(percent float64, retryIn, left time.Duration) time.Duration {
 	var classes []distribution
 	total := int64(0)
 	for _, h := range l.classes {
@@ -120,6 +133,7 @@
 	}
 	all := merge(classes)
 	l.usual = time.Duration(all.quantile(0.5)) * time.Millisecond
+	latest := min(retryIn-timeStep, left-l.usual)
 	permitted := 1 - percent/100
 	// Hedges at ages that the permitted percentage of the requests exceeds reach all of those.
 	// If more requests are slow than may be hedged, such ages are too late, and hedges at
@@ -128,8 +142,8 @@
 	for _, end := range []float64{max(permitted, maxQuantile), minQuantile} {
 		for i := range quantileSteps + 1 {
 			age := all.quantile(permitted + (end-permitted)*float64(i)/quantileSteps)
-			if winRatio(classes, age) >= minWinRatio {
-				return time.Duration(age) * time.Millisecond
+			if delay := time.Duration(age) * time.Millisecond; delay <= latest && winRatio(classes, age) >= minWinRatio {
+				return delay
 			}
 		}
 	}
--- a/pkg/placement/hedge.go
+++ b/pkg/placement/hedge.go
@@ -77,9 +77,9 @@
 }
 
 // HedgeDelay implements proxy.Hedger.
-func (b *Balancer) HedgeDelay(r proxy.Request, left time.Duration) (delay time.Duration) {
+func (b *Balancer) HedgeDelay(r proxy.Request, retryIn, left time.Duration) (delay time.Duration) {
 	b.withHedges(r, func(s *service, _ string, percent float64, now time.Duration) {
-		delay = s.hedges.Delay(r.Route, percent, left, now)
+		delay = s.hedges.Delay(r.Route, percent, retryIn, left, now)
 	})
 	return delay
 }
--- a/pkg/placement/hedge_test.go
+++ b/pkg/placement/hedge_test.go
@@ -34,7 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	delay := f.HedgeDelay(r, time.Second)
+	delay := f.HedgeDelay(r, time.Second, time.Second)
 	if delay == 0 {
 		return first, nil
 	}
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -146,7 +146,7 @@
 		retryAt = earliest(now.Add(p.RetryDelay()), retryAt)
 	}
 	mayStartAttempt := x.writeCount < x.maxAttempts
-	if delay := x.hedgeDelay(); mayStartAttempt && delay > 0 {
+	if delay := x.hedgeDelay(retryAt.Sub(now)); mayStartAttempt && delay > 0 {
 		hedgeAt = now.Add(delay)
 	}
 	for {
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -25,11 +25,11 @@
 
 // hedgeDelay returns the age of this attempt at which a hedge is due, or 0. Only the first
 // attempt is hedged, and no request that is suspected of crashing targets.
-func (x *exchange) hedgeDelay() time.Duration {
+func (x *exchange) hedgeDelay(retryIn time.Duration) time.Duration {
 	if x.p.Hedger == nil || !x.request.Idempotent || !x.isFirst || x.suspicion.Crashes > 0 {
 		return 0
 	}
-	return x.p.Hedger.HedgeDelay(x.request, time.Until(x.ioDeadline))
+	return x.p.Hedger.HedgeDelay(x.request, retryIn, time.Until(x.ioDeadline))
 }
 
 // askForHedge asks for the target of a hedge.
--- a/pkg/proxy/hedge_test.go
+++ b/pkg/proxy/hedge_test.go
@@ -32,7 +32,7 @@
 	r.proxy.Hedger = &r.hedges
 }
 
-func (h *testHedger) HedgeDelay(Request, time.Duration) time.Duration { return h.delay }
+func (h *testHedger) HedgeDelay(Request, time.Duration, time.Duration) time.Duration { return h.delay }
 
 func (h *testHedger) StartHedge(r Request, tried []string, _, _ time.Duration) <-chan Attempt {
 	h.mu.Lock()
@@ -180,7 +180,7 @@
 	} {
 		x := &exchange{call: &call{p: r.proxy, request: Request{Idempotent: tc.idempotent}}, isFirst: tc.first}
 		x.suspicion.Crashes = tc.crashes
-		is.Equal(x.hedgeDelay(), tc.want)
+		is.Equal(x.hedgeDelay(time.Second), tc.want)
 	}
 }
 
--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -162,8 +162,8 @@
 // while the first one has not responded (a hedge). Its methods do not wait.
 type Hedger interface {
 	// HedgeDelay returns the age of a first attempt at which a hedge is due, or 0 if none
-	// is. left is the time up to the deadline.
-	HedgeDelay(r Request, left time.Duration) time.Duration
+	// is. retryIn is the time up to a retry beside the attempt, left that up to the deadline.
+	HedgeDelay(r Request, retryIn, left time.Duration) time.Duration
 	// StartHedge asks for the target of a hedge that is due, of a request whose first
 	// attempt has reached an age. It returns nil if none may be sent. Otherwise the channel
 	// delivers one attempt, or nil if there is no target. The caller must end the attempt.
