--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/bytebudget"
 	"github.com/arbutuslink/arbutuslink/pkg/daemon"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/hedge"
 	"github.com/arbutuslink/arbutuslink/pkg/metrics"
 	"github.com/arbutuslink/arbutuslink/pkg/placement"
 	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
@@ -49,7 +50,7 @@
 	// HedgePercent and HedgeRoutes are the limits on hedges, Hedges the state by service.
 	HedgePercent float64                `json:"hedge_percent"`
 	HedgeRoutes  map[string]float64     `json:"hedge_routes"`
-	Hedges       []placement.HedgeState `json:"hedges"`
+	Hedges       map[string]hedge.State `json:"hedges"`
 }
 
 func (i *Instance) dump() *dump {
@@ -119,14 +120,14 @@
 }
 
 // reportHedges updates the gauges of hedges.
-func reportHedges(scope tally.Scope, hedges []placement.HedgeState) {
-	for _, h := range hedges {
-		service := scope.Tagged(map[string]string{tagService: h.Service})
+func reportHedges(scope tally.Scope, hedges map[string]hedge.State) {
+	for name, h := range hedges {
+		service := scope.Tagged(map[string]string{tagService: name})
 		service.Gauge(metricHedgesSent).Update(float64(h.Sent))
 		service.Gauge(metricHedgesWon).Update(float64(h.Won))
 		service.Gauge(metricHedgesWasted).Update(h.WastedSeconds)
 		for reason, count := range h.Refused {
-			scope.Tagged(map[string]string{tagService: h.Service, tagReason: reason}).Gauge(metricHedgesRefused).Update(float64(count))
+			scope.Tagged(map[string]string{tagService: name, tagReason: reason}).Gauge(metricHedgesRefused).Update(float64(count))
 		}
 	}
 }
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -153,16 +153,11 @@
 	// shortageAt is the time of the last shortage; hasShortage says that there was one.
 	shortageAt  time.Duration
 	hasShortage bool
-	counts      Counts
-}
-
-// Counts counts hedges since the start.
-type Counts struct {
-	Sent, Won int64
-	// Wasted is the time for which attempts took a slot whose response was not used.
-	Wasted time.Duration
-	// Refused counts the refusals by reason.
-	Refused [refusalCount]int64
+	// sent, won, wasted and refused count hedges since the start, wasted the time for which
+	// attempts took a slot whose response was not used.
+	sent, won int64
+	wasted    time.Duration
+	refused   [refusalCount]int64
 }
 
 // NewDecider returns a Decider that knows nothing of the service yet.
@@ -170,9 +165,6 @@
 	return &Decider{accounts: map[string]*account{}, routes: map[string]*latencies{}}
 }
 
-// Counts returns the counts since the start.
-func (d *Decider) Counts() Counts { return d.counts }
-
 // maxKeys bounds the accounts and the routes with latencies: 256 routes take up to 10 MB.
 const maxKeys = 256
 
@@ -267,7 +259,7 @@
 		return d.refuse(NoRetry)
 	}
 	a.balance--
-	d.counts.Sent++
+	d.sent++
 	return Allowed
 }
 
@@ -275,7 +267,7 @@
 func (d *Decider) RefuseTarget() { d.refuse(NoTarget) }
 
 func (d *Decider) refuse(r Refusal) Refusal {
-	d.counts.Refused[r]++
+	d.refused[r]++
 	return r
 }
 
@@ -283,20 +275,7 @@
 // long the other attempt took a slot.
 func (d *Decider) Ended(won bool, wasted time.Duration) {
 	if won {
-		d.counts.Won++
-	}
-	d.counts.Wasted += wasted
-}
-
-// Delays returns by route the ages at which hedges are due, as last computed.
-func (d *Decider) Delays() map[string]time.Duration {
-	delays := map[string]time.Duration{}
-	for route, l := range d.routes {
-		for _, delay := range l.delays { // several, if limits or timeouts differ
-			if delay > 0 && (delays[route] == 0 || delay < delays[route]) {
-				delays[route] = delay
-			}
-		}
+		d.won++
 	}
-	return delays
+	d.wasted += wasted
 }
--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -178,9 +178,12 @@
 	d.Shortage(10 * time.Second)
 	is.Equal(d.Ask(q, 10*time.Second+Hold-1), Shortage)
 	is.Equal(d.Ask(q, 10*time.Second+Hold), NoAllowance)
-	counts := d.Counts()
-	is.Equal(counts.Sent, int64(maxSaved))
-	is.Equal(counts.Refused[NoRetry], int64(1))
+	d.Ended(true, time.Second)
+	state := d.State()
+	is.Equal(state.Sent, int64(maxSaved))
+	is.Equal(state.Won, int64(1))
+	is.Equal(state.WastedSeconds, 1.0)
+	is.Equal(state.Refused["no_retry"], int64(1))
 }
 
 // Guards against the limit of another route or service.
--- a/pkg/placement/hedge.go
+++ b/pkg/placement/hedge.go
@@ -257,37 +257,13 @@
 		t.failProb(now) <= failProbPrior && !t.stalled(now, s.typicalLatency)
 }
 
-// HedgeState is the state of hedging of one service, for operators.
-type HedgeState struct {
-	Service string `json:"service"`
-	// Sent, Won and Refused are counts since the start, WastedSeconds is the time for which
-	// attempts took a slot whose response was not used.
-	Sent          int64            `json:"sent"`
-	Won           int64            `json:"won"`
-	WastedSeconds float64          `json:"wasted_slot_seconds"`
-	Refused       map[string]int64 `json:"refused"`
-	// DelaysMS are the ages in ms at which hedges are due, by route; a route is absent while
-	// too little is known of it.
-	DelaysMS map[string]int64 `json:"delays_ms"`
-}
-
-// Hedges returns the state of hedging of the services that have had requests while it was on.
-func (b *Balancer) Hedges() []HedgeState {
-	states := []HedgeState{}
+// Hedges returns the state of hedging by service, of those that have had requests while it was on.
+func (b *Balancer) Hedges() map[string]hedge.State {
+	states := map[string]hedge.State{}
 	for _, s := range b.allServices() {
 		s.mu.Lock()
 		if s.hedges != nil {
-			counts := s.hedges.Counts()
-			state := HedgeState{
-				Service: s.name, Sent: counts.Sent, Won: counts.Won, WastedSeconds: counts.Wasted.Seconds(), Refused: map[string]int64{}, DelaysMS: map[string]int64{},
-			}
-			for _, r := range hedge.Refusals() {
-				state.Refused[r.String()] = counts.Refused[r]
-			}
-			for route, delay := range s.hedges.Delays() {
-				state.DelaysMS[route] = delay.Milliseconds()
-			}
-			states = append(states, state)
+			states[s.name] = s.hedges.State()
 		}
 		s.mu.Unlock()
 	}
--- a/pkg/placement/hedge_test.go
+++ b/pkg/placement/hedge_test.go
@@ -50,7 +50,7 @@
 	return <-found
 }
 
-func (f *fixture) refused(r hedge.Refusal) int64 { return f.Hedges()[0].Refused[r.String()] }
+func (f *fixture) refused(r hedge.Refusal) int64 { return f.Hedges()["s"].Refused[r.String()] }
 
 // Guards against a service without hedges that permits them, and against hedges or their
 // bookkeeping without the operators' permission.
@@ -207,7 +207,7 @@
 	is.True(slow.own.slowness > slowness)
 	is.True(slow.own.failProb <= max(failProb, failProbPrior))
 	f.HedgeEnded(f.request(true), true, 500*time.Millisecond)
-	state := f.Hedges()[0]
+	state := f.Hedges()["s"]
 	is.Equal(state.Sent, int64(1))
 	is.Equal(state.Won, int64(1))
 	is.Equal(state.WastedSeconds, 0.5)
