Hedge requests of arbutus-entry by hedge_percent of the route

The balancer of arbutus-entry may make a request wait for a target, so it is asked in a goroutine and the response to the first attempt is not delayed. Targets that are not active, that leave or warm up, and a zone whose open attempts are mostly late, are excluded. A refused retry, a refusal for lack of capacity and a waiting request keep hedges away for 2 s.

The state is in the dump and in metrics.

--- a/pkg/config/route_test.go
+++ b/pkg/config/route_test.go
@@ -1,6 +1,8 @@
 package config
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -81,8 +83,14 @@
 			c.Teams["t"] = Team{Batch: "b", Burst: 1, Priority: &negative}
 		},
 	}
+	for percent, idempotent := range map[float64]bool{-1: true, 20.5: true, 3: false} {
+		cases[fmt.Sprintf("$.routes.all.hedge_percent#%v", percent)] = func(c *Config) {
+			edit(c, func(r *Route) { r.HedgePercent, r.Idempotent = percent, idempotent })
+		}
+	}
 	for path, change := range cases {
 		t.Run(path, func(t *testing.T) {
+			path, _, _ := strings.Cut(path, "#")
 			is := is.New(t)
 			c := splitSample()
 			change(c)
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"regexp"
 	"slices"
@@ -11,6 +12,7 @@
 	"strings"
 
 	"github.com/arbutuslink/arbutuslink/pkg/document"
+	"github.com/arbutuslink/arbutuslink/pkg/hedge"
 )
 
 // Limits of configured values.
@@ -24,7 +26,6 @@
 	maxProbeIntervalMS = 60_000
 	maxAttemptsLimit   = 10
 	maxPriority        = 1000
-	maxHedgePercent    = 20 // hedge.MaxPercent
 )
 
 var idPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
@@ -193,7 +194,7 @@
 	v.check(r.TimeoutMS >= 1 && r.TimeoutMS <= maxTimeoutMS, path, ".timeout_ms", r.TimeoutMS, "1 to 600000")
 	v.check(r.MaxAttempts >= 1 && r.MaxAttempts <= maxAttemptsLimit, path, ".max_attempts", r.MaxAttempts, "1 to 10")
 	v.check(r.Idempotent || r.MaxAttempts == 1, path, ".max_attempts", r.MaxAttempts, "1 on a route that is not idempotent")
-	v.check(r.HedgePercent >= 0 && r.HedgePercent <= maxHedgePercent, path, ".hedge_percent", r.HedgePercent, "0 to 20")
+	v.check(r.HedgePercent >= 0 && r.HedgePercent <= hedge.MaxPercent, path, ".hedge_percent", r.HedgePercent, fmt.Sprintf("0 to %d", hedge.MaxPercent))
 	v.check(r.HedgePercent == 0 || r.Idempotent, path, ".hedge_percent", r.HedgePercent, "0 on a route that is not idempotent")
 	v.check(r.Priority >= 0 && r.Priority <= maxPriority, path, ".priority", r.Priority, "0 to 1000")
 	v.check(r.ObjectiveMS >= 0 && r.ObjectiveMS <= maxTimeoutMS, path, ".objective_ms", r.ObjectiveMS, "0 to 600000")
--- a/pkg/entry/dump.go
+++ b/pkg/entry/dump.go
@@ -10,6 +10,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/dispatch"
 	"github.com/arbutuslink/arbutuslink/pkg/fairqueue"
 	"github.com/arbutuslink/arbutuslink/pkg/health"
+	"github.com/arbutuslink/arbutuslink/pkg/hedge"
 	"github.com/arbutuslink/arbutuslink/pkg/limit"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/drpcpeer"
 	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
@@ -49,7 +50,9 @@
 	// may.
 	Quarantine      []quarantine.State `json:"quarantine"`
 	SuspectRequests int                `json:"suspect_requests"`
-	PeerTraffic     PeerTraffic        `json:"peer_traffic"`
+	// Hedges is the state of hedging by service, of services with a route that permits it.
+	Hedges      map[string]hedge.State `json:"hedges"`
+	PeerTraffic PeerTraffic            `json:"peer_traffic"`
 }
 
 // PeerTraffic counts the calls between instances by kind since the process
@@ -69,7 +72,7 @@
 		UptimeSeconds: time.Since(i.startedAt).Seconds(), Goroutines: runtime.NumGoroutine(),
 		Leaving: i.lifecycle.leaving.Load(), OpenRequests: i.proxy.Open(), ConfigVersion: i.control.View().Config.Version,
 		Limits: i.limiter.Dump(), Evaluator: i.evaluator.Dump(), Follower: i.follower.Dump(), Queue: i.queue.Dump(),
-		PeerTraffic: PeerTraffic{Made: i.transport.Traffic(), Served: i.servedCalls.Snapshot()},
+		Hedges: i.hedges.States(), PeerTraffic: PeerTraffic{Made: i.transport.Traffic(), Served: i.servedCalls.Snapshot()},
 	}
 	dump.Quarantine, dump.SuspectRequests = i.suspects.Dump()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -68,6 +68,8 @@
 	// tells which of these reach targets.
 	paths      *detour.Dialer
 	connecting connections
+	// hedges decides on second copies of slow requests.
+	hedges *hedger
 	// suspects holds the requests that crash targets.
 	suspects  *quarantine.List
 	counters  *counters
@@ -119,10 +121,15 @@
 	i.paths = i.newPaths()
 	i.suspects = quarantine.New(i.clock, &i.log)
 	i.suspects.Owns = i.ownsSuspect
+	counting := &countingBalancer{Balancer: balancer, counters: i.counters}
+	i.hedges = &hedger{
+		clock: i.clock, viewer: i.control, balancer: counting, retries: counting.takeRetry, standings: i.follower.Standings,
+		queue: func(service string) fairqueue.State { return i.queue.Dump()[service] },
+	}
+	counting.hedges = i.hedges
 	i.proxy = proxy.New(proxy.Ports{
 		Viewer: i.control, ServeChecker: i.control, Clock: i.clock, Limiter: i.limiter, Queue: i.queue,
-		Balancer: &countingBalancer{Balancer: balancer, counters: i.counters},
-		Claims:   i.claims, Reporter: i.queue, Quarantine: i.suspects, Log: &i.log,
+		Balancer: counting, Hedger: i.hedges, Claims: i.claims, Reporter: i.queue, Quarantine: i.suspects, Log: &i.log,
 	}, proxy.Options{
 		ClockError:     i.settings.Timings.BatchClockError(),
 		DialTarget:     i.paths.Dial,
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/arbutuslink/arbutuslink/pkg/health"
+	"github.com/arbutuslink/arbutuslink/pkg/hedge"
 	"github.com/arbutuslink/arbutuslink/pkg/proxy"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
@@ -23,11 +24,17 @@
 	metricEjections = "ejections"
 	metricTargets   = "targets"
 
+	metricHedgesSent    = "hedges_sent"
+	metricHedgesWon     = "hedges_won"
+	metricHedgesWasted  = "hedges_wasted_slot_seconds"
+	metricHedgesRefused = "hedges_refused"
+
 	tagResult  = "result"
 	tagCode    = "code"
 	tagRoute   = "route"
 	tagService = "service"
 	tagState   = "state"
+	tagReason  = "reason"
 )
 
 // Values of tagResult for requests; resultName returns those for attempts.
@@ -109,19 +116,35 @@
 type countingBalancer struct {
 	proxy.Balancer
 	counters *counters
+	hedges   *hedger
 }
 
 // Acquire chooses a target and wraps the attempt so that its result is counted.
 func (b *countingBalancer) Acquire(r proxy.Request, tried []string) (proxy.Attempt, error) {
 	attempt, err := b.Balancer.Acquire(r, tried)
 	if err != nil {
+		b.hedges.acquired(r, len(tried) == 0, nil, err)
 		return nil, err
 	}
-	return &countingAttempt{Attempt: attempt, counters: b.counters, route: r.Route}, nil
+	counting := &countingAttempt{Attempt: attempt, counters: b.counters, route: r.Route}
+	if r.HedgePercent > 0 {
+		counting.service, counting.hedges = r.Service, b.hedges
+	}
+	b.hedges.acquired(r, len(tried) == 0, counting, nil)
+	return counting, nil
 }
 
 // TakeRetry takes a retry from the route's budget and counts it if granted.
 func (b *countingBalancer) TakeRetry(r proxy.Request) bool {
+	granted := b.takeRetry(r)
+	if !granted {
+		b.hedges.recordShortage(r.Service)
+	}
+	return granted
+}
+
+// takeRetry is TakeRetry for a hedge, whose refusal is no shortage.
+func (b *countingBalancer) takeRetry(r proxy.Request) bool {
 	granted := b.Balancer.TakeRetry(r)
 	if granted {
 		b.counters.add(1, series{metric: metricRetries, firstValue: r.Route}, tagRoute, "")
@@ -134,11 +157,17 @@
 	proxy.Attempt
 	counters *counters
 	route    string
+	// hedges is nil unless the route permits hedges.
+	hedges  *hedger
+	service string
 }
 
 // Done counts the result and passes it on to the balancer.
 func (a *countingAttempt) Done(result proxy.Result, latency time.Duration, load proxy.Load) {
 	a.counters.add(1, series{metric: metricAttempts, firstValue: a.route, secondValue: resultName(result)}, tagRoute, tagResult)
+	if a.hedges != nil {
+		a.hedges.ended(a.service, a)
+	}
 	a.Attempt.Done(result, latency, load)
 }
 
@@ -181,7 +210,9 @@
 		scope.Gauge("fresh").Update(boolValue(i.control.MayServe()))
 		scope.Gauge("member").Update(boolValue(view.Member))
 		scope.Gauge("open_requests").Update(float64(i.proxy.Open()))
+		hedges := i.hedges.States()
 		for service, state := range i.queue.Dump() {
+			publishHedges(scope, service, hedges[service])
 			tagged := scope.Tagged(map[string]string{tagService: service})
 			tagged.Gauge("queue_waiting").Update(float64(state.Waiting))
 			tagged.Gauge("queue_limit").Update(state.Limit)
@@ -198,6 +229,18 @@
 	}
 }
 
+// publishHedges updates the gauges of hedges of one service.
+func publishHedges(scope tally.Scope, service string, state hedge.State) {
+	tagged := scope.Tagged(map[string]string{tagService: service})
+	tagged.Gauge(metricHedgesSent).Update(float64(state.Sent))
+	tagged.Gauge(metricHedgesWon).Update(float64(state.Won))
+	tagged.Gauge(metricHedgesWasted).Update(state.WastedSeconds)
+	for _, reason := range hedge.Refusals() {
+		name := reason.String()
+		scope.Tagged(map[string]string{tagService: service, tagReason: name}).Gauge(metricHedgesRefused).Update(float64(state.Refused[name]))
+	}
+}
+
 // publishTargets updates the gauges of targets per service and state. Gauges that
 // were published before and have no targets now are set to 0; published collects
 // all that were ever set.
--- a/pkg/entry/metrics_test.go
+++ b/pkg/entry/metrics_test.go
@@ -79,7 +79,7 @@
 func documentedLabels(scraped, name string) string {
 	line := regexp.MustCompile(`(?m)^arbutus_` + name + `\{([^}]*)\}`).FindStringSubmatch(scraped)
 	var labels []string
-	for _, order := range []string{tagService, tagState, tagCode, tagRoute, tagResult} {
+	for _, order := range []string{tagService, tagState, tagCode, tagRoute, tagResult, tagReason} {
 		if strings.Contains(line[1], order+"=") {
 			labels = append(labels, "`"+order+"`")
 		}
