--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -86,20 +86,33 @@
 // cancelled, and are missing among the long latencies.
 func TestCancelledAttemptsStayInTheDistribution(t *testing.T) {
 	is := is.New(t)
-	d := newTestDecider(500, usual, 100)
+	verySlow := func(random *rand.Rand) time.Duration { // no slow attempt responds before its hedge
+		latency := 200 + 180*random.Float64()
+		if random.Float64() < 0.02 {
+			latency *= 7
+		}
+		return time.Duration(latency * float64(time.Millisecond))
+	}
+	d := newTestDecider(500, verySlow, 100)
 	random := rand.New(rand.NewPCG(5, 6))
-	now, delay := time.Second, time.Duration(0)
+	now, slow, hedged := time.Second, 0, 0
 	for range 5000 {
 		now += 20 * time.Millisecond
-		delay = d.Delay("r", 3, time.Minute, 10*time.Second, now)
-		first, second := usual(random), delay+usual(random)
+		delay := d.Delay("r", 3, time.Minute, 10*time.Second, now)
+		first, second := verySlow(random), delay+verySlow(random)
+		if first > 600*time.Millisecond {
+			slow++
+			if delay >= 350*time.Millisecond && delay <= 500*time.Millisecond {
+				hedged++
+			}
+		}
 		if delay > 0 && first > delay && second < first {
 			d.ObserveCanceled("r", second, 100, now)
 			continue
 		}
 		d.Observe("r", first, 100, now)
 	}
-	is.True(delay >= 350*time.Millisecond && delay <= 500*time.Millisecond)
+	is.True(slow > 50 && hedged >= slow*9/10)
 }
 
 // Guards against latencies of a slow phase that decide for minutes.
@@ -129,7 +142,7 @@
 			i := rapid.SampledFrom([]int{0, 0, 0, rapid.IntRange(0, len(deciders)-1).Draw(t, "other")}).Draw(t, "instance")
 			deciders[i].Arrived("s", percent)
 			allowed += percent / 100
-			for deciders[i].Take("s", plenty{}, 0) == Allowed {
+			for sent <= allowed+1e-6 && deciders[i].Take("s", plenty{}, 0) == Allowed {
 				sent++
 			}
 			switch rapid.IntRange(0, 200).Draw(t, "change") {
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -171,7 +171,9 @@
 			x.askForHedge()
 		}
 		if second := x.startHedge(now); second != nil {
-			if err := x.race(second); !errors.Is(err, errHedgeFailed) {
+			err := x.race(second)
+			var failed *HedgeFailedError
+			if !errors.As(err, &failed) {
 				return err
 			}
 			now = time.Now()
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -19,9 +19,11 @@
 	hedgePollInterval = 5 * time.Millisecond
 )
 
-// errHedgeFailed reports that a hedge ended without a response that can be used, and that the
+// HedgeFailedError says that a hedge ended without a response that can be used, and that the
 // first attempt goes on.
-var errHedgeFailed = errors.New("the hedge failed")
+type HedgeFailedError struct{}
+
+func (e *HedgeFailedError) Error() string { return "the hedge failed; the first attempt goes on" }
 
 // hedgeDelay returns the age of this attempt at which a hedge is due, or 0. Only the first
 // attempt is hedged, and no request that is suspected of crashing targets.
@@ -207,7 +209,7 @@
 				e.end()
 				x.endHedge(second, false, second)
 				if e = first.stopWaiting(events); isTimeout(e.err) && time.Now().Before(x.ioDeadline) {
-					return errHedgeFailed
+					return &HedgeFailedError{}
 				}
 				return e.asExchangeError()
 			}
