Hedging: the first complete response wins

A response that began first won the race, also if its target stalled within the body. Races with a retry are unchanged.

--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"bufio"
+	"bytes"
 	"net"
 	"slices"
 	"strconv"
@@ -176,6 +178,46 @@
 	return raceResult{x, status, nil}
 }
 
+// awaitSmallBody waits for the whole response if its length is known and it fits into the
+// buffer of the connection. A larger one wins a race when it begins, because reading it takes the
+// memory of the response.
+func (x *exchange) awaitSmallBody() error {
+	reader := x.conn.reader
+	for {
+		buffered, _ := reader.Peek(reader.Buffered())
+		length, known := x.responseLength(buffered)
+		switch {
+		case length > reader.Size() || (!known && len(buffered) == reader.Size()):
+			return nil
+		case !known:
+			length = len(buffered) + 1
+		}
+		if _, err := reader.Peek(length); err != nil || known {
+			return err
+		}
+	}
+}
+
+// responseLength returns the length of the response that begins with data. known is false while
+// its header is incomplete. If only the end of the connection tells the length, or several
+// parts do, it is that of the header.
+func (x *exchange) responseLength(data []byte) (length int, known bool) {
+	end := bytes.Index(data, []byte("\r\n\r\n"))
+	if end < 0 {
+		return 0, false
+	}
+	length = end + len("\r\n\r\n")
+	var header fasthttp.ResponseHeader
+	if err := header.Read(bufio.NewReaderSize(bytes.NewReader(data[:length]), length)); err != nil {
+		return length, true // reading the response reports the failure
+	}
+	status := header.StatusCode()
+	if !x.caller.IsHead() && status >= fasthttp.StatusOK && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified {
+		length += max(0, header.ContentLength())
+	}
+	return length, true
+}
+
 // mayBeBeaten reports whether a later response of the other attempt can be better: the target
 // rejected the request or failed it, or what it sent is no response.
 func (e raceResult) mayBeBeaten() bool {
@@ -192,7 +234,13 @@
 		// The goroutine ends at the deadline or when the connection is closed. stopWaiting changes
 		// the deadline, so the goroutine must not set it.
 		_ = contender.conn.SetReadDeadline(x.ioDeadline)
-		go func() { events <- contender.awaitStatus() }()
+		go func() {
+			e := contender.awaitStatus()
+			if e.err == nil && second.hedgeAfter > 0 {
+				e.err = contender.awaitSmallBody()
+			}
+			events <- e
+		}()
 	}
 	ticker := time.NewTicker(x.p.options.PollInterval)
 	defer ticker.Stop()
--- a/pkg/proxy/hedge_test.go
+++ b/pkg/proxy/hedge_test.go
@@ -113,6 +113,39 @@
 	}
 }
 
+// Guards against a response that begins first, stalls, and takes the complete response of the other
+// target away from the caller; and against waiting for a body that is none.
+func TestFirstCompleteResponseWins(t *testing.T) {
+	begun := func(c net.Conn, r *http.Request, n int) bool {
+		respond("HTTP/1.1 200 OK\nContent-Length: 9\n\nhal")(c, r, n)
+		time.Sleep(time.Second)
+		return false
+	}
+	for name, tc := range map[string]struct {
+		first, second func(net.Conn, *http.Request, int) bool
+		method, body  string
+	}{
+		"first attempt stalls": {func(c net.Conn, r *http.Request, n int) bool {
+			time.Sleep(40 * time.Millisecond)
+			return begun(c, r, n)
+		}, after(100*time.Millisecond, okText), "GET", "ok"},
+		"hedge stalls":           {after(60*time.Millisecond, okText), begun, "GET", "ok"},
+		"both are slow to begin": {after(60*time.Millisecond, okText), after(60*time.Millisecond, okText), "GET", "ok"},
+		"no body":                {after(60*time.Millisecond, "HTTP/1.1 200 OK\nContent-Length: 9\n\n"), after(time.Second, okText), "HEAD", ""},
+		"chunks":                 {after(60*time.Millisecond, "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n2\nok\n0\n\n"), after(time.Second, okText), "GET", "ok"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			first, second := newTarget(t, tc.first), newTarget(t, tc.second)
+			r := newTestProxy(t, Options{}, first.ln.Addr().String(), second.ln.Addr().String())
+			r.hedgeAfter(20 * time.Millisecond)
+			response, body := r.dial(t).send(tc.method, "/get", "", r.keyLine())
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.Equal(body, tc.body)
+		})
+	}
+}
+
 // Guards against a failed hedge that costs the request its retry: without the hedge, the slow
 // attempt would have got one beside it.
 func TestRetryAfterFailedHedge(t *testing.T) {
