--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -100,7 +100,7 @@
 	}
 	found := false
 	for k, p := range l.Routes {
-		if strings.HasPrefix(k, "/") && strings.HasPrefix(prefix, k) && (!found || len(k) > len(key)) {
+		if strings.HasPrefix(k, "/") && within(prefix, k) && (!found || len(k) > len(key)) {
 			key, percent, found = k, p, true
 		}
 	}
@@ -113,6 +113,11 @@
 	return service, l.Percent
 }
 
+// within reports whether the path of a route lies within a prefix, in whole segments.
+func within(path, prefix string) bool {
+	return strings.HasPrefix(strings.TrimSuffix(path, "/")+"/", strings.TrimSuffix(prefix, "/")+"/")
+}
+
 // account holds the hedges that the operators' limit leaves. It starts empty and gains a
 // fixed fraction of a hedge for each request, so that the hedges never exceed the percentage
 // of the requests since its start. The limit therefore holds over any number of instances
--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -210,6 +210,8 @@
 	}{
 		{"/a/c", "shop", "/a", 2},
 		{"/a/b/", "shop", "/a/b", 0},
+		{"/a", "shop", "/a", 2},
+		{"/ab", "shop", "shop", 3},
 		{"/c", "shop", "shop", 3},
 		{"/c", "other", "other", 1},
 	} {
