--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -230,3 +230,11 @@
 		is.Equal(sizeClass(bytes), want)
 	}
 }
+
+// Measures the computation of a delay, during which the caller's lock is held.
+func BenchmarkDelay(b *testing.B) {
+	d := newTestDecider(5000, usual, 100)
+	for range b.N {
+		d.routes["r"].compute(3, time.Minute, time.Minute)
+	}
+}
--- a/pkg/hedge/latencies.go
+++ b/pkg/hedge/latencies.go
@@ -40,7 +40,7 @@
 	timeStep = 50 * time.Millisecond
 	// maxDelays bounds the delays that are kept; timeouts of callers may all differ.
 	maxDelays = 64
-	// recomputeInterval is how long a delay is used. Its computation takes about 100 us.
+	// recomputeInterval is how long a delay is used. Its computation takes 32 us (BenchmarkDelay).
 	recomputeInterval = time.Second
 	// classBits and classCount divide responses by size: up to 4 KiB, 64 KiB, 1 MiB, and above.
 	classBits, firstClassBits = 4, 12
