--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -13,6 +13,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/bytebudget"
 	"github.com/arbutuslink/arbutuslink/pkg/daemon"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/hedge"
 	"github.com/arbutuslink/arbutuslink/pkg/metrics"
 	"github.com/arbutuslink/arbutuslink/pkg/placement"
 	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
@@ -48,6 +49,10 @@
 	// may.
 	Quarantine      []quarantine.State `json:"quarantine"`
 	SuspectRequests int                `json:"suspect_requests"`
+	// HedgePercent and HedgeRoutes are the limits on hedges, Hedges the state by service.
+	HedgePercent float64                `json:"hedge_percent"`
+	HedgeRoutes  map[string]float64     `json:"hedge_routes"`
+	Hedges       map[string]hedge.State `json:"hedges"`
 }
 
 // evacuationsDump is the set of evacuated zones, as of a version of the store.
@@ -68,6 +73,8 @@
 		d.Evacuations = &evacuationsDump{Zones: set.Zones(), StoreEra: set.Version().Era, StoreVersion: set.Version().Number}
 	}
 	d.Quarantine, d.SuspectRequests = i.suspects.Dump()
+	limits := i.balancer.HedgeLimits()
+	d.HedgePercent, d.HedgeRoutes, d.Hedges = limits.Percent, limits.Routes, i.balancer.Hedges()
 	d.PathsLost, d.DetoursCarried = i.paths.Lost(), i.detours.Open()
 	for team := range i.follower.View().Config.Config.Teams {
 		d.Teams[team] = i.limiter.Level(team)
@@ -122,12 +129,26 @@
 		cold, unsure := i.balancer.ColdTargets()
 		scope.Tagged(map[string]string{tagState: "cold"}).Gauge(metricTargetsCold).Update(float64(cold))
 		scope.Tagged(map[string]string{tagState: "unsure"}).Gauge(metricTargetsCold).Update(float64(unsure))
+		reportHedges(scope, i.balancer.Hedges())
 		if i.clock.Sleep(ctx, gaugeInterval) != nil {
 			return
 		}
 	}
 }
 
+// reportHedges updates the gauges of hedges.
+func reportHedges(scope tally.Scope, hedges map[string]hedge.State) {
+	for name, h := range hedges {
+		service := scope.Tagged(map[string]string{tagService: name})
+		service.Gauge(metricHedgesSent).Update(float64(h.Sent))
+		service.Gauge(metricHedgesWon).Update(float64(h.Won))
+		service.Gauge(metricHedgesWasted).Update(h.WastedSeconds)
+		for reason, count := range h.Refused {
+			scope.Tagged(map[string]string{tagService: name, tagReason: reason}).Gauge(metricHedgesRefused).Update(float64(count))
+		}
+	}
+}
+
 func (i *Instance) serveDump(c *fasthttp.RequestCtx) {
 	body, err := json.MarshalIndent(i.dump(), "", "  ")
 	if err != nil {
--- a/pkg/explain/text.go
+++ b/pkg/explain/text.go
@@ -110,6 +110,9 @@
 	if a.Cold != nil {
 		fmt.Fprintf(b, "  The target was cold or may have been; this instance could send it %.3g requests/s.\n", *a.Cold)
 	}
+	if a.HedgeAfter > 0 {
+		fmt.Fprintf(b, "  A hedge: it ran beside the first attempt, which had not responded for %s.\n", a.HedgeAfter)
+	}
 	if a.Limit != nil {
 		fmt.Fprintf(b, "  The target limited its rate; this instance could send it %.3g requests/s.\n", *a.Limit)
 	}
--- a/pkg/proxy/withdrawn_test.go
+++ b/pkg/proxy/withdrawn_test.go
@@ -70,9 +70,10 @@
 			for _, tg := range tc.targets {
 				addresses = append(addresses, address(tg))
 			}
-			r := newTestProxy(t, Options{HedgeDelay: tc.hedgeDelay}, addresses...)
+			r := newTestProxy(t, Options{}, addresses...)
 			b := &withdrawingBalancer{r, map[string]bool{address(out): true}}
 			p := New(Ports{Viewer: r, ServeChecker: r, Clock: clock.System{}, Limiter: r, Queue: r, Balancer: b}, r.proxy.options)
+			p.Hedger = &testHedger{balancer: b, delay: tc.hedgeDelay}
 			r.address = listen(t, p.NewServer(p.Handle))
 			response, _ := r.dial(t).send(tc.method, tc.path, "", r.keyLine())
 			is.Equal(response.StatusCode, tc.status)
