Teach the stand-in target to be cold, and test two instances in front of it

TestColdTargetIsLimited runs two processes on the store's stand-in: the configuration sets 4.5/s, a target says in its entry that it is cold.

--- a/pkg/lab/upstreamsim/statements.go
+++ b/pkg/lab/upstreamsim/statements.go
@@ -149,6 +149,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.countCold(now)
 	t := s.says.told[instance]
 	if t == nil {
 		return
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -146,6 +146,7 @@
 	faults     Faults
 	slowFactor float64
 	says       statements
+	cold       []coldSpan
 	reports    int
 	waiting    int
 	executions []*Execution
@@ -192,8 +193,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reports++
-	return fmt.Appendf(nil, `{"address":%q,"born":1,"info":{"service":%q,"zone":%q,"slots":%d,"version":"v1"},"status":{"state":%q,"seq":%d,"warmup_left":"0ms"}}`,
-		address, s.Service, s.Zone, s.Slots, state, s.reports)
+	return fmt.Appendf(nil, `{"address":%q,"born":1,"info":{"service":%q,"zone":%q,"slots":%d,"version":"v1"},"status":{"state":%q,"seq":%d,"warmup_left":"%dms"}}`,
+		address, s.Service, s.Zone, s.Slots, state, s.reports, s.warmupLeft().Milliseconds())
 }
 
 // Executions returns copies of all recorded executions in the order of their start.
