--- a/pkg/placement/limit_sim_test.go
+++ b/pkg/placement/limit_sim_test.go
@@ -41,8 +41,7 @@
 	asked, served, refused int
 	// askedAt and startedAt count the requests of each instance.
 	askedAt, startedAt map[string]int
-	// respond, if not nil, adds to a target's response to an instance. It returns the result
-	// and what to do when the response has arrived.
+	// respond, if not nil, adds to a target's response. It returns the result and what to do then.
 	respond func(m *simMember, target string, load *proxy.Load, now time.Duration) (proxy.Result, func(now time.Duration))
 	// idempotent says that the requests are.
 	idempotent bool
