Limit an instance that has just started for 1 s

While it cannot know which targets are cold, it sends each of its zone a third of the rate at most. Heartbeats tell it within 0.5 s; 1.5 s cost a fleet that starts anew half a second more. 3,000 runs of TestColdTargetsGetTooMuch pass.

--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -29,9 +29,10 @@
 	minColdTestDelay = 2 * time.Second
 	coldTestStep     = 400 * time.Millisecond
 	// startSpan is the time since the start of the process, or since it has reached the store or
-	// others again, after which these have told it of cold targets. staleListing is the age of the listing from which on an instance
-	// that hears few others may be cut off: a listing is at most that old otherwise.
-	startSpan    = 1500 * time.Millisecond
+	// others again, after which these have told it of cold targets, twice to a standby.
+	// staleListing is the age of the listing from which on an instance that hears few others
+	// may be cut off: a listing is at most that old otherwise.
+	startSpan    = time.Second
 	staleListing = 2 * time.Second
 	// rampTime is the time in which a target that has turned warm takes up its part of the
 	// load, rampCost what it costs more at first: about as much as a target with a request on
