Show the division of a team's rate in metrics and dump

Requests admitted, refused, and refused although the fleet's bucket had a token as far as the instance knew, and the share of the rate, by team.

--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -16,6 +16,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/metrics"
 	"github.com/arbutuslink/arbutuslink/pkg/placement"
 	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
+	"github.com/arbutuslink/arbutuslink/pkg/usage"
 )
 
 const (
@@ -35,6 +36,8 @@
 	ListingAgeMS  int64              `json:"listing_age_ms"`
 	Fleet         *fleet.View        `json:"fleet"`
 	Teams         map[string]float64 `json:"team_tokens"`
+	// TeamLimits is the state of the limits of the teams that have had requests.
+	TeamLimits map[string]usage.TeamState `json:"team_limits"`
 	// BodyBudget is the memory for bodies.
 	BodyBudget bytebudget.State        `json:"body_budget"`
 	Targets    []placement.TargetState `json:"targets"`
@@ -60,6 +63,7 @@
 	for team := range i.follower.View().Config.Config.Teams {
 		d.Teams[team] = i.limiter.Level(team)
 	}
+	d.TeamLimits = i.limiter.State()
 	return d
 }
 
@@ -105,12 +109,24 @@
 		for reason, targets := range i.balancer.Obstacles() {
 			scope.Tagged(map[string]string{tagReason: reason}).Gauge(metricTargetsWithheld).Update(float64(targets))
 		}
+		reportTeams(scope, i.limiter.State())
 		if i.clock.Sleep(ctx, gaugeInterval) != nil {
 			return
 		}
 	}
 }
 
+// reportTeams updates the gauges of the teams' limits.
+func reportTeams(scope tally.Scope, teams map[string]usage.TeamState) {
+	for name, state := range teams {
+		tagged := scope.Tagged(map[string]string{tagTeam: name})
+		tagged.Gauge(metricTeamAdmitted).Update(float64(state.Admitted))
+		tagged.Gauge(metricTeamRefused).Update(float64(state.Refused))
+		tagged.Gauge(metricTeamRefusedInside).Update(float64(state.RefusedInside))
+		tagged.Gauge(metricTeamShare).Update(state.Share)
+	}
+}
+
 func (i *Instance) serveDump(c *fasthttp.RequestCtx) {
 	body, err := json.MarshalIndent(i.dump(), "", "  ")
 	if err != nil {
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -24,12 +24,18 @@
 
 	metricTargetsWithheld = "edge_targets_withheld"
 
+	metricTeamAdmitted      = "edge_team_admitted"
+	metricTeamRefused       = "edge_team_refused"
+	metricTeamRefusedInside = "edge_team_refused_inside"
+	metricTeamShare         = "edge_team_share"
+
 	tagStatus  = "status"
 	tagCode    = "code"
 	tagService = "service"
 	tagResult  = "result"
 	tagState   = "state"
 	tagReason  = "reason"
+	tagTeam    = "team"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram.
--- a/pkg/usage/share.go
+++ b/pkg/usage/share.go
@@ -17,10 +17,10 @@
 	// toleranceFraction is the fraction of that excess by which the level may fall below
 	// zero before an instance admits nothing. The rest covers what is admitted before the
 	// others know of it.
-	toleranceFraction = 0.7
+	toleranceFraction = 0.6
 	// overloadToleranceFraction is the same for a team that sends more than its rate: its
 	// level stays near the tolerance, and errors add to it.
-	overloadToleranceFraction = 0.4
+	overloadToleranceFraction = 0.35
 	// freshToleranceFraction is the same while this instance does not know what was admitted
 	// in the whole window of the platform's bound.
 	freshToleranceFraction = 0.1
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -265,6 +265,39 @@
 	return 0
 }
 
+// TeamState is the state of a team's limit at this instance, for metrics and dumps.
+type TeamState struct {
+	// Level is the number of tokens in the bucket of the whole fleet as far as this instance
+	// knows, LocalTokens that in the bucket of this instance.
+	Level       float64 `json:"level"`
+	LocalTokens float64 `json:"local_tokens"`
+	// Share is this instance's share of the rate, Reserved the sum of the shares that are
+	// reserved for unresponsive instances, both from 0 to 1.
+	Share    float64 `json:"share"`
+	Reserved float64 `json:"reserved"`
+	// Overloaded says that the demand of the team is well above its rate.
+	Overloaded bool `json:"overloaded"`
+	// Admitted and Refused count the requests since the start. RefusedInside counts those of
+	// the refused ones for which the fleet's bucket had a token as far as this instance knows.
+	Admitted      uint64 `json:"admitted"`
+	Refused       uint64 `json:"refused"`
+	RefusedInside uint64 `json:"refused_inside"`
+}
+
+// State returns the state of each team that has had requests somewhere in the fleet.
+func (l *Limiter) State() map[string]TeamState {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	states := map[string]TeamState{}
+	for name, t := range l.teams {
+		states[name] = TeamState{
+			Level: t.level, LocalTokens: t.localTokens, Share: t.share, Reserved: t.reserved, Overloaded: t.overloaded,
+			Admitted: t.admitted, Refused: t.refused, RefusedInside: t.refusedInside,
+		}
+	}
+	return states
+}
+
 // minRetryAfter is the minimum Retry-After, so that refused callers do not return
 // at once.
 const minRetryAfter = 100 * time.Millisecond
