--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -31,12 +31,18 @@
 	metricHedgesWasted  = "edge_hedges_wasted_slot_seconds"
 	metricHedgesRefused = "edge_hedges_refused"
 
+	metricTeamAdmitted      = "edge_team_admitted"
+	metricTeamRefused       = "edge_team_refused"
+	metricTeamRefusedInside = "edge_team_refused_inside"
+	metricTeamShare         = "edge_team_share"
+
 	tagStatus  = "status"
 	tagCode    = "code"
 	tagService = "service"
 	tagResult  = "result"
 	tagState   = "state"
 	tagReason  = "reason"
+	tagTeam    = "team"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram.
