--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -126,6 +126,9 @@
 	i.freshness = &freshness{pauses: clock.NewPauseDetector(i.clock, pauseThreshold), follower: i.follower, registry: i.registry, instance: i}
 	i.limiter = usage.New(i.clock, i.follower, func() int { return len(i.fleet.View().Peers) }, s.FirstStart)
 	i.balancer = placement.New(i.clock, i.registry, fleetViewer{i}, o.Log)
+	if rule, ok := s.RetryRule(); ok {
+		i.balancer.SetRetryRule(placement.RetryRule{Ratio: rule.Ratio, Window: rule.Window, Slack: rule.Slack})
+	}
 	i.suspects = quarantine.New(i.clock, o.Log)
 	i.suspects.Owns, i.suspects.OnChange = i.ownsSuspect, func() { i.fleet.Push(true) }
 	i.paths = i.newPaths()
--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -40,6 +40,7 @@
 			}
 		}
 	}
+	next.FixedShare = f.fixedShare()
 	sortByName(next.Peers)
 	samePeers := next.Serving == old.Serving && slices.Equal(next.Peers, old.Peers) && maps.Equal(next.Detached, old.Detached)
 	if !samePeers || !maps.Equal(next.Quiet, old.Quiet) {
@@ -144,12 +145,17 @@
 // maxPromotionSteps bounds the number of promotionStep delays of a standby.
 const maxPromotionSteps = 4
 
+// minimumServing returns how many instances of a zone of some size serve at any rate.
+func minimumServing(size int) int {
+	return max(minServing, min(maxMinServing, size/membersPerServing))
+}
+
 // wantedServing returns how many instances should serve in a zone that has size
 // members and a rate in requests per second. alive are its live instances in order
 // of rank. Callers choose at random among the serving instances, so each gets the
 // same rate, and the one with the smallest capacity has to carry it.
 func wantedServing(alive []*memberState, size int, rate float64) int {
-	minimum := max(minServing, min(maxMinServing, size/membersPerServing))
+	minimum := minimumServing(size)
 	for n := minimum; n < len(alive); n++ {
 		if rate <= float64(n)*float64(alive[n-1].Capacity) {
 			return n
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -132,6 +132,8 @@
 
 	mu      sync.Mutex
 	members map[string]*memberState
+	// rosterRead says that members holds all instances of the roster.
+	rosterRead bool
 	// announcedServing is the last value of View.Serving that was sent to all members.
 	announcedServing bool
 	// promotableSince is the time since boot from which this standby has been among
@@ -279,6 +281,7 @@
 			f.members[m.Instance] = &memberState{Member: m, lastReceived: now}
 		}
 	}
+	f.rosterRead = true
 	f.mu.Unlock()
 	hello := f.heartbeat(IdentityOnly)
 	hello.Hello = true
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -101,6 +101,9 @@
 	// Detached holds the names of the peers that connect to no target. They go on serving
 	// those who know their address, but callers are not sent there.
 	Detached map[string]bool
+	// FixedShare is the fraction of a constant of the whole fleet that this instance may use
+	// alone; 0 until it has read the roster.
+	FixedShare float64
 }
 
 // Owners returns the serving instances of a zone that own targets; none if no instance of the
--- /dev/null
+++ b/pkg/fleet/share.go
@@ -0,0 +1,44 @@
+package fleet
+
+const (
+	// firstRanksPart is the part of a zone's share of a constant that its first members in
+	// rank have together. They serve unless one of them fails, and need most of it.
+	firstRanksPart = 0.8
+	// fixedShareMargin is the fraction of a constant that all fixed shares add up to. The
+	// rest covers an instance that others do not know yet: of 12 that serve, one more
+	// takes 7%.
+	fixedShareMargin = 0.9
+)
+
+// fixedShare returns the fraction of a constant that this instance may use alone. The
+// fractions of all instances add up to fixedShareMargin. They depend on the known members and
+// on their ranks only, not on who is alive or serves, so they hold during partitions and
+// while standbys take over; the share of a silent instance is not assigned again. The caller
+// holds mu.
+func (f *Fleet) fixedShare() float64 {
+	if !f.rosterRead {
+		return 0
+	}
+	zones := map[string]bool{f.Self.Zone: true}
+	size, ahead := 1, 0
+	for _, k := range f.members {
+		zones[k.Zone] = true
+		if k.Zone != f.Self.Zone {
+			continue
+		}
+		size++
+		if k.RanksBefore(f.Self) {
+			ahead++
+		}
+	}
+	zone := fixedShareMargin / float64(len(zones))
+	first := minimumServing(size)
+	switch {
+	case size <= first:
+		return zone / float64(size)
+	case ahead < first:
+		return zone * firstRanksPart / float64(first)
+	default:
+		return zone * (1 - firstRanksPart) / float64(size-first)
+	}
+}
--- a/pkg/placement/attempt.go
+++ b/pkg/placement/attempt.go
@@ -84,12 +84,16 @@
 	t.removeOpen(a.started)
 	if load.Known {
 		// The target's count includes this request until its response is sent.
+		t.lastLoad, t.loadAt = load.InFlight+load.Queued, now
 		t.otherLoad, t.otherLoadAt = max(0, float64(load.InFlight+load.Queued-1-len(t.openStarts))), now
 	}
 	a.balancer.observeStatements(s, t, load, now)
 	if s.observeReach(t, result, now) {
 		a.balancer.logReach(s, t, result != proxy.NotSent)
 	}
+	if result == proxy.Shed {
+		s.shedding.add(t, load, now)
+	}
 	suspected := t.own.failProb >= suspectThreshold
 	t.recordResult(result, a.started, now)
 	if now := t.own.failProb >= suspectThreshold; now != suspected {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -76,6 +76,8 @@
 	// mu guards services, which holds them by name.
 	mu       sync.Mutex
 	services map[string]*service
+	// retryRule is nil if each instance bounds its retries by itself.
+	retryRule *RetryRule
 }
 
 // New returns a balancer that has no observations of any target.
@@ -93,6 +95,9 @@
 	s := b.services[name]
 	if s == nil {
 		s = newService(name, b.clock.SinceBoot())
+		if b.retryRule != nil {
+			s.retries = newRetryAccount(*b.retryRule, b.clock.SinceBoot())
+		}
 		b.services[name] = s
 	}
 	return s
@@ -107,7 +112,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(tried) == 0 {
-		s.retryBudget.earn(began)
+		b.setRetryShare(s, began)
+		s.earnRetries(began)
 		s.recordArrival(r.Idempotent, r.Objective, began)
 		b.rate.add(began)
 	}
@@ -192,13 +198,15 @@
 	s.mu.Lock()
 }
 
-// TakeRetry takes one retry from the service's budget and reports whether one was
-// left.
+// TakeRetry takes one retry from the service's account, or from this instance's budget if
+// there is no rule, and reports whether one was left.
 func (b *Balancer) TakeRetry(r proxy.Request) bool {
 	s := b.service(r.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.retryBudget.spend(b.clock.SinceBoot())
+	now := b.clock.SinceBoot()
+	b.setRetryShare(s, now)
+	return s.takeRetry(r, now)
 }
 
 // retryDelayFactor times the typical latency is how long an idempotent request
@@ -222,6 +230,7 @@
 		s.mu.Lock()
 		s.fillRateLimits(h, now)
 		s.fillLeaving(h, now)
+		b.fillRetries(s, h, to, now)
 		if !lost {
 			s.fillEvidence(h, to, now)
 			s.fillOutcomes(h, now)
@@ -307,6 +316,7 @@
 		b.mergeLeaving(s, from, h.LeavingTargets)
 		s.mergeUnreachable(from, h.UnreachableTargets, now)
 		s.mergeOutcomes(from, h.Outcomes, now)
+		s.mergeRetries(from, h.Retries, now)
 		s.mu.Unlock()
 	}
 }
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -95,6 +95,10 @@
 	// queue holds the requests that wait for a target with free capacity.
 	queue       waitQueue
 	retryBudget retryBudget
+	// retries is the account that replaces retryBudget if there is a rule for all instances;
+	// nil otherwise.
+	retries  *retryAccount
+	shedding shedding
 	// outcomes counts the recent requests and failures.
 	outcomes outcomes
 	// arrivals is the rate of requests, suspectCredit the number of requests that
@@ -312,7 +316,7 @@
 // them, and trials are mostly idempotent requests, which can be retried. A new target
 // must not wait forever for an idempotent request, as some services have none.
 func (s *service) trial(r proxy.Request, now time.Duration) *target {
-	if r.Idempotent && !s.retryBudget.has(trialRetryReserve, now) {
+	if r.Idempotent && !s.mayTry(now) {
 		return nil
 	}
 	var oldest *target
--- a/pkg/placement/target.go
+++ b/pkg/placement/target.go
@@ -76,6 +76,10 @@
 	// boot), from the load that the target reported.
 	otherLoad   float64
 	otherLoadAt time.Duration
+	// lastLoad is the number of requests that the target last reported, at loadAt (time
+	// since boot).
+	lastLoad int
+	loadAt   time.Duration
 
 	// limit is the request rate that the target accepts.
 	limit rateLimit
@@ -121,7 +125,7 @@
 // newTarget returns the state of a target without any result. The times of an hour
 // before boot stand for "never".
 func newTarget(entry *discovery.Entry, now time.Duration) *target {
-	return &target{entry: entry, own: newEvidence(now), peer: newPeerEvidence(now), listedAt: now, lastResultAt: -time.Hour, lastReportAt: -time.Hour, lastUsedAt: -time.Hour, lastTrialAt: -trialInterval}
+	return &target{entry: entry, own: newEvidence(now), peer: newPeerEvidence(now), listedAt: now, lastResultAt: -time.Hour, lastReportAt: -time.Hour, lastUsedAt: -time.Hour, lastTrialAt: -trialInterval, loadAt: -time.Hour}
 }
 
 // failProb returns the probability that the target fails a large fraction of its
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -245,7 +245,7 @@
 	}
 	x.result = Answered
 	if response.StatusCode() >= fasthttp.StatusInternalServerError {
-		x.result = ServerError
+		x.result, x.request.Previous = ServerError, ServerError
 		if x.p.dialect.RetryServerErrors && x.takeRetry(nil) {
 			x.abandonRest()
 			x.reportResult(x.result)
@@ -337,6 +337,7 @@
 		x.p.Quarantine.RecordSuccess(x.requestDigest(), x.suspicion)
 	}
 	latency := x.p.Clock.SinceBoot() - x.beganAt
+	x.request.Previous = result
 	x.attempt.Done(result, latency, x.responseInfo.Load)
 	x.recordAttempt(x.attempt, result, latency, x.conn.via())
 	if x.p.Reporter != nil {
--- a/pkg/proxy/ports.go
+++ b/pkg/proxy/ports.go
@@ -37,6 +37,8 @@
 	Objective time.Duration
 	// Deadline is the end of the request's timeout, as time since boot.
 	Deadline time.Duration
+	// Previous is the result of the last attempt that has ended; Answered before that.
+	Previous Result
 }
 
 // Queue orders requests by batch share and team when targets are the bottleneck.
--- a/pkg/settings/edge.go
+++ b/pkg/settings/edge.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/arbutuslink/arbutuslink/pkg/allowance"
 	"github.com/arbutuslink/arbutuslink/pkg/document"
 )
 
@@ -42,6 +43,12 @@
 	// Grace is the time between the request to stop the process and its kill, as a
 	// Go duration such as "6s".
 	Grace string `json:"grace"`
+	// RetryRatio, RetryWindow (a Go duration) and RetrySlack bound the retries of each service
+	// over all instances: in any window, the ratio x requests + slack. While ratio and
+	// slack are 0, each instance keeps to a budget of its own.
+	RetryRatio  float64 `json:"retry_ratio"`
+	RetryWindow string  `json:"retry_window"`
+	RetrySlack  float64 `json:"retry_slack"`
 	// DirectoryTTLMS is how long callers may use a response of the directory, in ms.
 	DirectoryTTLMS int    `json:"directory_ttl_ms"`
 	LogLevel       string `json:"log_level"`
@@ -54,7 +61,7 @@
 
 // DefaultEdge returns the values of settings that are missing in a file.
 func DefaultEdge() *Edge {
-	return &Edge{ProcessorShare: 1, Cores: 1, LinkMbps: 1000, Grace: "6s", DirectoryTTLMS: 1000, LogLevel: "info"}
+	return &Edge{ProcessorShare: 1, Cores: 1, LinkMbps: 1000, Grace: "6s", RetryWindow: "10s", DirectoryTTLMS: 1000, LogLevel: "info"}
 }
 
 // LoadEdge reads and validates a settings file. The error is a *ReadError whose
@@ -81,6 +88,11 @@
 	maxCores          = 1024
 	minMemoryMB       = 64
 	maxMemoryMB       = 1 << 20
+	maxRetryRatio     = 10
+	// minRetryWindow is the shortest window that allowance.Account can divide.
+	minRetryWindow = allowance.MinWindow
+	maxRetryWindow = 10 * time.Minute
+	maxRetrySlack  = 1_000_000
 )
 
 // Validate checks every value. The error is an *document.InvalidError.
@@ -103,6 +115,7 @@
 		fmt.Sprintf("0, or %d to %d", minMemoryMB, maxMemoryMB))
 	grace, err := time.ParseDuration(e.Grace)
 	v.Check(err == nil && grace >= minGrace, "$.grace", e.Grace, fmt.Sprintf("a duration of at least %s", minGrace))
+	v.checkRetryRule(e)
 	v.checkRange("$.directory_ttl_ms", e.DirectoryTTLMS, 100, maxDirectoryTTLMS)
 	v.Check(slices.Contains(logLevels, e.LogLevel), "$.log_level", e.LogLevel, "debug, info, warn or error")
 	return v.Err()
@@ -117,6 +130,35 @@
 	return grace
 }
 
+// checkRetryRule checks the bound on retries.
+func (v *validator) checkRetryRule(e *Edge) {
+	v.Check(e.RetryRatio >= 0 && e.RetryRatio <= maxRetryRatio, "$.retry_ratio", e.RetryRatio, fmt.Sprintf("0 to %d", maxRetryRatio))
+	window, err := time.ParseDuration(e.RetryWindow)
+	v.Check(err == nil && window >= minRetryWindow && window <= maxRetryWindow, "$.retry_window", e.RetryWindow,
+		fmt.Sprintf("a duration of %s to %s", minRetryWindow, maxRetryWindow))
+	v.Check(e.RetrySlack >= 0 && e.RetrySlack <= maxRetrySlack, "$.retry_slack", e.RetrySlack, fmt.Sprintf("0 to %d", maxRetrySlack))
+}
+
+// RetryRule is a bound on the retries of each service.
+type RetryRule struct {
+	Ratio  float64
+	Window time.Duration
+	Slack  float64
+}
+
+// RetryRule returns the bound on retries, and false if none is set. It panics unless the
+// settings are valid.
+func (e *Edge) RetryRule() (RetryRule, bool) {
+	if e.RetryRatio == 0 && e.RetrySlack == 0 {
+		return RetryRule{}, false
+	}
+	window, err := time.ParseDuration(e.RetryWindow)
+	if err != nil {
+		panic(err)
+	}
+	return RetryRule{e.RetryRatio, window, e.RetrySlack}, true
+}
+
 // ClockOffset is ClockOffsetMS as a duration.
 func (e *Edge) ClockOffset() time.Duration { return milliseconds(e.ClockOffsetMS) }
 
