--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -105,6 +105,13 @@
 	*a.requests.at(a.current)++
 }
 
+// LeastEarned returns the units per second that the account earns in any case while requests
+// arrive at the given rate, and for how long it may earn no more: the account gives a part of
+// a window's credit early, and earns less in the rest of the window.
+func (a *Account) LeastEarned(requestsPerSecond float64) (perSecond float64, duration time.Duration) {
+	return currentWeight * a.rule.Ratio * requestsPerSecond, a.rule.Window / 2
+}
+
 // SetShare sets the fraction of the rule's constant that belongs to this instance. The
 // fractions of all instances add up to at most 1 at any time. Less counts at once, more
 // after the time in which another instance may still spend it.
--- a/pkg/placement/retry_account.go
+++ b/pkg/placement/retry_account.go
@@ -32,10 +32,14 @@
 
 const (
 	// reserveTime is the time for which retries are kept for more urgent classes, at the
-	// rate at which these have asked lately. Loans take about as long to arrive.
-	reserveTime = time.Second
-	// maxReserve is the largest part of the capacity that is kept so.
-	maxReserve = 0.5
+	// rate at which these have asked lately, besides what the account may earn too slowly.
+	reserveTime = 200 * time.Millisecond
+	// shortfallPart is the part that is kept of what they will want beyond what the account
+	// earns while it earns least. Simulated: with all of it, less urgent classes leave a
+	// fifth more unused; with half of it, urgent retries are refused more often.
+	shortfallPart = 0.7
+	// maxReserve is the largest part of the capacity that is kept.
+	maxReserve = 0.75
 	// askTime is the time for which an instance wants to have retries at its rate of demand;
 	// below that it borrows. Twice as much is not lent.
 	askTime = time.Second
@@ -133,13 +137,15 @@
 }
 
 // reserve returns the number of retries that are kept for classes more urgent than the given
-// one: what they want in reserveTime, up to a part of the capacity.
+// one: what they want in reserveTime, and most of what they want beyond what the account earns
+// while it earns least. Without demand of more urgent classes, nothing is kept.
 func (a *retryAccount) reserve(class retryClass, capacity float64, now time.Duration) float64 {
 	perSecond := 0.0
 	for c := range min(class, retryClasses) {
 		perSecond += a.demand[c].get(now)
 	}
-	return min(perSecond*reserveTime.Seconds(), maxReserve*capacity)
+	earned, duration := a.LeastEarned(float64(a.recent.requests.get(now)) / recentSpan.Seconds())
+	return min(perSecond*reserveTime.Seconds()+shortfallPart*max(0, perSecond-earned)*duration.Seconds(), maxReserve*capacity)
 }
 
 // has reports whether n retries are left for a class beyond those kept for others.
--- /dev/null
+++ b/pkg/placement/retry_account_sim_test.go
@@ -0,0 +1,338 @@
+package placement
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/discovery"
+	"github.com/arbutuslink/arbutuslink/pkg/fleet"
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+	"github.com/arbutuslink/arbutuslink/pkg/proxy"
+)
+
+const (
+	// The users' deployment C: 38 instances in 3 zones, 12 of which serve, and 162 targets
+	// with 6 slots.
+	retrySimZones, retrySimServing, retrySimInstances = 3, 12, 38
+	retrySimTargets, retrySimSlots                    = 162, 6
+	retrySimRatio, retrySimSlack                      = 0.2, 168
+	retrySimWindow                                    = 10 * time.Second
+	retrySimWork                                      = 250 * time.Millisecond
+	retrySimAttempts                                  = 3
+)
+
+// retrySim is a fleet in front of targets that reject requests, in virtual time.
+type retrySim struct {
+	rng       *rand.Rand
+	clock     *clock.Manual
+	catalogue *discovery.Catalogue
+	members   []*retrySimMember
+	running   map[string]int
+	events    simEvents
+	// shed is the probability that a target rejects a request; slots is the number that a
+	// target runs at most and then rejects.
+	shed  float64
+	slots int
+	// share of the requests that come to the first instance; the others are equal.
+	firstShare float64
+	// onePriority says that all requests have priority 1.
+	onePriority bool
+	// work is the mean time that a target takes for a request.
+	work time.Duration
+	// lost reports whether a heartbeat is lost.
+	lost              func(from, to int) bool
+	requests, retries []time.Duration
+	asked, served     [3]int
+}
+
+type retrySimMember struct {
+	*Balancer
+	sim  *retrySim
+	view *fleet.View
+}
+
+func (m *retrySimMember) Catalogue() *discovery.Catalogue { return m.sim.catalogue }
+func (m *retrySimMember) View() *fleet.View               { return m.view }
+
+// simEvent is something that happens at a time.
+type simEvent struct {
+	at  time.Duration
+	run func()
+}
+
+type simEvents []simEvent
+
+func (e simEvents) Len() int           { return len(e) }
+func (e simEvents) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e simEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *simEvents) Push(x any)        { *e = append(*e, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+func newRetrySim(seed uint64, rule *RetryRule) *retrySim {
+	s := &retrySim{
+		rng: rand.New(rand.NewPCG(seed, 7)), clock: clock.NewManual(time.Unix(0, 0)), running: map[string]int{}, slots: 1 << 30, work: retrySimWork,
+		catalogue:  &discovery.Catalogue{Version: 1, Services: map[string][]*discovery.Entry{}},
+		firstShare: 1.0 / retrySimServing, lost: func(int, int) bool { return false },
+	}
+	s.clock.Advance(time.Hour)
+	for i := range retrySimTargets {
+		s.catalogue.Services["s"] = append(s.catalogue.Services["s"], &discovery.Entry{Target: discovery.Target{
+			ID: fmt.Sprintf("t%03d", i), Service: "s", Address: "10.0.0.1:1", Zone: fmt.Sprint(i % retrySimZones), Slots: retrySimSlots,
+		}})
+	}
+	var peers []fleet.Member
+	for i := range retrySimServing {
+		peers = append(peers, fleet.Member{Instance: fmt.Sprintf("e%02d", i), Zone: fmt.Sprint(i % retrySimZones)})
+	}
+	for _, self := range peers {
+		m := &retrySimMember{sim: s, view: &fleet.View{Version: 1, Self: self, Serving: true, Peers: peers, FixedShare: 0.9 * 0.8 / retrySimServing}}
+		m.Balancer = New(s.clock, m, m, &nop)
+		if rule != nil {
+			m.SetRetryRule(*rule)
+		}
+		s.members = append(s.members, m)
+	}
+	return s
+}
+
+// after runs f when d has passed.
+func (s *retrySim) after(d time.Duration, f func()) {
+	heap.Push(&s.events, simEvent{s.clock.SinceBoot() + d, f})
+}
+
+// begin starts requests at a rate per second, and heartbeats.
+func (s *retrySim) begin(perSecond float64) {
+	var arrive func()
+	arrive = func() {
+		s.arrive()
+		s.after(time.Duration(s.rng.ExpFloat64()/perSecond*float64(time.Second)), arrive)
+	}
+	arrive()
+	for n := range s.members {
+		var beat func()
+		beat = func() {
+			s.heartbeat(n)
+			s.after(250*time.Millisecond, beat)
+		}
+		s.after(time.Duration(s.rng.Int64N(int64(250*time.Millisecond))), beat)
+	}
+}
+
+// run plays a length of time.
+func (s *retrySim) run(length time.Duration) {
+	end := s.clock.SinceBoot() + length
+	for len(s.events) > 0 && s.events[0].at <= end {
+		e := heap.Pop(&s.events).(simEvent)
+		s.clock.Advance(e.at - s.clock.SinceBoot())
+		e.run()
+	}
+	s.clock.Advance(end - s.clock.SinceBoot())
+}
+
+// heartbeat sends a heartbeat of one instance to all others: to those of its zone, and each
+// second one to those of other zones.
+func (s *retrySim) heartbeat(from int) {
+	h := &peerpb.Heartbeat{Serving: true}
+	s.members[from].Fill(h, fleet.SameZonePeers)
+	data, err := proto.Marshal(h)
+	if err != nil {
+		panic(err)
+	}
+	for to, m := range s.members {
+		sameZone := to%retrySimZones == from%retrySimZones
+		if to == from || s.lost(from, to) || (!sameZone && s.rng.IntN(2) == 0) {
+			continue
+		}
+		s.after(time.Duration(1+s.rng.IntN(3))*time.Millisecond, func() {
+			received := &peerpb.Heartbeat{}
+			if err := proto.Unmarshal(data, received); err != nil {
+				panic(err)
+			}
+			m.Merge(fmt.Sprint(from), received)
+		})
+	}
+}
+
+// arrive brings a new request, 20% of priority 0, 30% of priority 1, the rest of 2, to an
+// instance.
+func (s *retrySim) arrive() {
+	m := s.members[0]
+	if s.rng.Float64() >= s.firstShare {
+		m = s.members[1+s.rng.IntN(len(s.members)-1)]
+	}
+	now := s.clock.SinceBoot()
+	r := proxy.Request{Service: "s", Route: "r", Idempotent: true, Deadline: now + 2*time.Second}
+	switch p := s.rng.Float64(); {
+	case s.onePriority:
+		r.Priority = 1
+	case p >= 0.5:
+		r.Priority = 2
+	case p >= 0.2:
+		r.Priority = 1
+	}
+	s.requests = append(s.requests, now)
+	s.asked[r.Priority]++
+	s.attempt(m, r, nil)
+}
+
+// attempt sends the request to a target.
+func (s *retrySim) attempt(m *retrySimMember, r proxy.Request, tried []string) {
+	a, err := m.Acquire(r, tried) // without an objective it does not wait
+	if err != nil {
+		return
+	}
+	now, id := s.clock.SinceBoot(), a.Target()
+	if len(tried) > 0 {
+		s.retries = append(s.retries, now)
+	}
+	load := func() proxy.Load { return proxy.Load{Known: true, InFlight: s.running[id]} }
+	if s.rng.Float64() < s.shed || s.running[id] >= s.slots {
+		shown := load()
+		s.after(2*time.Millisecond, func() {
+			a.Done(proxy.Shed, 2*time.Millisecond, shown)
+			r.Previous = proxy.Shed
+			if len(tried)+1 < retrySimAttempts && m.TakeRetry(r) {
+				s.attempt(m, r, append(slices.Clone(tried), id))
+			}
+		})
+		return
+	}
+	s.running[id]++
+	work := s.work/2 + time.Duration(s.rng.Int64N(int64(s.work)))
+	s.after(work, func() {
+		shown := load()
+		s.running[id]--
+		a.Done(proxy.Answered, work, shown)
+		s.served[r.Priority]++
+	})
+}
+
+// mostUsed returns the largest fraction of the allowed retries that were sent in any window
+// that begins after the given time, and the mean over these windows.
+func (s *retrySim) mostUsed(from time.Duration) (most, mean float64) {
+	windows := 0
+	for end := from + retrySimWindow; end <= s.clock.SinceBoot(); end += 50 * time.Millisecond {
+		in := func(after time.Duration) int {
+			return since(s.requests, after) - since(s.requests, after+retrySimWindow)
+		}
+		requests := max(in(end-retrySimWindow), in(end-3*retrySimWindow/2), in(end-2*retrySimWindow))
+		sent := since(s.retries, end-retrySimWindow) - since(s.retries, end)
+		used := float64(sent) / (retrySimRatio*float64(requests) + retrySimSlack)
+		most, mean, windows = max(most, used), mean+used, windows+1
+	}
+	return most, mean / float64(windows)
+}
+
+// servedRatio returns the fraction of the requests of a priority that were served.
+func (s *retrySim) servedRatio(priority int) float64 {
+	return float64(s.served[priority]) / float64(s.asked[priority])
+}
+
+var retrySimRule = RetryRule{Ratio: retrySimRatio, Window: retrySimWindow, Slack: retrySimSlack}
+
+// overloaded returns the number of retries that were refused for load.
+func (s *retrySim) overloaded() (sum uint64) {
+	for _, m := range s.members {
+		for _, n := range m.Retries()[0].Counts.Overloaded {
+			sum += n
+		}
+	}
+	return sum
+}
+
+// storm plays 25 s without rejections, then 25 s in which targets reject 55% of what arrives
+// by chance, at 1,700 requests a second. It returns the largest fraction of the allowed
+// retries in any window, and the mean over the windows of the storm's end.
+func (s *retrySim) storm(t *testing.T) (most, late float64) {
+	s.begin(1700)
+	s.run(25 * time.Second)
+	s.shed = 0.55
+	began := s.clock.SinceBoot()
+	s.asked, s.served = [3]int{}, [3]int{}
+	s.run(25 * time.Second)
+	most, _ = s.mostUsed(began - retrySimWindow)
+	_, late = s.mostUsed(began + retrySimWindow)
+	t.Logf("used at most %.3f, late %.3f; served by priority %.3f %.3f %.3f", most, late, s.servedRatio(0), s.servedRatio(1), s.servedRatio(2))
+	return most, late
+}
+
+// Guards against retries that go to less urgent requests or exceed the rule, and against more
+// urgent requests that are served less often than with a budget for each instance.
+func TestRetriesWhileTargetsRejectByChance(t *testing.T) {
+	alone := newRetrySim(1, nil)
+	alone.storm(t)
+	for _, row := range []struct {
+		name       string
+		firstShare float64
+		lost       func(s *retrySim) func(from, to int) bool
+	}{
+		{"even demand", 1.0 / retrySimServing, nil},
+		{"half of the requests at one instance", 0.5, nil},
+		{"lost heartbeats", 1.0 / retrySimServing, func(s *retrySim) func(int, int) bool {
+			return func(int, int) bool { return s.rng.Float64() < 0.2 }
+		}},
+		{"zones cut off", 1.0 / retrySimServing, func(*retrySim) func(int, int) bool {
+			return func(from, to int) bool { return from%retrySimZones != to%retrySimZones }
+		}},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			s := newRetrySim(1, &retrySimRule)
+			s.firstShare = row.firstShare
+			if row.lost != nil {
+				s.lost = row.lost(s)
+			}
+			if most, _ := s.storm(t); most > 1 {
+				t.Errorf("%.3f of the allowed retries were sent in a window", most)
+			}
+			if n := s.overloaded(); n > 0 {
+				t.Errorf("%d retries were refused for load", n)
+			}
+			if s.servedRatio(0) < s.servedRatio(1) || s.servedRatio(1) < s.servedRatio(2) {
+				t.Error("less urgent requests were served more often")
+			}
+			if s.servedRatio(0) < alone.servedRatio(0) {
+				t.Errorf("urgent requests: %.3f served, %.3f with a budget for each instance", s.servedRatio(0), alone.servedRatio(0))
+			}
+		})
+	}
+}
+
+// Guards against allowed retries that stay unused while requests of one priority want them:
+// a budget for each instance allowed 0.17 of 0.2 per request.
+func TestRetriesOfOnePriorityUseTheRule(t *testing.T) {
+	s := newRetrySim(1, &retrySimRule)
+	s.onePriority = true
+	most, late := s.storm(t)
+	if most > 1 || late < 0.17/retrySimRatio {
+		t.Errorf("%.3f of the allowed retries were sent in the busiest window, %.3f on average", most, late)
+	}
+}
+
+// Guards against retries of requests that targets reject because all are full: these add to
+// the load, and the requests of others are rejected instead.
+func TestNoRetriesWhileTargetsAreFull(t *testing.T) {
+	s := newRetrySim(1, &retrySimRule)
+	s.slots = retrySimSlots
+	s.begin(1700)
+	s.run(25 * time.Second)
+	s.work = 4 * retrySimWork // the targets carry 972 requests a second
+	s.run(3 * time.Second)
+	began := s.clock.SinceBoot()
+	s.run(12 * time.Second)
+	overloaded, retries := s.overloaded(), since(s.retries, began)
+	t.Logf("%d retries of %d requests, %d refused for load", retries, since(s.requests, began), overloaded)
+	if overloaded == 0 || float64(retries) > 0.1*float64(overloaded) {
+		t.Errorf("%d retries were sent and %d refused while targets are full", retries, overloaded)
+	}
+}
