--- a/pkg/allowance/account.go
+++ b/pkg/allowance/account.go
@@ -64,6 +64,8 @@
 	// lent those lent from it.
 	requests, spent, lent ring
 	fixed                 fixedShare
+	// sums is lowest's buffer.
+	sums cumulated
 	loans
 }
 
@@ -77,6 +79,7 @@
 		rule: rule, transit: transit, loan: loan, current: int64(now / bucket),
 		requests: make(ring, size), spent: make(ring, size), lent: make(ring, size),
 	}
+	a.sums = cumulated{make(cumulatedCounts, size+1), make(cumulatedCounts, size+1), make(cumulatedCounts, size+1)}
 	a.fixed.hold = shareHoldWindows * rule.Window
 	return a
 }
@@ -162,7 +165,7 @@
 // will be in them are known only so far. It also returns the lowest level without what was
 // spent and lent.
 func (a *Account) lowest(horizon int) (level, capacity float64) {
-	var sums cumulated
+	sums := &a.sums
 	sums.fill(a)
 	for u := 0; u <= horizon; u++ {
 		// The windows end in the bucket u after the current one. Ages are those of buckets
@@ -182,20 +185,15 @@
 	return level, capacity
 }
 
-const (
-	// MinWindow is the shortest window of a rule: MaxTransit and LoanTime are 250 of its
-	// buckets then. maxHistory is the largest number of buckets of an account.
-	MinWindow  = time.Second
-	maxHistory = 512
-)
+// MinWindow is the shortest window of a rule: MaxTransit and LoanTime are 250 of its buckets
+// then, and an account keeps 401.
+const MinWindow = time.Second
 
 // cumulated holds, for each age in buckets, the sums of the counts up to that age.
 type cumulated struct{ requests, spent, lent cumulatedCounts }
 
-type cumulatedCounts struct {
-	sums [maxHistory + 1]float64
-	size int
-}
+// cumulatedCounts has the sum of the counts of the n newest buckets at n.
+type cumulatedCounts []float64
 
 func (c *cumulated) fill(a *Account) {
 	c.requests.fill(a.requests, a.current)
@@ -203,20 +201,23 @@
 	c.lent.fill(a.lent, a.current)
 }
 
-func (c *cumulatedCounts) fill(r ring, current int64) {
-	c.size = min(len(r), maxHistory, int(current)+1)
-	for age := range c.size {
-		c.sums[age+1] = c.sums[age] + *r.at(current - int64(age))
+func (c cumulatedCounts) fill(r ring, current int64) {
+	slot := int(current % int64(len(r)))
+	for age := range r {
+		c[age+1] = c[age] + r[slot]
+		if slot--; slot < 0 {
+			slot = len(r) - 1
+		}
 	}
 }
 
 // between returns the sum of the counts of the ages from newest to oldest, both included.
-func (c *cumulatedCounts) between(oldest, newest int) float64 {
-	oldest, newest = min(oldest, c.size-1), max(newest, 0)
+func (c cumulatedCounts) between(oldest, newest int) float64 {
+	oldest, newest = min(oldest, len(c)-2), max(newest, 0)
 	if oldest < newest {
 		return 0
 	}
-	return c.sums[oldest+1] - c.sums[newest]
+	return c[oldest+1] - c[newest]
 }
 
 // fixedShare is an instance's share of a rule's constant.
--- a/pkg/allowance/account_test.go
+++ b/pkg/allowance/account_test.go
@@ -282,3 +282,14 @@
 	is.Equal(Part(10, 0, 10, 0), 0.0)
 	is.Equal(Part(0, 0, 0, 0), 0.0)
 }
+
+// BenchmarkLevel measures the level, which is computed for each idempotent request.
+func BenchmarkLevel(b *testing.B) {
+	a := New(testRule, start)
+	for ms := range 15_000 {
+		a.AddRequest(start + time.Duration(ms)*time.Millisecond)
+	}
+	for b.Loop() {
+		a.Level(start + 15*time.Second)
+	}
+}
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -316,9 +316,6 @@
 // them, and trials are mostly idempotent requests, which can be retried. A new target
 // must not wait forever for an idempotent request, as some services have none.
 func (s *service) trial(r proxy.Request, now time.Duration) *target {
-	if r.Idempotent && !s.mayTry(now) {
-		return nil
-	}
 	var oldest *target
 	for _, t := range s.byDistance[distancePreferred] {
 		if t.obstacle(idleLoadPerSlot, now) != noObstacle || !t.trialDue(r.Idempotent, now) {
@@ -328,9 +325,10 @@
 			oldest = t
 		}
 	}
-	if oldest != nil {
-		oldest.lastTrialAt = now
+	if oldest == nil || (r.Idempotent && !s.mayTry(now)) {
+		return nil
 	}
+	oldest.lastTrialAt = now
 	return oldest
 }
 
--- a/pkg/proxy/fixture_test.go
+++ b/pkg/proxy/fixture_test.go
@@ -96,6 +96,8 @@
 	mu        sync.Mutex
 	results   []Result
 	load      Load
+	// previous are the results before the retries that were asked for.
+	previous []Result
 }
 
 func (r *testProxy) View() *control.View                { return r.view.Load() }
@@ -104,7 +106,13 @@
 func (r *testProxy) Enter(context.Context, Request) (func(), error) {
 	return func() {}, nil
 }
-func (r *testProxy) TakeRetry(Request) bool { return true }
+
+func (r *testProxy) TakeRetry(request Request) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.previous = append(r.previous, request.Previous)
+	return true
+}
 
 func (r *testProxy) Acquire(_ Request, tried []string) (Attempt, error) {
 	if r.onAcquire != nil {
--- a/pkg/proxy/retry_test.go
+++ b/pkg/proxy/retry_test.go
@@ -177,3 +177,16 @@
 	is.Equal(body, "no")
 	is.Equal(r.results, []Result{Broken, ServerError})
 }
+
+// Guards against retries of which the balancer does not learn why they are wanted: rejected
+// requests are not retried while the targets reject for load.
+func TestRetryNamesPreviousResult(t *testing.T) {
+	is := is.New(t)
+	failing, full := newTarget(t, respond("HTTP/1.1 500 No\nContent-Length: 0\n\n")), newTarget(t, respond(notRunText))
+	r := newDialectTestProxy(t, 0, full.ln.Addr().String(), failing.ln.Addr().String(), newTarget(t, respond(okText)).ln.Addr().String())
+	response, _ := r.dial(t).send("GET", "/get", "", r.keyLine())
+	is.Equal(response.StatusCode, http.StatusOK)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	is.Equal(r.previous, []Result{Shed, ServerError})
+}
