--- a/pkg/fleet/share.go
+++ b/pkg/fleet/share.go
@@ -3,10 +3,10 @@
 const (
 	// firstRanksPart is the part of a zone's share of a constant that its first members in
 	// rank have together. They serve unless one of them fails, and need most of it.
-	firstRanksPart = 0.8
+	firstRanksPart = 0.9
 	// fixedShareMargin is the fraction of a constant that all fixed shares add up to. The
 	// rest covers an instance that others do not know yet: of 12 that serve, one more
-	// takes 6%.
+	// takes 7%.
 	fixedShareMargin = 0.9
 )
 
--- a/pkg/placement/retry_sim_test.go
+++ b/pkg/placement/retry_sim_test.go
@@ -99,7 +99,7 @@
 		peers = append(peers, fleet.Member{Instance: fmt.Sprintf("e%02d", i), Zone: fmt.Sprint(i % retrySimZones)})
 	}
 	for _, self := range peers {
-		m := &retrySimMember{sim: s, view: &fleet.View{Version: 1, Self: self, Serving: true, Peers: peers, FixedShare: 0.9 * 0.8 / retrySimServing}}
+		m := &retrySimMember{sim: s, view: &fleet.View{Version: 1, Self: self, Serving: true, Peers: peers, FixedShare: 0.9 * 0.9 / retrySimServing}}
 		m.Balancer = New(s.clock, m, m, &nop)
 		if rule != nil {
 			m.SetRetryRule(*rule)
