--- a/pkg/placement/retries.go
+++ b/pkg/placement/retries.go
@@ -55,14 +55,11 @@
 	defer s.mu.Unlock()
 	now := b.clock.SinceBoot()
 	b.setRetryShare(s, now)
-	switch {
-	case len(s.queue) > 0 || s.shedding.byLoad(s.ordered, now):
-		return false
-	case s.retries == nil:
-		return s.retryBudget.has(trialRetryReserve+1, now) && s.retryBudget.spend(now)
-	default:
-		return s.retries.spendHedge(now)
+	loaded := len(s.queue) > 0 || s.shedding.byLoad(s.ordered, now)
+	if s.retries == nil {
+		return !loaded && s.retryBudget.has(trialRetryReserve+1, now) && s.retryBudget.spend(now)
 	}
+	return s.retries.spendHedge(loaded, now)
 }
 
 // setRetryShare applies this instance's share of the rule's constant. The caller holds the
--- a/pkg/placement/retry_account.go
+++ b/pkg/placement/retry_account.go
@@ -188,10 +188,10 @@
 }
 
 // spendHedge takes a retry for a hedge and reports whether one was left that neither retries
-// nor trials need.
-func (a *retryAccount) spendHedge(now time.Duration) bool {
+// nor trials need. loaded says that the targets have no room.
+func (a *retryAccount) spendHedge(loaded bool, now time.Duration) bool {
 	rested := a.refusedAt == 0 || now-a.refusedAt >= hedgeRest
-	if !rested || !a.has(hedgeClass, trialRetryReserve+1, now) || !a.Spend(now) {
+	if loaded || !rested || !a.has(hedgeClass, trialRetryReserve+1, now) || !a.Spend(now) {
 		a.counts.HedgesRefused++
 		return false
 	}
--- a/pkg/placement/retry_account_test.go
+++ b/pkg/placement/retry_account_test.go
@@ -111,6 +111,10 @@
 	is.True(!f.SpendHedge(r))
 	f.clock.Advance(hedgeRest)
 	is.True(f.SpendHedge(r))
+	f.service("s").queue.enqueue(&waiter{wake: make(chan struct{}, 1)})
+	is.True(!f.SpendHedge(r)) // a request waits for a target
+	counts := f.Retries()[0].Counts
+	is.Equal([2]uint64{counts.Hedges, counts.HedgesRefused}, [2]uint64{2, 2})
 }
 
 // Guards against retries after rejections for load, and against refused ones after
@@ -229,6 +233,21 @@
 	return changed.Messages().Get(d.Index())
 }
 
+// Guards against heartbeats that outgrow a datagram because many instances borrow: 1,400
+// bytes is the goal for all that a heartbeat carries.
+func TestLoansFitHeartbeat(t *testing.T) {
+	is := is.New(t)
+	f := newRetryFixture(0)
+	f.arrive(t, 4000)
+	for n := range 60 {
+		f.Merge(string(rune('A'+n)), &peerpb.Heartbeat{Retries: []*peerpb.ServiceRetries{{Service: "s", Ask: 1 << 60 >> n, Wanted: 1}}})
+	}
+	h := &peerpb.Heartbeat{}
+	f.Fill(h, fleet.SameZonePeers)
+	is.Equal(len(h.Retries[0].Loans), maxLoansReported)
+	is.True(proto.Size(&peerpb.Heartbeat{Retries: h.Retries}) < 400)
+}
+
 // Guards against values in a heartbeat that are no numbers of retries.
 func TestUnusableRetryReports(t *testing.T) {
 	is := is.New(t)
