--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,6 +45,8 @@
 	// BodyBudget is the memory for bodies.
 	BodyBudget bytebudget.State        `json:"body_budget"`
 	Targets    []placement.TargetState `json:"targets"`
+	// Retries holds the retry accounts; none without a rule in the settings.
+	Retries []placement.RetryState `json:"retries"`
 	// PathsLost says that this instance connects to no target, DetoursCarried is the number
 	// of connections to targets that it holds for others.
 	PathsLost      bool  `json:"paths_lost"`
@@ -78,6 +81,7 @@
 	d.Quarantine, d.SuspectRequests = i.suspects.Dump()
 	limits := i.balancer.HedgeLimits()
 	d.HedgePercent, d.HedgeRoutes, d.Hedges = limits.Percent, limits.Routes, i.balancer.Hedges()
+	d.Retries = i.balancer.Retries()
 	d.PathsLost, d.DetoursCarried = i.paths.Lost(), i.detours.Open()
 	for team := range i.follower.View().Config.Config.Teams {
 		d.Teams[team] = i.limiter.Level(team)
@@ -135,6 +139,7 @@
 		scope.Tagged(map[string]string{tagState: "unsure"}).Gauge(metricTargetsCold).Update(float64(unsure))
 		reportHedges(scope, i.balancer.Hedges())
 		reportTeams(scope, i.limiter.State())
+		reportRetries(scope, i.balancer.Retries())
 		if i.clock.Sleep(ctx, gaugeInterval) != nil {
 			return
 		}
@@ -165,6 +170,28 @@
 	}
 }
 
+// reportRetries updates the gauges of the retry accounts.
+func reportRetries(scope tally.Scope, states []placement.RetryState) {
+	for _, s := range states {
+		service := scope.Tagged(map[string]string{tagService: s.Service})
+		update := func(name string, tags map[string]string, value float64) {
+			service.Tagged(tags).Gauge(name).Update(value)
+		}
+		update(metricRetriesLeft, map[string]string{tagState: "level"}, s.Level)
+		update(metricRetriesLeft, map[string]string{tagState: "capacity"}, s.Capacity)
+		for priority := range s.Counts.Granted {
+			label := strconv.Itoa(priority)
+			update(metricRetries, map[string]string{tagPriority: label, tagResult: "granted"}, float64(s.Counts.Granted[priority]))
+			update(metricRetries, map[string]string{tagPriority: label, tagResult: "refused"}, float64(s.Counts.Refused[priority]))
+			update(metricRetries, map[string]string{tagPriority: label, tagResult: "overloaded"}, float64(s.Counts.Overloaded[priority]))
+		}
+		update(metricHedges, map[string]string{tagResult: "granted"}, float64(s.Counts.Hedges))
+		update(metricHedges, map[string]string{tagResult: "refused"}, float64(s.Counts.HedgesRefused))
+		update(metricRetriesMoved, map[string]string{tagState: "lent"}, s.Counts.Lent)
+		update(metricRetriesMoved, map[string]string{tagState: "borrowed"}, s.Counts.Borrowed)
+	}
+}
+
 func (i *Instance) serveDump(c *fasthttp.RequestCtx) {
 	body, err := json.MarshalIndent(i.dump(), "", "  ")
 	if err != nil {
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -36,6 +36,13 @@
 	metricTeamRefusedInside = "edge_team_refused_inside"
 	metricTeamShare         = "edge_team_share"
 
+	metricRetries      = "edge_retries"
+	metricHedges       = "edge_hedges"
+	metricRetriesLeft  = "edge_retries_left"
+	metricRetriesMoved = "edge_retries_moved"
+
+	tagPriority = "priority"
+
 	tagStatus  = "status"
 	tagCode    = "code"
 	tagService = "service"
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -112,6 +112,9 @@
 	Settled bool
 	// ZoneSizes counts the known instances of each zone, standbys and this one included.
 	ZoneSizes map[string]int
+	// FixedShare is the fraction of a constant of the whole fleet that this instance may use
+	// alone; 0 until it has read the roster.
+	FixedShare float64
 }
 
 // Owners returns the serving instances of a zone that own targets; none if no instance of the
--- a/pkg/placement/hedge.go
+++ b/pkg/placement/hedge.go
@@ -140,8 +140,14 @@
 	a.target.own.observeLatency(float64(age)/float64(max(a.service.typicalLatency, time.Millisecond)), a.balancer.clock.SinceBoot())
 }
 
-// TakeHedge implements hedge.Budget with the retry budget. The caller holds mu.
+// TakeHedge implements hedge.Budget with the retry account of all instances, or the retry budget
+// of this one. Hedges come last: one gets none while requests wait for a target, while targets
+// reject for load, within hedgeRest of a refused retry of any instance, or if the account has no
+// more than what the retries and trials of the next second need. The caller holds mu.
 func (s *service) TakeHedge(now time.Duration) bool {
+	if s.retries != nil {
+		return s.retries.spendHedge(len(s.queue) > 0 || s.shedding.byLoad(s.ordered, now), now)
+	}
 	return s.retryBudget.has(1+hedgeRetryReserve, now) && s.retryBudget.spend(now)
 }
 
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -91,6 +91,8 @@
 	listings listingTimes
 	// createdAt is the time since boot of New.
 	createdAt time.Duration
+	// retryRule is nil if each instance bounds its retries by itself.
+	retryRule *RetryRule
 }
 
 // New returns a balancer that has no observations of any target.
@@ -111,6 +113,9 @@
 	if s == nil {
 		s = newService(name, b.clock.SinceBoot())
 		s.evacuations = b.Evacuations
+		if b.retryRule != nil {
+			s.retries = newRetryAccount(*b.retryRule, b.clock.SinceBoot())
+		}
 		b.services[name] = s
 	}
 	return s
@@ -125,7 +130,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(tried) == 0 {
-		s.retryBudget.earn(began)
+		b.setRetryShare(s, began)
+		s.earnRetries(began)
 		s.recordArrival(r.Idempotent, r.Objective, began)
 		b.countForHedges(s, r)
 		b.rate.add(began)
@@ -213,14 +219,15 @@
 	s.mu.Lock()
 }
 
-// TakeRetry takes one retry from the service's budget and reports whether one was
-// left.
+// TakeRetry takes one retry from the service's account, or from this instance's budget if
+// there is no rule, and reports whether one was left.
 func (b *Balancer) TakeRetry(r proxy.Request) bool {
 	s := b.service(r.Service)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := b.clock.SinceBoot()
-	granted := s.retryBudget.spend(now)
+	b.setRetryShare(s, now)
+	granted := s.takeRetry(r, now)
 	if !granted {
 		s.recordShortage(now)
 	}
@@ -249,6 +256,7 @@
 		s.mu.Lock()
 		s.fillRateLimits(h, now)
 		s.fillLeaving(h, now)
+		b.fillRetries(s, h, to, now)
 		if !lost {
 			s.fillEvidence(h, to, now)
 			s.fillOutcomes(h, now)
@@ -335,6 +343,7 @@
 		b.mergeLeaving(s, from, h.LeavingTargets)
 		s.mergeUnreachable(from, h.UnreachableTargets, now)
 		s.mergeOutcomes(from, h.Outcomes, now)
+		s.mergeRetries(from, h.Retries, now)
 		s.mu.Unlock()
 	}
 }
--- a/pkg/placement/refuse.go
+++ b/pkg/placement/refuse.go
@@ -94,9 +94,9 @@
 	return w
 }
 
-// allowance is what limits leave an instance at a target: tokens now, a rate of more per
+// targetAllowance is what limits leave an instance at a target: tokens now, a rate of more per
 // second, and the time since boot at which the limits end, if it is known.
-type allowance struct {
+type targetAllowance struct {
 	rate, tokens float64
 	until        time.Duration
 }
@@ -104,8 +104,8 @@
 // allowance returns what the rate that the target has named and the one for cold targets leave
 // to this instance; limited is false if neither applies. A cold target that is out of reach
 // counts as not limited, since it may become usable at any moment.
-func (t *target) allowance(now time.Duration) (a allowance, limited bool) {
-	a = allowance{rate: math.Inf(1), tokens: math.Inf(1), until: now + maxForcedWait}
+func (t *target) allowance(now time.Duration) (a targetAllowance, limited bool) {
+	a = targetAllowance{rate: math.Inf(1), tokens: math.Inf(1), until: now + maxForcedWait}
 	if t.limit.limited {
 		t.limit.refill(now)
 		a.rate, a.tokens = t.limit.rate(), t.limit.tokens
--- a/pkg/placement/service.go
+++ b/pkg/placement/service.go
@@ -102,6 +102,10 @@
 	retryBudget retryBudget
 	// hedges decides on hedges; nil as long as none were permitted.
 	hedges *hedge.Decider
+	// retries is the account that replaces retryBudget if there is a rule for all instances;
+	// nil otherwise.
+	retries  *retryAccount
+	shedding shedding
 	// outcomes counts the recent requests and failures.
 	outcomes outcomes
 	// arrivals is the rate of requests, suspectCredit the number of requests that
@@ -336,9 +340,6 @@
 // them, and trials are mostly idempotent requests, which can be retried. A new target
 // must not wait forever for an idempotent request, as some services have none.
 func (s *service) trial(r proxy.Request, now time.Duration) *target {
-	if r.Idempotent && !s.retryBudget.has(trialRetryReserve, now) {
-		return nil
-	}
 	var oldest *target
 	for _, t := range s.byDistance[distancePreferred] {
 		if t.obstacle(idleLoadPerSlot, now) != noObstacle || !t.trialDue(r.Idempotent, now) {
@@ -348,9 +349,10 @@
 			oldest = t
 		}
 	}
-	if oldest != nil {
-		oldest.lastTrialAt = now
+	if oldest == nil || (r.Idempotent && !s.mayTry(now)) {
+		return nil
 	}
+	oldest.lastTrialAt = now
 	return oldest
 }
 
