Keep to a later version of a target's entry that another instance has read

An instance that still had the version before counted the target as cold again at its next listing, and the later version that it read itself did not end that for 4.5 s (TestLaterListingOfAnotherInstance failed).

--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -300,6 +300,8 @@
 	case c.PerSecond == 0:
 	case l.left == 0:
 		c.statedWarm(l.writtenSince, true, now)
+	case c.statedWarmAt >= l.readAt:
+		// Another instance has read a later version.
 	case now < l.readAt+l.left+confirmWait:
 		learned = !c.cold(now)
 		c.listedUntil, c.listedAt = l.readAt+l.left, l.readAt
--- a/pkg/placement/cold_test.go
+++ b/pkg/placement/cold_test.go
@@ -380,3 +380,19 @@
 	c.broken(now + brokenTogether/2)
 	is.True(c.cold(now + brokenTogether/2))
 }
+
+// Guards against an instance that takes an entry for current of which another one has read a
+// later version.
+func TestLaterListingOfAnotherInstance(t *testing.T) {
+	is := is.New(t)
+	now := time.Hour
+	c := coldLimit{ColdRate: ColdRate{testWarmup, 4.5}}
+	entry := listingStatement{testWarmup, now - 500*time.Millisecond, now}
+	is.True(c.stated(entry, now)) // to be told at once
+	is.True(!c.stated(entry, now))
+	now += testWarmup + time.Second
+	c.told("e2", &peerpb.ColdTarget{AgeMs: 500}, now)
+	is.True(!c.cold(now))
+	is.True(!c.stated(entry, now))
+	is.True(!c.cold(now))
+}
