Let holders begin with a request at a target that was away

At 1 request per second and a warm-up of 3 s, each of three holders waited 3 s for its first request, so that a restarted target got none while it was cold (TestRateOfRestartedTargetIsUsed failed with 0; it was 0.69 at 4.5/s). A target that is new or has returned had no requests lately, so that its holders begin with what they may save up. Standbys are told of targets that have turned warm.

--- a/pkg/fleet/cold_property_test.go
+++ b/pkg/fleet/cold_property_test.go
@@ -52,3 +52,27 @@
 		}
 	}
 }
+
+// Guards against targets that get hardly anything after a restart, because each holder has to
+// wait for its first request.
+func TestRateOfRestartedTargetIsUsed(t *testing.T) {
+	const leastUse, warmup = 0.6, 3 * time.Second
+	for _, perSecond := range []float64{1, 4.5, 12} {
+		arrived, runs := 0, 10
+		for seed := range uint64(runs) {
+			s := newColdFleet(seed, 5, 2, 4, perSecond, warmup)
+			s.run(4 * time.Second)
+			target := s.targets[0]
+			target.up = false
+			s.run(1500 * time.Millisecond)
+			target.up = true
+			target.entry.Started++
+			s.setCold(target, s.clock.SinceBoot())
+			s.run(warmup)
+			arrived += len(target.arrivals)
+		}
+		if used := float64(arrived) / (perSecond * warmup.Seconds() * float64(runs)); used < leastUse {
+			t.Errorf("%v/s: %.2f of the rate is used", perSecond, used)
+		}
+	}
+}
--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -89,8 +89,10 @@
 	reason string
 	own    bool
 	// statedWarmAt is the time since boot from which on the newest listing that says warm was
-	// written; ownWarmAt that at which this instance read it.
-	statedWarmAt, ownWarmAt time.Duration
+	// written; warmAt that at which one has ended the warm-up, ownWarm says that this instance
+	// has read it.
+	statedWarmAt, warmAt time.Duration
+	ownWarm              bool
 	// listedUntil is the end of the warm-up by the last listing that this instance read and that
 	// says cold, listedAt the time since boot at which it read that.
 	listedUntil, listedAt time.Duration
@@ -129,8 +131,12 @@
 // assign sets this instance's share of the rate.
 func (c *coldLimit) assign(shares coldShares, peers int, now time.Duration) {
 	c.refill(now)
+	isNew := c.peers == 0 && c.cold(now)
 	c.shares, c.peers = shares, peers
 	c.tokens = min(c.tokens, maxTokens(c.rate(now)))
+	if isNew {
+		c.tokens = maxTokens(c.rate(now)) // as in suspect
+	}
 }
 
 // cold reports whether the target counts as cold.
@@ -222,7 +228,7 @@
 }
 
 // begin makes the target cold up to a time at least. A target that was warm had requests
-// until now, so that the allowance begins with none.
+// until now, so that the allowance begins with none unless the target was away.
 func (c *coldLimit) begin(reason string, own bool, until, now time.Duration) {
 	if !c.cold(now) {
 		c.tokens, c.updatedAt, c.reason, c.own, c.beganAt, c.reachedAgainAt = 0, now, reason, own, now, 0
@@ -235,7 +241,12 @@
 // zone has. A listing that was written later ends it.
 func (c *coldLimit) suspect(reason string, now time.Duration) {
 	if c.PerSecond > 0 {
+		wasCold := c.cold(now)
 		c.begin(reason, true, now+c.Warmup+confirmWait, now)
+		if !wasCold {
+			// It has had no requests lately.
+			c.tokens = maxTokens(c.rate(now))
+		}
 		c.beganAt, c.confirmAt, c.reachedAgainAt = now, now, 0
 		// Tests of a target that was not listed are due at all instances at once.
 		c.testAt = max(c.testAt, now+c.testDelay())
@@ -324,10 +335,7 @@
 	}
 	c.statedWarmAt = writtenSince
 	if c.cold(now) && !c.unreachable && writtenSince >= c.confirmAt {
-		c.until = now
-		if own {
-			c.ownWarmAt = now
-		}
+		c.until, c.warmAt, c.ownWarm = now, now, own
 	}
 }
 
--- a/pkg/placement/cold_exchange.go
+++ b/pkg/placement/cold_exchange.go
@@ -117,15 +117,15 @@
 	switch {
 	case c.PerSecond > 0 && now < c.listedUntil && c.statedWarmAt < c.listedAt:
 		return &peerpb.ColdTarget{LeftMs: millis(c.listedUntil - now), AgeMs: millis(now - c.listedAt)}
-	case !c.own && !passOn:
-		return nil
-	case c.unreachable:
-		return &peerpb.ColdTarget{LeftMs: millis(c.Warmup), AgeMs: millis(now - c.beganAt), Unreachable: true}
 	case !c.cold(now):
-		if c.ownWarmAt > 0 && now-c.ownWarmAt < warmReportTime {
+		if c.warmAt > 0 && now-c.warmAt < warmReportTime && (c.ownWarm || passOn) {
 			return &peerpb.ColdTarget{AgeMs: millis(now - c.statedWarmAt)}
 		}
 		return nil
+	case !c.own && !passOn:
+		return nil
+	case c.unreachable:
+		return &peerpb.ColdTarget{LeftMs: millis(c.Warmup), AgeMs: millis(now - c.beganAt), Unreachable: true}
 	}
 	left := c.until - confirmWait - now
 	if left <= 0 {
