--- a/pkg/placement/retry_sim_test.go
+++ b/pkg/placement/retry_sim_test.go
@@ -34,7 +34,7 @@
 	catalogue *discovery.Catalogue
 	members   []*retrySimMember
 	running   map[string]int
-	events    simEvents
+	events    retrySimEvents
 	// shed is the probability that a target rejects a request; slots is the number that a
 	// target runs at most and then rejects.
 	shed  float64
@@ -70,13 +70,13 @@
 	run func()
 }
 
-type simEvents []retrySimEvent
+type retrySimEvents []retrySimEvent
 
-func (e simEvents) Len() int           { return len(e) }
-func (e simEvents) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e simEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *simEvents) Push(x any)        { *e = append(*e, x.(retrySimEvent)) }
-func (e *simEvents) Pop() any {
+func (e retrySimEvents) Len() int           { return len(e) }
+func (e retrySimEvents) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e retrySimEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *retrySimEvents) Push(x any)        { *e = append(*e, x.(retrySimEvent)) }
+func (e *retrySimEvents) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
 	return last
