--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -17,7 +17,7 @@
 // evenRequests is the total demand at which half of the allowance is divided evenly. Demand of
 // a few requests in a second is mostly chance, and instances that are cut off from each other
 // at such a moment would disagree on their shares.
-const evenRequests = 50.0
+const evenRequests = 10.0
 
 // Party is another instance as last reported.
 type Party struct {
