--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -9,16 +9,11 @@
 // communicate stay within the allowance together.
 package allowance
 
-// EvenFraction is the minimum fraction of the unreserved allowance that is divided evenly, so
-// that an instance has a share at the moment when it begins to receive demand. With a tenth, an
+// EvenFraction is the fraction of the unreserved allowance that is divided evenly, so that an
+// instance has a share at the moment when it begins to receive demand. With a tenth, an
 // instance with 80% of the demand still gets 72% of the allowance and more.
 const EvenFraction = 0.1
 
-// evenRequests is the total demand at which half of the allowance is divided evenly. Demand of
-// a few requests in a second is mostly chance, and instances that are cut off from each other
-// at such a moment would disagree on their shares.
-const evenRequests = 10.0
-
 // Party is another instance as last reported.
 type Party struct {
 	// Demand is what it received in the last second or so, in the unit of the own demand.
@@ -49,6 +44,5 @@
 	if total <= 0 {
 		return 1 / count
 	}
-	even := max(EvenFraction, evenRequests/(evenRequests+total))
-	return even/count + (1-even)*demand/total
+	return EvenFraction/count + (1-EvenFraction)*demand/total
 }
--- a/pkg/allowance/allowance_test.go
+++ b/pkg/allowance/allowance_test.go
@@ -40,7 +40,7 @@
 
 // Guards against an instance that gets no share when it begins to receive demand.
 func TestInstanceWithoutDemandHasAShare(t *testing.T) {
-	if got := Share(0, slices.Values([]Party{{Demand: 1000}})); got != EvenFraction/2 {
+	if got := Share(0, slices.Values([]Party{{Demand: 10}})); got != EvenFraction/2 {
 		t.Error(got)
 	}
 }
--- a/pkg/usage/exchange.go
+++ b/pkg/usage/exchange.go
@@ -71,7 +71,7 @@
 		l.forgetCounts(from, now)
 	}
 	if p.unresponsive {
-		l.release(from, h, now)
+		l.release(from, h)
 	}
 	p.lastReceived, p.unresponsive = now, false
 	l.chargeUnresponsive(now)
@@ -97,7 +97,6 @@
 			c.chargedAt = 0
 		}
 	}
-	l.recordShares(from)
 	if h.Leaving || (!h.Serving && len(h.Teams) == 0) {
 		l.forget(from, now)
 	}
@@ -200,15 +199,12 @@
 				c = &peerCount{receivedAt: now, rateSince: now}
 				t.peers[name] = c
 			}
-			share := min(l.shareOf(t, name), 1-t.reserved)
-			// What this instance has spent since the last heartbeat came out of its own part.
-			last := t.sampleAt(p.lastReceived)
-			charged := max(0, last.level) * share
+			share := min(l.shareOf(t, c), 1-t.reserved)
+			// What this side has spent since the last heartbeat came out of its own part.
+			charged := max(0, t.sampleAt(p.lastReceived).level) * share
 			t.level -= charged
 			c.reserved, c.charged = share, charged
 			t.reserved += share
-			income := teamConfigs[id].RatePerSecond * (now - last.at).Seconds()
-			t.level = min(t.level, (last.level+income)*(1-t.reserved)-float64(t.admitted-last.admitted))
 			// Tokens that many instances have saved one by one would exceed the burst.
 			t.localTokens = min(t.localTokens, max(t.level+t.tolerance(teamConfigs[id]), 0))
 			c.chargedAt = now
@@ -217,38 +213,23 @@
 	}
 }
 
-// release ends the reservation for a peer that is responsive again. What the peer spent
-// beyond its share stays deducted, that of the last reportWindow even if it had spent less
-// before; what it did not spend is not credited. The caller holds mu.
-func (l *Limiter) release(name string, h *peerpb.Heartbeat, now time.Duration) {
+// release ends the reservation for a peer that is responsive again. What it spent of its
+// part of the level in the last reportWindow stays deducted.
+func (l *Limiter) release(name string, h *peerpb.Heartbeat) {
 	teamConfigs := l.viewer.View().Config.Config.Teams
-	uses := map[string]*peerpb.TeamUse{}
+	lately := map[string]float64{}
 	for _, use := range h.Teams {
-		uses[use.Team] = use
+		lately[use.Team] = float64(use.Lately)
 	}
 	for id, t := range l.teams {
 		c := t.peers[name]
 		if c == nil || c.reserved == 0 {
 			continue
 		}
-		l.refill(t, teamConfigs[id], now)
-		excess := 0.0
-		if use := uses[id]; use != nil {
-			excess = max(0, float64(use.Lately)-teamConfigs[id].RatePerSecond*c.reserved*reportWindow.Seconds())
-			if c.countedAt > 0 && use.Admitted > c.admitted && !l.missedCounts(c, use, now) {
-				excess = max(excess, float64(use.Admitted-c.admitted)-c.deducted(now))
-				c.admitted = use.Admitted
-			}
-		}
+		spent := max(0, lately[id]-teamConfigs[id].RatePerSecond*c.reserved*reportWindow.Seconds())
 		t.reserved = max(0, t.reserved-c.reserved)
-		t.level += c.charged - excess
+		t.level += max(0, c.charged-spent)
 		c.reserved, c.charged = 0, 0
-		c.deductedBefore, c.receivedAt, c.rateSince = 0, now, now
-		if c.countedAt == 0 {
-			// The peer has never reported the team; its next count is that of a new peer.
-			t.setAssumedRate(c, 0, now)
-			delete(t.peers, name)
-		}
 	}
 }
 
@@ -268,6 +249,5 @@
 			t.reserved = max(0, t.reserved-c.reserved)
 			delete(t.peers, name)
 		}
-		delete(t.shares, name)
 	}
 }
--- a/pkg/usage/share.go
+++ b/pkg/usage/share.go
@@ -33,11 +33,10 @@
 	// small share that it has reported.
 	minGrant = 0.5
 	// A team is overloaded if its demand in reportWindow is more than overloadFactor times
-	// what its rate allows, overloadBursts of its burst and overloadExcess of the excess that
-	// the platform allows. Random bursts of a team within its rate stay below.
+	// what its rate allows and overloadBursts of its burst. Random bursts of a team within
+	// its rate stay below.
 	overloadFactor = 1.5
 	overloadBursts = 0.5
-	overloadExcess = 0.25
 	// silentTimeout is the time without a heartbeat after which a peer's share stays
 	// reserved for it: one heartbeat between zones and its jitter.
 	silentTimeout = 650 * time.Millisecond
@@ -181,11 +180,6 @@
 	}
 	t.fresh = l.fresh(now)
 	total, unreported := t.recentDemand(now), !connected
-	if t.connected && !connected {
-		// The tokens that all instances have saved may be more than the level has left.
-		t.localTokens = min(t.localTokens, t.share*max(0, t.level+t.tolerance(teamConfig)))
-	}
-	t.connected = connected
 	demand := t.demand
 	switch {
 	case connected:
@@ -196,7 +190,7 @@
 	unknown := l.instanceCount() - 1 - float64(len(l.peers))
 	t.share = allowance.Share(demand, func(yield func(allowance.Party) bool) {
 		for ; unknown >= 1; unknown-- {
-			if !yield(allowance.Party{Reserved: true, Share: allowance.ShareOf(0, demand, l.instanceCount())}) {
+			if !yield(allowance.Party{Reserved: true, Share: l.shareOf(t, nil)}) {
 				return
 			}
 		}
@@ -210,10 +204,7 @@
 				unreported = unreported || c.even
 			}
 			if party.Reserved {
-				party.Share = l.shareOf(t, name)
-				if c != nil && c.reserved > 0 {
-					party.Share = c.reserved
-				}
+				party.Share = l.shareOf(t, c)
 			}
 			if !yield(party) {
 				return
@@ -223,8 +214,7 @@
 	// The demand on the other side of a partition and at builds that do not report it is not
 	// known, so that an overload could go unnoticed.
 	window := reportWindow.Seconds()
-	t.overloaded = unreported ||
-		total > overloadFactor*teamConfig.RatePerSecond*window+overloadBursts*float64(teamConfig.Burst)+overloadExcess*excess(teamConfig)
+	t.overloaded = unreported || total > overloadFactor*teamConfig.RatePerSecond*window+overloadBursts*float64(teamConfig.Burst)
 }
 
 // reserving reports whether some peer is silent and no share is reserved for it yet. The
@@ -238,33 +228,23 @@
 	return false
 }
 
-// recordShares notes the share of each team's rate that a peer takes as far as the reports
-// tell that all instances have at this time. It stays reserved if the peer is not heard from
-// again. The caller holds mu.
-func (l *Limiter) recordShares(from string) {
-	for _, t := range l.teams {
-		total := t.demand
-		for _, c := range t.peers {
-			total += c.demand
-		}
-		c := t.peers[from]
-		switch {
-		case c == nil:
-			t.shares[from] = allowance.ShareOf(0, total, l.instanceCount())
-		case c.even:
-			t.shares[from] = 1 / l.instanceCount()
-		default:
-			t.shares[from] = max(c.share, allowance.ShareOf(c.demand, total, l.instanceCount()))
-		}
+// shareOf returns the share of the rate that a peer takes as far as the last reports tell;
+// nil stands for a peer without one. The caller holds mu.
+func (l *Limiter) shareOf(t *team, c *peerCount) float64 {
+	total, demand, stated := t.known, 0.0, 0.0
+	for _, other := range t.peers {
+		total += other.demand
 	}
-}
-
-// shareOf returns the share of the rate that a peer takes. The caller holds mu.
-func (l *Limiter) shareOf(t *team, name string) float64 {
-	if share, ok := t.shares[name]; ok {
-		return share
+	switch {
+	case c == nil:
+	case c.reserved > 0:
+		return c.reserved
+	case c.even:
+		return 1 / l.instanceCount()
+	default:
+		demand, stated = c.demand, c.share
 	}
-	return 1 / l.instanceCount()
+	return max(stated, allowance.ShareOf(demand, total, l.instanceCount()))
 }
 
 // shareUnit is the unit of a share in a heartbeat.
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -103,8 +103,6 @@
 	share float64
 	// overloaded says that the demand of the team is well above its rate.
 	overloaded bool
-	// connected says that this instance hears from at least half of the others.
-	connected bool
 	// fresh says that this instance does not know yet what was admitted in the whole window
 	// of the platform's bound.
 	fresh bool
@@ -133,8 +131,6 @@
 	reported []countSample
 	// peers are the counts of other instances, by name.
 	peers map[string]*peerCount
-	// shares are the shares of other instances as recordShares notes them.
-	shares map[string]float64
 	// assumedRate is the sum of the assumed rates of peers.
 	assumedRate float64
 	// estimatedAt is the time since boot at which the level was last taken to be that of a
@@ -324,7 +320,7 @@
 func (l *Limiter) team(name string, teamConfig config.Team, now time.Duration) *team {
 	t := l.teams[name]
 	if t == nil {
-		t = &team{level: float64(teamConfig.Burst), updated: now, peers: map[string]*peerCount{}, shares: map[string]float64{}}
+		t = &team{level: float64(teamConfig.Burst), updated: now, peers: map[string]*peerCount{}}
 		if !l.startFull || now-l.createdAt >= startTime {
 			t.level = startLevel(teamConfig)
 		}
