--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -18,7 +18,6 @@
 	"github.com/arbutuslink/arbutuslink/pkg/metrics"
 	"github.com/arbutuslink/arbutuslink/pkg/placement"
 	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
-	"github.com/arbutuslink/arbutuslink/pkg/usage"
 )
 
 const (
@@ -40,8 +39,6 @@
 	ListingAgeMS int64              `json:"listing_age_ms"`
 	Fleet        *fleet.View        `json:"fleet"`
 	Teams        map[string]float64 `json:"team_tokens"`
-	// TeamLimits is the state of the limits of the teams that have had requests.
-	TeamLimits map[string]usage.TeamState `json:"team_limits"`
 	// BodyBudget is the memory for bodies.
 	BodyBudget bytebudget.State        `json:"body_budget"`
 	Targets    []placement.TargetState `json:"targets"`
@@ -86,7 +83,6 @@
 	for team := range i.follower.View().Config.Config.Teams {
 		d.Teams[team] = i.limiter.Level(team)
 	}
-	d.TeamLimits = i.limiter.State()
 	return d
 }
 
@@ -138,7 +134,6 @@
 		scope.Tagged(map[string]string{tagState: "cold"}).Gauge(metricTargetsCold).Update(float64(cold))
 		scope.Tagged(map[string]string{tagState: "unsure"}).Gauge(metricTargetsCold).Update(float64(unsure))
 		reportHedges(scope, i.balancer.Hedges())
-		reportTeams(scope, i.limiter.State())
 		reportRetries(scope, i.balancer.Retries())
 		if i.clock.Sleep(ctx, gaugeInterval) != nil {
 			return
@@ -159,17 +154,6 @@
 	}
 }
 
-// reportTeams updates the gauges of the teams' limits.
-func reportTeams(scope tally.Scope, teams map[string]usage.TeamState) {
-	for name, state := range teams {
-		tagged := scope.Tagged(map[string]string{tagTeam: name})
-		tagged.Gauge(metricTeamAdmitted).Update(float64(state.Admitted))
-		tagged.Gauge(metricTeamRefused).Update(float64(state.Refused))
-		tagged.Gauge(metricTeamRefusedInside).Update(float64(state.RefusedInside))
-		tagged.Gauge(metricTeamShare).Update(state.Share)
-	}
-}
-
 // reportRetries updates the gauges of the retry accounts.
 func reportRetries(scope tally.Scope, states []placement.RetryState) {
 	for _, s := range states {
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -31,10 +31,6 @@
 	metricHedgesWasted  = "edge_hedges_wasted_slot_seconds"
 	metricHedgesRefused = "edge_hedges_refused"
 
-	metricTeamAdmitted      = "edge_team_admitted"
-	metricTeamRefused       = "edge_team_refused"
-	metricTeamRefusedInside = "edge_team_refused_inside"
-	metricTeamShare         = "edge_team_share"
 
 	metricRetries      = "edge_retries"
 	metricHedges       = "edge_hedges"
@@ -49,7 +45,6 @@
 	tagResult  = "result"
 	tagState   = "state"
 	tagReason  = "reason"
-	tagTeam    = "team"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram.
--- a/pkg/usage/exchange.go
+++ b/pkg/usage/exchange.go
@@ -14,46 +14,35 @@
 	admitted uint64
 }
 
-// report returns the counts, and how much of them is recent, for a heartbeat, and records
-// them as sent.
-func (l *Limiter) report(t *team, name string, teamConfig config.Team, now time.Duration) *peerpb.TeamUse {
-	// The baseline is the newest report that is older than reportWindow: heartbeats to the
-	// own zone and to others are sent at different times, and each must name all that was
-	// admitted in the window.
-	for len(t.reported) > 1 && now-t.reported[1].at >= reportWindow {
+// report returns the count, and how much of it was admitted recently, for a
+// heartbeat, and records it as sent.
+func (t *team) report(name string, now time.Duration) *peerpb.TeamUse {
+	for len(t.reported) > 0 && now-t.reported[0].at > reportWindow {
 		t.reported = t.reported[1:]
 	}
-	var before countSample
-	if len(t.reported) > 0 && now-t.reported[0].at >= reportWindow {
-		before = t.reported[0]
-	}
-	t.reported = append(t.reported, countSample{now, t.admitted})
-	t.demand = t.recentDemand(now)
-	l.updateShare(t, teamConfig, now)
-	return &peerpb.TeamUse{
-		Team: name, Admitted: t.admitted, Lately: uint32(t.admitted - before.admitted),
-		Demand: uint32(t.demand), Share: encodeShare(t.share),
+	before := uint64(0)
+	switch {
+	case len(t.reported) > 0:
+		before = t.reported[0].admitted
+	case t.lastReported.at > 0:
+		before = t.lastReported.admitted
 	}
+	t.lastReported = countSample{now, t.admitted}
+	t.reported = append(t.reported, t.lastReported)
+	return &peerpb.TeamUse{Team: name, Admitted: t.admitted, Lately: uint32(t.admitted - before)}
 }
 
-// Fill adds the counts of the teams with demand within the last reportWindow.
+// Fill adds the counts that changed within the last reportWindow.
 func (l *Limiter) Fill(h *peerpb.Heartbeat, to fleet.Audience) {
 	if !to.Serving() {
 		return
 	}
 	now := l.clock.SinceBoot()
-	teamConfigs := l.viewer.View().Config.Config.Teams
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now-l.filledAt >= maxCountGap {
-		l.resumedAt = now
-	}
-	l.filledAt = now
 	for name, t := range l.teams {
-		if t.received > 0 && now-t.lastReceived < reportWindow {
-			h.Teams = append(h.Teams, l.report(t, name, teamConfigs[name], now))
-		} else {
-			t.demand = 0
+		if t.admitted > 0 && now-t.lastAdmitted < reportWindow {
+			h.Teams = append(h.Teams, t.report(name, now))
 		}
 	}
 }
@@ -70,9 +59,6 @@
 		l.peers[from] = p
 		l.forgetCounts(from, now)
 	}
-	if p.unresponsive {
-		l.release(from, h)
-	}
 	p.lastReceived, p.unresponsive = now, false
 	l.chargeUnresponsive(now)
 	reported := map[string]bool{}
@@ -85,12 +71,8 @@
 		t := l.team(use.Team, teamConfig, now)
 		l.refill(t, teamConfig, now)
 		l.applyCount(t, teamConfig, from, use, now)
-		t.peers[from].setDemand(use)
 	}
 	for name, t := range l.teams {
-		if c := t.peers[from]; c != nil && !reported[name] {
-			c.demand, c.share = 0, 0
-		}
 		if c := t.peers[from]; c != nil && !reported[name] && c.assumedRate > 0 {
 			l.refill(t, teams[name], now)
 			t.correct(c, c.admitted, now)
@@ -108,11 +90,11 @@
 // counts.
 func (l *Limiter) applyCount(t *team, teamConfig config.Team, from string, use *peerpb.TeamUse, now time.Duration) {
 	c, recently := t.peers[from], float64(use.Lately)
-	if c != nil && l.missedCounts(c, use, now) {
+	if c != nil && t.missedCounts(c, use, now) {
 		// How the tokens of that time were spent is not known. What the peers admitted
 		// recently was spent from what came in meanwhile.
 		if t.estimatedAt == 0 || now-t.estimatedAt >= maxCountGap {
-			t.level, t.estimatedAt = min(t.level, startLevel(teamConfig)), now
+			t.level, t.estimatedAt = min(t.level, initialBurstFraction*float64(teamConfig.Burst)), now
 		}
 		t.level -= recently - teamConfig.RatePerSecond*reportWindow.Seconds()/l.instanceCount()
 		t.setAssumedRate(c, 0, now)
@@ -122,21 +104,14 @@
 		return
 	} else {
 		t.level -= recently
-		if use.Admitted > uint64(use.Lately) {
-			// The peer has run for longer: what came in meanwhile was spent, too.
-			t.level = min(t.level+teamConfig.RatePerSecond*reportWindow.Seconds()/l.instanceCount(), float64(teamConfig.Burst))
-		}
 	}
 	t.peers[from] = &peerCount{admitted: use.Admitted, receivedAt: now, countedAt: now, rateSince: now}
 	t.setAssumedRate(t.peers[from], recently/reportWindow.Seconds(), now)
 }
 
 // missedCounts reports whether a peer has admitted requests of which this instance was not
-// told although the peer's heartbeats arrived: standbys are told no counts, and send none.
-func (l *Limiter) missedCounts(c *peerCount, use *peerpb.TeamUse, now time.Duration) bool {
-	if c.countedAt >= l.resumedAt && now-l.filledAt < maxCountGap {
-		return false
-	}
+// told although the peer's heartbeats arrived: standbys are told no counts.
+func (t *team) missedCounts(c *peerCount, use *peerpb.TeamUse, now time.Duration) bool {
 	responsiveUntil := now
 	if c.chargedAt > 0 {
 		responsiveUntil = c.chargedAt
@@ -182,9 +157,9 @@
 	}
 }
 
-// chargeUnresponsive reserves the share of each peer that has become unresponsive: it
-// deducts that share of the tokens and assumes that the peer goes on spending its share of
-// the rate. On the other side of a network partition, it does.
+// chargeUnresponsive deducts an equal fraction of the tokens for each peer that
+// has become unresponsive, and assumes that the peer goes on spending an equal
+// fraction of the rate: on the other side of a network partition, it does.
 func (l *Limiter) chargeUnresponsive(now time.Duration) {
 	teamConfigs := l.viewer.View().Config.Config.Teams
 	for name, p := range l.peers {
@@ -194,49 +169,22 @@
 		p.unresponsive = true
 		for id, t := range l.teams {
 			l.refill(t, teamConfigs[id], now)
+			t.level -= max(0, t.level) / l.instanceCount()
 			c := t.peers[name]
 			if c == nil {
 				c = &peerCount{receivedAt: now, rateSince: now}
 				t.peers[name] = c
 			}
-			share := min(l.shareOf(t, c), 1-t.reserved)
-			// What this side has spent since the last heartbeat came out of its own part.
-			charged := max(0, t.sampleAt(p.lastReceived).level) * share
-			t.level -= charged
-			c.reserved, c.charged = share, charged
-			t.reserved += share
-			// Tokens that many instances have saved one by one would exceed the burst.
-			t.localTokens = min(t.localTokens, max(t.level+t.tolerance(teamConfigs[id]), 0))
 			c.chargedAt = now
-			t.setAssumedRate(c, teamConfigs[id].RatePerSecond*share, now)
-		}
-	}
-}
-
-// release ends the reservation for a peer that is responsive again. What it spent of its
-// part of the level in the last reportWindow stays deducted.
-func (l *Limiter) release(name string, h *peerpb.Heartbeat) {
-	teamConfigs := l.viewer.View().Config.Config.Teams
-	lately := map[string]float64{}
-	for _, use := range h.Teams {
-		lately[use.Team] = float64(use.Lately)
-	}
-	for id, t := range l.teams {
-		c := t.peers[name]
-		if c == nil || c.reserved == 0 {
-			continue
+			t.setAssumedRate(c, teamConfigs[id].RatePerSecond/l.instanceCount(), now)
 		}
-		spent := max(0, lately[id]-teamConfigs[id].RatePerSecond*c.reserved*reportWindow.Seconds())
-		t.reserved = max(0, t.reserved-c.reserved)
-		t.level += max(0, c.charged-spent)
-		c.reserved, c.charged = 0, 0
 	}
 }
 
 // forget drops a peer and its counts.
 func (l *Limiter) forget(name string, now time.Duration) {
-	l.forgetCounts(name, now)
 	delete(l.peers, name)
+	l.forgetCounts(name, now)
 }
 
 // forgetCounts drops the counts that a peer reported.
@@ -246,7 +194,6 @@
 		if c := t.peers[name]; c != nil {
 			l.refill(t, teamConfigs[id], now)
 			t.setAssumedRate(c, 0, now)
-			t.reserved = max(0, t.reserved-c.reserved)
 			delete(t.peers, name)
 		}
 	}
--- a/pkg/usage/usage.go
+++ b/pkg/usage/usage.go
@@ -31,39 +31,32 @@
 	// instance may be the one that is cut off, and the others may still admit.
 	partitionForgetTimeout = 30 * time.Second
 	// sharedBurstFraction is the fraction of the burst above which any instance
-	// admits. Below it, each instance admits only at its share of the rate, because the
-	// counts of the others are up to one heartbeat interval old. With a lower fraction, the
-	// sides of a partition would spend more than the burst before they know of it.
+	// admits. Below it, each instance admits only at its equal fraction of the rate,
+	// because the counts of the others are up to one heartbeat interval old.
 	sharedBurstFraction = 0.6
 	// minLocalBurst is the minimum size in tokens of the local bucket, which an
 	// instance admits from below sharedBurstFraction. A larger bucket holds what comes
 	// in during localBurstTime.
 	minLocalBurst  = 1.0
 	localBurstTime = 150 * time.Millisecond
-	// maxDebtBursts bounds the debt of a team in bursts, or in the excess that the platform
-	// allows if that is more, so that it is served again in
+	// debtRefillFactor slows down the local bucket while the level of the team is
+	// negative, that is while more was admitted than the team had.
+	debtRefillFactor = 0.5
+	// maxDebtBursts bounds the debt of a team in bursts, so that it is served again in
 	// time after it has stopped sending too much. With a smaller bound, part of what
 	// many instances admitted at once would be forgiven.
 	maxDebtBursts = 3
-	// initialBurstFraction is the fraction of the burst that a process starts with at most,
-	// if it is not the first start of the fleet: the counts from before its start are not
-	// known. initialExcessFraction bounds the same by the excess that the platform allows,
-	// so that a fleet that restarts while a team sends too much stays within the bound.
-	initialBurstFraction  = 0.75
-	initialExcessFraction = 0.25
+	// initialBurstFraction is the fraction of the burst that a new process starts
+	// with: the counts from before its start are not known. It is above
+	// sharedBurstFraction, so that teams within their rate are not refused after all
+	// instances have restarted.
+	initialBurstFraction = 0.75
 	// reportWindow is the time for which a changed count is repeated in heartbeats, in
 	// case one is lost: two heartbeats between zones.
 	reportWindow = 1100 * time.Millisecond
 	// maxCountGap is the time without a count of a peer whose heartbeats arrive, after which
 	// this instance was probably a standby, to which no counts are told.
 	maxCountGap = 2 * reportWindow
-	// startTime is the time from the start of a process during which it admits no more than
-	// an even part of the burst and of the rate until it has heard from most of the others.
-	// The heartbeats of all of them arrive within it.
-	startTime = 2 * time.Second
-	// startInstances is the number of instances that a new process assumes at least, for the
-	// same time.
-	startInstances = 4
 	// rateSmoothingWeight is the weight of the newest interval in the moving average
 	// of a peer's rate.
 	rateSmoothingWeight = 0.5
@@ -79,11 +72,6 @@
 	// startFull says that a new process may start with a whole burst, because the
 	// fleet starts for the first time.
 	startFull bool
-	// createdAt is the time since boot at which the process started.
-	createdAt time.Duration
-	// filledAt is the time since boot of the last heartbeat to serving instances, resumedAt
-	// that of the first one after a time as a standby.
-	filledAt, resumedAt time.Duration
 
 	mu    sync.Mutex
 	teams map[string]*team
@@ -96,39 +84,19 @@
 	// level is the number of tokens in the bucket. It is negative when the other
 	// instances admitted more than was assumed.
 	level float64
-	// localTokens is the local bucket: it fills at this instance's share of the team's
+	// localTokens is the local bucket: it fills at an equal fraction of the team's
 	// rate, and this instance admits from it when level is low.
 	localTokens float64
-	// share is this instance's share of the rate, from 0 to 1.
-	share float64
-	// overloaded says that the demand of the team is well above its rate.
-	overloaded bool
-	// fresh says that this instance does not know yet what was admitted in the whole window
-	// of the platform's bound.
-	fresh bool
-	// samples are earlier states, oldest first.
-	samples []levelSample
-	// demand is the number of requests received in the reportWindow before the last heartbeat.
-	demand float64
-	// known is the demand that the others have probably been told: the last one that was sent
-	// silentTimeout before this instance was last connected.
-	known float64
-	// reserved is the sum of the shares of unresponsive instances.
-	reserved float64
 	// updated is the time since boot up to which level and localTokens are computed.
 	updated time.Duration
 	// admitted counts the requests that this instance has admitted since its start.
 	admitted uint64
-	// received counts those that it received, refused ones included; lastReceived is the time
-	// since boot of the last of them.
-	received     uint64
-	lastReceived time.Duration
-	// refused counts the refused ones, refusedInside those of them that were refused while
-	// the level was positive: as far as this instance knows, within rate and burst.
-	refused, refusedInside uint64
-	// reported holds the counts sent in heartbeats during the last reportWindow and the last
-	// one before, oldest first.
+	// lastAdmitted is the time since boot of the last of them.
+	lastAdmitted time.Duration
+	// reported holds the counts sent in heartbeats during the last reportWindow, oldest first.
 	reported []countSample
+	// lastReported is the last count sent, however old.
+	lastReported countSample
 	// peers are the counts of other instances, by name.
 	peers map[string]*peerCount
 	// assumedRate is the sum of the assumed rates of peers.
@@ -142,13 +110,6 @@
 // instance assumes that the peer has admitted since.
 type peerCount struct {
 	admitted uint64
-	// demand and share are what the peer reported last. even says that the peer's build
-	// divides the rate evenly.
-	demand, share float64
-	even          bool
-	// reserved is the share that is reserved for the peer while it is unresponsive, charged
-	// what was deducted from the level for it.
-	reserved, charged float64
 	// receivedAt is the time since boot of that report, or of a later heartbeat that names
 	// no count. countedAt is that of the report.
 	receivedAt, countedAt time.Duration
@@ -187,7 +148,7 @@
 // one included; startFull says that the whole fleet starts for the first time.
 func New(c clock.Clock, viewer control.Viewer, serving func() int, startFull bool) *Limiter {
 	return &Limiter{
-		clock: c, viewer: viewer, serving: serving, startFull: startFull, createdAt: c.SinceBoot(), teams: map[string]*team{}, peers: map[string]*peer{},
+		clock: c, viewer: viewer, serving: serving, startFull: startFull, teams: map[string]*team{}, peers: map[string]*peer{},
 	}
 }
 
@@ -204,33 +165,25 @@
 	l.chargeUnresponsive(now)
 	t := l.team(name, teamConfig, now)
 	l.refill(t, teamConfig, now)
-	t.received++
-	t.lastReceived = now
-	defer t.count()
 	switch {
-	case t.level >= max(1, sharedBurstFraction*t.available(teamConfig)) && l.connected(now):
-	case l.granted(t, teamConfig, now):
-	case t.localTokens >= 1 && t.level > -t.tolerance(teamConfig):
+	case t.level >= max(1, sharedBurstFraction*float64(teamConfig.Burst)):
+	case t.localTokens >= 1:
 		t.localTokens--
 	default:
-		t.refused++
-		if t.level >= 1 {
-			t.refusedInside++
-		}
 		return &refusal.Refusal{Kind: refusal.RateExceeded, RetryAfter: l.retryAfter(t, teamConfig), Cause: l.exceededError(t, teamConfig)}
 	}
 	t.level--
 	t.admitted++
+	t.lastAdmitted = now
 	return nil
 }
 
 // ExceededError describes the state of a team's limit when a request was refused.
 type ExceededError struct {
 	// Rate is in requests per second; Level and LocalTokens are in tokens. With Level
-	// below 0.6 of Burst, an instance admits only from its LocalTokens, which fill at Share
-	// of Rate.
-	Rate, Level, LocalTokens, Share float64
-	Burst                           int
+	// below 0.6 of Burst, an instance admits only from its LocalTokens.
+	Rate, Level, LocalTokens float64
+	Burst                    int
 	// Instances is the number of instances that may admit requests, Unresponsive how
 	// many of them are unresponsive.
 	Instances, Unresponsive int
@@ -238,14 +191,14 @@
 
 // Error returns a message with all figures.
 func (e *ExceededError) Error() string {
-	return fmt.Sprintf("level %.1f of burst %d, local tokens %.1f, share %.3f of rate %g/s over %d instances, %d of them unresponsive",
-		e.Level, e.Burst, e.LocalTokens, e.Share, e.Rate, e.Instances, e.Unresponsive)
+	return fmt.Sprintf("level %.1f of burst %d, local tokens %.1f, rate %g/s over %d instances, %d of them unresponsive",
+		e.Level, e.Burst, e.LocalTokens, e.Rate, e.Instances, e.Unresponsive)
 }
 
 // exceededError describes the state of a team's limit. The caller holds mu.
 func (l *Limiter) exceededError(t *team, teamConfig config.Team) error {
 	e := &ExceededError{
-		Rate: teamConfig.RatePerSecond, Level: t.level, LocalTokens: t.localTokens, Share: t.share, Burst: teamConfig.Burst, Instances: int(l.instanceCount()),
+		Rate: teamConfig.RatePerSecond, Level: t.level, LocalTokens: t.localTokens, Burst: teamConfig.Burst, Instances: int(l.instanceCount()),
 	}
 	for _, p := range l.peers {
 		if p.unresponsive {
@@ -265,39 +218,6 @@
 	return 0
 }
 
-// TeamState is the state of a team's limit at this instance, for metrics and dumps.
-type TeamState struct {
-	// Level is the number of tokens in the bucket of the whole fleet as far as this instance
-	// knows, LocalTokens that in the bucket of this instance.
-	Level       float64 `json:"level"`
-	LocalTokens float64 `json:"local_tokens"`
-	// Share is this instance's share of the rate, Reserved the sum of the shares that are
-	// reserved for unresponsive instances, both from 0 to 1.
-	Share    float64 `json:"share"`
-	Reserved float64 `json:"reserved"`
-	// Overloaded says that the demand of the team is well above its rate.
-	Overloaded bool `json:"overloaded"`
-	// Admitted and Refused count the requests since the start. RefusedInside counts those of
-	// the refused ones for which the fleet's bucket had a token as far as this instance knows.
-	Admitted      uint64 `json:"admitted"`
-	Refused       uint64 `json:"refused"`
-	RefusedInside uint64 `json:"refused_inside"`
-}
-
-// State returns the state of each team that has had requests somewhere in the fleet.
-func (l *Limiter) State() map[string]TeamState {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	states := map[string]TeamState{}
-	for name, t := range l.teams {
-		states[name] = TeamState{
-			Level: t.level, LocalTokens: t.localTokens, Share: t.share, Reserved: t.reserved, Overloaded: t.overloaded,
-			Admitted: t.admitted, Refused: t.refused, RefusedInside: t.refusedInside,
-		}
-	}
-	return states
-}
-
 // minRetryAfter is the minimum Retry-After, so that refused callers do not return
 // at once.
 const minRetryAfter = 100 * time.Millisecond
@@ -309,11 +229,10 @@
 // included. The caller holds mu.
 func (l *Limiter) instanceCount() float64 { return float64(max(1, l.serving(), len(l.peers)+1)) }
 
-// retryAfter returns the time until this instance's share has a token.
+// retryAfter returns the time until the local bucket has a token.
 func (l *Limiter) retryAfter(t *team, teamConfig config.Team) time.Duration {
-	refillRate := max(teamConfig.RatePerSecond*t.share, minRefillRate)
-	debt := max(0, -t.tolerance(teamConfig)-t.level) / max(teamConfig.RatePerSecond*(1-t.reserved), minRefillRate)
-	return max(minRetryAfter, time.Duration((max(0, 1-t.localTokens)/refillRate+debt)*float64(time.Second)))
+	refillRate := max(teamConfig.RatePerSecond/l.instanceCount(), minRefillRate)
+	return max(minRetryAfter, time.Duration((1-t.localTokens)/refillRate*float64(time.Second)))
 }
 
 // team returns the bucket of a team and creates it if needed. The caller holds mu.
@@ -321,13 +240,10 @@
 	t := l.teams[name]
 	if t == nil {
 		t = &team{level: float64(teamConfig.Burst), updated: now, peers: map[string]*peerCount{}}
-		if !l.startFull || now-l.createdAt >= startTime {
-			t.level = startLevel(teamConfig)
+		t.localTokens = max(minLocalBurst, teamConfig.RatePerSecond/l.instanceCount()*localBurstTime.Seconds())
+		if !l.startFull {
+			t.level *= initialBurstFraction
 		}
-		t.samples = []levelSample{{at: now - sampleInterval, level: t.level}}
-		t.sample(now)
-		l.updateShare(t, teamConfig, now)
-		t.localTokens = max(minLocalBurst, teamConfig.RatePerSecond*t.share*localBurstTime.Seconds())
 		l.teams[name] = t
 	}
 	return t
@@ -339,14 +255,13 @@
 	elapsed := (now - t.updated).Seconds()
 	t.updated = now
 	t.level += elapsed * teamConfig.RatePerSecond
-	if now-t.samples[len(t.samples)-1].at >= sampleInterval {
-		l.updateShare(t, teamConfig, now)
-		t.sample(now)
+	equalRate := teamConfig.RatePerSecond / l.instanceCount()
+	localRate := equalRate
+	if t.level < 0 {
+		localRate *= debtRefillFactor
 	}
-	localRate := teamConfig.RatePerSecond * t.share
-	localBurst := max(minLocalBurst, localRate*localBurstTime.Seconds())
-	t.localTokens = min(t.localTokens+localRate*t.speed(teamConfig)*elapsed, localBurst)
+	t.localTokens = min(t.localTokens+localRate*elapsed, max(minLocalBurst, equalRate*localBurstTime.Seconds()))
 	t.level -= t.assumedRate * elapsed
-	t.level = min(t.level, t.available(teamConfig))
-	t.level = max(t.level, -maxDebt(teamConfig))
+	t.level = min(t.level, float64(teamConfig.Burst))
+	t.level = max(t.level, -maxDebtBursts*float64(teamConfig.Burst))
 }
