--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -31,7 +31,6 @@
 	metricHedgesWasted  = "edge_hedges_wasted_slot_seconds"
 	metricHedgesRefused = "edge_hedges_refused"
 
-
 	metricRetries      = "edge_retries"
 	metricHedges       = "edge_hedges"
 	metricRetriesLeft  = "edge_retries_left"
