Mark restored zones as cold in one place, with a test of its own

The merge of evacuation and cold targets had written the marking twice: MarkZoneCold, which no program called any more, and evacuationChange. That a withdrawn order makes a zone's targets cold had no test: TestRestoredZoneIsCold fails without the call and passes with it.

--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -1,7 +1,7 @@
 // Package follow keeps an instance on the newest configuration of a platform's
-// store and publishes it as an immutable view, and the set of evacuated zones likewise. While it is active, the instance
-// waits for changes in the store; otherwise it reads the store at intervals. It
-// also copies newer versions from serving instances that announce them.
+// store and publishes it as an immutable view, and the set of evacuated zones likewise.
+// While it is active, the instance waits for changes in the store; otherwise it reads the
+// store at intervals. It also copies newer versions from serving instances that announce them.
 package follow
 
 import (
--- a/pkg/placement/cold_service.go
+++ b/pkg/placement/cold_service.go
@@ -92,18 +92,12 @@
 	}
 }
 
-// MarkZoneCold marks all targets of a zone as possibly cold from now on: those of a zone that
-// has been restored after an evacuation. It must be called before the first request may be
-// sent to the zone.
-func (b *Balancer) MarkZoneCold(zone string) {
-	now := b.clock.SinceBoot()
-	for _, s := range b.allServices() {
-		s.mu.Lock()
-		for _, t := range s.ordered {
-			if t.entry.Zone == zone {
-				t.cold.suspect(coldRestored, now)
-			}
+// suspectZone marks all targets of a zone that was restored after an evacuation as possibly cold
+// from now on. The caller holds mu.
+func (s *service) suspectZone(zone string, now time.Duration) {
+	for _, t := range s.ordered {
+		if t.entry.Zone == zone {
+			t.cold.suspect(coldRestored, now)
 		}
-		s.mu.Unlock()
 	}
 }
--- a/pkg/placement/evacuation.go
+++ b/pkg/placement/evacuation.go
@@ -30,13 +30,14 @@
 	for zone, was := range s.evacuatedZones {
 		is := s.evacuations.Evacuated(zone)
 		changed = changed || is != was
-		for _, t := range s.ordered {
-			switch {
-			case t.entry.Zone != zone || is == was:
-			case is:
-				gone = append(gone, t)
-			default:
-				t.cold.suspect(coldRestored, now)
+		if was && !is {
+			s.suspectZone(zone, now)
+		}
+		if is && !was {
+			for _, t := range s.ordered {
+				if t.entry.Zone == zone {
+					gone = append(gone, t)
+				}
 			}
 		}
 	}
--- a/pkg/placement/evacuation_test.go
+++ b/pkg/placement/evacuation_test.go
@@ -245,3 +245,35 @@
 	is.Equal(s.overloadRetryAfter(1, now), retryAfter)
 	is.Equal(s.overloadRetryAfter(100, now), evacuatedRetryAfter)
 }
+
+// MarkZoneCold marks the targets of a zone as possibly cold in all services.
+func (b *Balancer) MarkZoneCold(zone string) {
+	for _, s := range b.allServices() {
+		s.mu.Lock()
+		s.suspectZone(zone, b.clock.SinceBoot())
+		s.mu.Unlock()
+	}
+}
+
+// Guards against targets that get the rate of warm ones after an order to evacuate their zone
+// was withdrawn: they are cold then.
+func TestRestoredZoneIsCold(t *testing.T) {
+	is := is.New(t)
+	f, zones := newColdFixture(t, 4.5), &evacuatedZones{}
+	zones.set()
+	f.Evacuations, f.service("s").evacuations = zones, zones
+	f.catalogue.Version++
+	cold := func() map[string]bool {
+		f.send(t, true, answered)
+		found := map[string]bool{}
+		for _, t := range f.service("s").ordered {
+			found[t.entry.Zone] = found[t.entry.Zone] || t.cold.cold(f.clock.SinceBoot())
+		}
+		return found
+	}
+	is.Equal(cold(), map[string]bool{"a": false, "b": false})
+	zones.set("b")
+	is.Equal(cold(), map[string]bool{"a": false, "b": false})
+	zones.set()
+	is.Equal(cold(), map[string]bool{"a": false, "b": true})
+}
