Tell how old a configuration is and how long heartbeats were under way

Missing: since when an instance has known of a newer version, when its own was last confirmed, how long heartbeats waited; and nine in ten of the collected lines were 208.

- 300 has outdated and unconfirmed; 306 and 307 begin and end the time in which an instance has not learned for 2 s whether its configuration is the newest.
- Gauges of the version in use, the newest version heard, the age of the confirmation and the delay of heartbeats; the dump has the first three.
- 208 comes at most once a second for the changes of others, with their number.

No decision changes.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -185,6 +185,7 @@
 // step is called at each step of the fleet.
 func (i *Instance) step() {
 	i.freshness.observe()
+	i.follower.Observe()
 	services := i.follower.View().Config.Config.Services
 	rates := map[string]placement.ColdRate{}
 	for name, s := range services {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -30,6 +30,10 @@
 	Instance      string    `json:"instance"`
 	Started       time.Time `json:"started"`
 	ConfigVersion int64     `json:"config_version"`
+	// ConfigNewestHeard is the newest version that another instance or the store has named,
+	// ConfigAgeMS the time since ConfigVersion was last confirmed to be the newest.
+	ConfigNewestHeard int64 `json:"config_newest_heard"`
+	ConfigAgeMS       int64 `json:"config_age_ms"`
 	// Evacuations is absent while no store and no instance has told the evacuated zones.
 	Evacuations  *evacuationsDump   `json:"evacuations,omitempty"`
 	Ready        bool               `json:"ready"`
@@ -69,6 +73,7 @@
 	d := &dump{
 		Instance: i.Settings.Instance, Started: i.started, ConfigVersion: i.follower.View().Config.Version,
 		Ready: i.ready(), Leaving: i.leaving.Load(), OpenRequests: i.proxy.Open(), Rate: i.balancer.Rate(),
+		ConfigNewestHeard: i.follower.NewestHeard(), ConfigAgeMS: i.follower.Age().Milliseconds(),
 		ListingAgeMS: (i.clock.SinceBoot() - i.registry.Catalogue().ReadAt).Milliseconds(),
 		Fleet:        i.fleet.View(), Teams: map[string]float64{}, Targets: i.balancer.Dump(), BodyBudget: i.proxy.Budget(),
 	}
@@ -120,6 +125,11 @@
 	}
 	limit, used, peak, refused := gauge("limit"), gauge("used"), gauge("peak"), scope.Gauge(metricBudgetRefused)
 	evacuated := scope.Gauge(metricZonesEvacuated)
+	configVersion := func(of string) tally.Gauge {
+		return scope.Tagged(map[string]string{tagOf: of}).Gauge(metricConfigVersion)
+	}
+	applied, heard := configVersion("applied"), configVersion("heard")
+	configAge, heartbeatDelay := scope.Gauge(metricConfigAge), scope.Gauge(metricHeartbeatDelay)
 	for {
 		state := i.proxy.Budget()
 		limit.Update(float64(state.Limit))
@@ -127,6 +137,10 @@
 		peak.Update(float64(state.Peak))
 		refused.Update(float64(state.Refused))
 		evacuated.Update(float64(len(i.follower.Evacuations().Zones())))
+		applied.Update(float64(i.follower.View().Config.Version))
+		heard.Update(float64(i.follower.NewestHeard()))
+		configAge.Update(i.follower.Age().Seconds())
+		heartbeatDelay.Update(i.fleet.HeartbeatDelay().Seconds())
 		for reason, targets := range i.balancer.Obstacles() {
 			scope.Tagged(map[string]string{tagReason: reason}).Gauge(metricTargetsWithheld).Update(float64(targets))
 		}
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -25,6 +25,9 @@
 	metricTargetsWithheld = "edge_targets_withheld"
 	metricZonesEvacuated  = "edge_zones_evacuated"
 	metricTargetsCold     = "edge_targets_cold"
+	metricConfigVersion   = "edge_config_version"
+	metricConfigAge       = "edge_config_age_seconds"
+	metricHeartbeatDelay  = "edge_heartbeat_delay_seconds"
 
 	metricHedgesSent    = "edge_hedges_sent"
 	metricHedgesWon     = "edge_hedges_won"
@@ -44,6 +47,7 @@
 	tagResult  = "result"
 	tagState   = "state"
 	tagReason  = "reason"
+	tagOf      = "of"
 )
 
 // latencyBuckets are the upper bounds of the latency histogram.
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -28,12 +28,14 @@
 	PathsLost        = Event{213, "paths_lost", zerolog.WarnLevel, "this instance connects to no target, though others do; it takes no callers and sends requests through the others; check its network"}
 	PathsRegained    = Event{214, "paths_regained", zerolog.InfoLevel, "this instance connects to targets again, or no instance does"}
 
-	ConfigApplied   = Event{300, "config_applied", zerolog.InfoLevel, "a configuration version is in use at this instance"}
-	ConfigDelivered = Event{301, "config_delivered", zerolog.InfoLevel, "a version was delivered to a majority of witnesses"}
-	ConfigRejected  = Event{302, "config_rejected", zerolog.ErrorLevel, "a fetched configuration failed validation; the instance keeps the previous one"}
-	CopyFailed      = Event{303, "copy_failed", zerolog.WarnLevel, "the configuration or the list of targets could not be copied from another instance; the store is read instead"}
-	HeadLost        = Event{304, "head_lost", zerolog.ErrorLevel, "the head row lacks a version that this instance holds, as after a restore of the table from a copy"}
-	ClaimsWritten   = Event{305, "claims_written_again", zerolog.WarnLevel, "the instance wrote the claims of idempotency keys again that it had recorded before a restore of the table"}
+	ConfigApplied     = Event{300, "config_applied", zerolog.InfoLevel, "a configuration version is in use at this instance"}
+	ConfigDelivered   = Event{301, "config_delivered", zerolog.InfoLevel, "a version was delivered to a majority of witnesses"}
+	ConfigRejected    = Event{302, "config_rejected", zerolog.ErrorLevel, "a fetched configuration failed validation; the instance keeps the previous one"}
+	CopyFailed        = Event{303, "copy_failed", zerolog.WarnLevel, "the configuration or the list of targets could not be copied from another instance; the store is read instead"}
+	HeadLost          = Event{304, "head_lost", zerolog.ErrorLevel, "the head row lacks a version that this instance holds, as after a restore of the table from a copy"}
+	ClaimsWritten     = Event{305, "claims_written_again", zerolog.WarnLevel, "the instance wrote the claims of idempotency keys again that it had recorded before a restore of the table"}
+	ConfigUnconfirmed = Event{306, "config_unconfirmed", zerolog.WarnLevel, "for longer than a change may take, the instance has not learned whether its configuration is the newest; look for 303, 700 and edge_heartbeat_delay_seconds"}
+	ConfigConfirmed   = Event{307, "config_confirmed", zerolog.InfoLevel, "the instance knows again that its configuration is the newest"}
 
 	LoanFailed = Event{400, "loan_failed", zerolog.WarnLevel, "no token issuer of a team answered a loan request; check the network between instances"}
 
@@ -97,7 +99,7 @@
 		Started, Draining, Stopped, StopTimedOut, PanicContained,
 		Joined, MemberRemoved, FenceLost, FenceRegained, GuestStarted, MajorityReplaced, LeftMembership, RemovedSelf,
 		ServingChanged, JoinFailed, DatagramRejected, QuietChanged, DatagramNotSent, PathsLost, PathsRegained,
-		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed, HeadLost, ClaimsWritten,
+		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed, HeadLost, ClaimsWritten, ConfigUnconfirmed, ConfigConfirmed,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
 		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable, ZoneEvacuated, ZoneRestored, TargetCold, TargetWarm,
--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -65,11 +65,24 @@
 		default:
 		}
 	}
-	if samePeers {
-		return
+	if !samePeers {
+		f.servingUnlogged++
 	}
-	event.ServingChanged.Log(f.Log).Bool("self", next.Serving).Int("serving", len(next.Peers)).Int("detached", len(next.Detached)).
-		Int("serving_in_zone", len(next.InZone(f.Self.Zone))).Int("known", len(f.members)+1).Send()
+	if next.Serving != old.Serving || (f.servingUnlogged > 0 && now-f.servingLoggedAt >= servingLogInterval) {
+		f.logServing(next, now)
+	}
+}
+
+// servingLogInterval is the time between two log lines on the serving instances, unless this
+// one begins or ceases to serve: when hundreds start or stop, each of them sees hundreds of
+// changes.
+const servingLogInterval = time.Second
+
+// logServing logs the serving instances of a view. The caller holds mu.
+func (f *Fleet) logServing(v *View, now time.Duration) {
+	event.ServingChanged.Log(f.Log).Bool("self", v.Serving).Int("serving", len(v.Peers)).Int("detached", len(v.Detached)).
+		Int("serving_in_zone", len(v.InZone(f.Self.Zone))).Int("known", len(f.members)+1).Int("changes", f.servingUnlogged).Send()
+	f.servingLoggedAt, f.servingUnlogged = now, 0
 }
 
 // shouldServe reports whether this instance is among the first in rank of its
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -143,6 +143,12 @@
 	// does not; createdAt that of New.
 	servingSince, createdAt time.Duration
 	quiet                   quietState
+	// servingLoggedAt is the time since boot of the last log line on the serving instances,
+	// servingUnlogged the number of changes since then.
+	servingLoggedAt time.Duration
+	servingUnlogged int
+	// heartbeatDelay is the longest delay of a heartbeat since HeartbeatDelay was called.
+	heartbeatDelay time.Duration
 }
 
 // New returns a fleet that knows only this instance.
@@ -155,6 +161,16 @@
 // View returns the current set of serving instances.
 func (f *Fleet) View() *View { return f.view.Load() }
 
+// HeartbeatDelay returns the longest time that heartbeats were under way since it was last
+// called, beyond that of their sender's fastest one.
+func (f *Fleet) HeartbeatDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	longest := f.heartbeatDelay
+	f.heartbeatDelay = 0
+	return longest
+}
+
 // CalledChanged receives whenever View.Called may have changed.
 func (f *Fleet) CalledChanged() <-chan struct{} { return f.calledChanged }
 
@@ -361,6 +377,7 @@
 		GossipAddress: h.GossipAddress, Capacity: h.Capacity, DiagnosticsAddress: k.DiagnosticsAddress,
 	}
 	k.heard = true
+	f.heartbeatDelay = max(f.heartbeatDelay, k.transit.delay(h, now))
 	k.lastReceived, k.serving, k.leaving, k.quiet, k.pathsLost, k.rate = now, h.Serving, h.Leaving, h.Quiet, h.PathsLost, float64(h.Rate)
 	if h.ConnectedAgeMs != nil {
 		k.connectedAt = max(k.connectedAt, now-time.Duration(*h.ConnectedAgeMs)*time.Millisecond)
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -62,6 +62,7 @@
 	pathsLost   bool
 	connectedAt time.Duration
 	rate        float64
+	transit     transit
 	// lastSent is the time since boot of the last heartbeat to it.
 	lastSent time.Duration
 }
--- /dev/null
+++ b/pkg/fleet/transit_test.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
+)
+
+// Guards against a delay that is taken from the clocks of two machines, whose origins differ,
+// and against one that counts for a sender that has started again or whose clock drifts.
+func TestTransitDelay(t *testing.T) {
+	is := is.New(t)
+	sent := func(incarnation uint64, at time.Duration) *peerpb.Heartbeat {
+		return &peerpb.Heartbeat{Incarnation: incarnation, SentMs: uint64(at.Milliseconds())}
+	}
+	var tr transit
+	is.Equal(tr.delay(&peerpb.Heartbeat{Incarnation: 1}, time.Hour), time.Duration(0)) // an earlier release
+	is.Equal(tr.delay(sent(1, 5*time.Second), time.Hour), time.Duration(0))
+	is.Equal(tr.delay(sent(1, 6*time.Second), time.Hour+4*time.Second), 3*time.Second)
+	is.Equal(tr.delay(sent(1, 8*time.Second), time.Hour+2900*time.Millisecond), time.Duration(0)) // faster than the first
+	is.Equal(tr.delay(sent(1, 9*time.Second), time.Hour+4*time.Second), 100*time.Millisecond)
+	is.Equal(tr.delay(sent(2, time.Second), time.Hour+5*time.Second), time.Duration(0))
+	// A clock that gains 50 ms in a minute does not add up to a delay.
+	for n := range 30 {
+		at := time.Duration(n) * time.Minute / 2
+		is.True(tr.delay(sent(3, time.Second+at), 2*time.Hour+at+at*50/60000) <= 150*time.Millisecond)
+	}
+}
+
+// Guards against log lines that grow with the square of the number of instances when many of
+// them start or stop.
+func TestServingChangesAreLoggedOnceASecond(t *testing.T) {
+	is := is.New(t)
+	tf := newTestFleet(12)
+	tf.run(3 * time.Second)
+	f := tf.instances[tf.serving("a")[0]].Fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.Clock.SinceBoot()
+	f.servingLoggedAt = now
+	for range 50 {
+		for _, k := range f.members {
+			k.serving = !k.serving
+		}
+		f.updateView(now)
+	}
+	is.True(f.servingUnlogged >= 50)
+	f.updateView(now + servingLogInterval)
+	is.Equal(f.servingUnlogged, 0)
+}
--- a/pkg/follow/copy.go
+++ b/pkg/follow/copy.go
@@ -30,7 +30,7 @@
 // both were last confirmed to be the newest.
 func (f *Follower) Fill(h *peerpb.Heartbeat, _ fleet.Audience) {
 	h.ConfigVersion = f.View().Config.Version
-	h.ConfigAgeMs = uint32(min(f.configAge(), maxReportedAge).Milliseconds())
+	h.ConfigAgeMs = uint32(min(f.Age(), maxReportedAge).Milliseconds())
 	if set := f.evacuations.Load(); set != nil {
 		h.EvacuatedZones = encodeEvacuations(set)
 	}
@@ -51,6 +51,7 @@
 			f.confirmNewest(at)
 		}
 	default:
+		f.observeVersion(h.ConfigVersion)
 		f.copySources.Add(h, f.copyConfig)
 	}
 }
--- a/pkg/follow/copy_test.go
+++ b/pkg/follow/copy_test.go
@@ -74,7 +74,7 @@
 	is.Equal(s.reads, 1)
 	for range 4 { // an instance without access to the store reports a growing age
 		c.Advance(500 * time.Millisecond)
-		configAge := uint32(f.configAge().Milliseconds())
+		configAge := uint32(f.Age().Milliseconds())
 		mergeAndWait(t, f, &peerpb.Heartbeat{Serving: true, ConfigVersion: 3, ConfigAgeMs: configAge})
 	}
 	f.EnsureMaxAge(context.Background(), time.Second)
@@ -98,14 +98,14 @@
 	f.EnsureMaxAge(context.Background(), time.Second)
 	c.Advance(2 * time.Second)
 	f.ConfirmReachable(c.SinceBoot(), 0)
-	is.True(f.configAge() >= 2*time.Second) // Run is not waiting for changes
+	is.True(f.Age() >= 2*time.Second) // Run is not waiting for changes
 	f.waitingSince.Store(int64(c.SinceBoot()))
 	c.Advance(time.Second)
 	f.ConfirmReachable(c.SinceBoot()-1100*time.Millisecond, 0)
-	is.True(f.configAge() >= 2*time.Second) // the store was reached before the wait began
+	is.True(f.Age() >= 2*time.Second) // the store was reached before the wait began
 	f.ConfirmReachable(c.SinceBoot()-100*time.Millisecond, 1)
-	is.True(f.configAge() >= 2*time.Second) // the store was reached in another era than that of the wait
+	is.True(f.Age() >= 2*time.Second) // the store was reached in another era than that of the wait
 	f.ConfirmReachable(c.SinceBoot()-100*time.Millisecond, 0)
-	is.Equal(f.configAge(), 100*time.Millisecond)
+	is.Equal(f.Age(), 100*time.Millisecond)
 	is.Equal(s.reads, 1)
 }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -109,6 +109,12 @@
 	waitingSince atomic.Int64
 	// waitingEra is the era of the store in which Run waits.
 	waitingEra atomic.Int64
+	// newestHeard is the newest version that a serving instance or the source has named,
+	// outdatedAt the time since boot at which it first was newer than the applied one, or 0.
+	newestHeard, outdatedAt atomic.Int64
+	// unconfirmed is set while the applied version has not been confirmed for maxUnconfirmed.
+	unconfirmed atomic.Bool
+
 	// confirmedAt is the latest time since boot at which there was no configuration and no
 	// set of evacuated zones newer than the applied ones, as known from a serving instance or
 	// from the source.
@@ -189,12 +195,12 @@
 // EnsureMaxAge reads the configuration unless the applied one was confirmed to be
 // the newest within maxAge, or a recent read failed and its retry is not due.
 func (f *Follower) EnsureMaxAge(ctx context.Context, maxAge time.Duration) {
-	if f.configAge() < maxAge {
+	if f.Age() < maxAge {
 		return
 	}
 	f.readMu.Lock()
 	defer f.readMu.Unlock()
-	if f.configAge() >= maxAge && f.clock.SinceBoot() >= time.Duration(f.retryAt.Load()) {
+	if f.Age() >= maxAge && f.clock.SinceBoot() >= time.Duration(f.retryAt.Load()) {
 		f.readConfig(ctx)
 	}
 }
@@ -243,9 +249,8 @@
 // RetryNow ends the wait after a failed read.
 func (f *Follower) RetryNow() { f.retryAt.Store(0) }
 
-// configAge returns the time since the applied version was last confirmed to be the
-// newest.
-func (f *Follower) configAge() time.Duration {
+// Age returns the time since the applied version was last confirmed to be the newest.
+func (f *Follower) Age() time.Duration {
 	return f.clock.SinceBoot() - time.Duration(f.confirmedAt.Load())
 }
 
@@ -330,7 +335,15 @@
 		if !f.hasConfig.Swap(true) {
 			f.configuredAt.Store(int64(f.clock.SinceBoot()))
 		}
-		event.ConfigApplied.Log(f.log).Int64("version", update.Version).Int64("previous_version", old.Config.Version).Str("from", from).Send()
+		line := event.ConfigApplied.Log(f.log).Int64("version", update.Version).Int64("previous_version", old.Config.Version).Str("from", from)
+		if outdatedAt := f.outdatedAt.Load(); outdatedAt != 0 {
+			line = line.Dur("outdated", f.clock.SinceBoot()-time.Duration(outdatedAt))
+		}
+		if f.confirmedAt.Load() != 0 {
+			line = line.Dur("unconfirmed", f.Age())
+		}
+		line.Send()
+		f.observeVersion(update.Version)
 		f.onApply(from == fromStore)
 	}
 }
--- /dev/null
+++ b/pkg/follow/observe.go
@@ -0,0 +1,51 @@
+package follow
+
+import (
+	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+)
+
+// maxUnconfirmed is the time within which a new version must be in force. An instance that has
+// not learned for so long whether there is one may act on an old version.
+const maxUnconfirmed = 2 * time.Second
+
+// NewestHeard returns the newest version that a serving instance or the source has named.
+func (f *Follower) NewestHeard() int64 { return f.newestHeard.Load() }
+
+// Observe logs when the applied version ceases to be confirmed within maxUnconfirmed, and when
+// it is again. It is to be called several times a second.
+func (f *Follower) Observe() {
+	if !f.hasConfig.Load() {
+		return
+	}
+	age := f.Age()
+	if f.unconfirmed.Swap(age >= maxUnconfirmed) == (age >= maxUnconfirmed) {
+		return
+	}
+	if age < maxUnconfirmed {
+		event.ConfigConfirmed.Log(f.log).Int64("version", f.View().Config.Version).Dur("unconfirmed", age).Send()
+		return
+	}
+	line := event.ConfigUnconfirmed.Log(f.log).Int64("version", f.View().Config.Version).Int64("newest_heard", f.NewestHeard()).Dur("unconfirmed", age)
+	if failedAt := f.failedAt.Load(); failedAt != 0 {
+		line = line.Dur("last_failed_read", f.clock.SinceBoot()-time.Duration(failedAt))
+	}
+	line.Send()
+}
+
+// observeVersion records that a version is known to exist, and since when the applied one is
+// older.
+func (f *Follower) observeVersion(version int64) {
+	for {
+		known := f.newestHeard.Load()
+		if known >= version || f.newestHeard.CompareAndSwap(known, version) {
+			break
+		}
+	}
+	if f.View().Config.Version >= f.newestHeard.Load() {
+		f.outdatedAt.Store(0)
+	} else {
+		f.outdatedAt.CompareAndSwap(0, int64(f.clock.SinceBoot()))
+	}
+}
