--- a/pkg/fleet/transit_test.go
+++ b/pkg/fleet/transit_test.go
@@ -51,3 +51,29 @@
 	f.updateView(now + servingLogInterval)
 	is.Equal(f.servingUnlogged, 0)
 }
+
+// confirmation is a StateExchanger that keeps the last age of a configuration that it was told.
+type confirmation struct{ age time.Duration }
+
+func (*confirmation) Fill(h *peerpb.Heartbeat, _ Audience) { h.ConfigAgeMs = 100 }
+func (c *confirmation) Merge(_ string, h *peerpb.Heartbeat) {
+	c.age = time.Duration(h.ConfigAgeMs) * time.Millisecond
+}
+
+// Guards against a heartbeat that has waited in a link or a socket and confirms the
+// configuration at a time at which its sender had not been asked.
+func TestDelayedHeartbeatConfirmsOldConfig(t *testing.T) {
+	is := is.New(t)
+	tf := newTestFleet(12)
+	tf.run(3 * time.Second)
+	names := tf.serving("a")
+	from, to := tf.instances[names[0]], tf.instances[names[1]]
+	told := &confirmation{}
+	from.StateExchangers, to.StateExchangers = []StateExchanger{told}, []StateExchanger{told}
+	to.Receive(from.encode(from.heartbeat(SameZonePeers)))
+	is.Equal(told.age, 100*time.Millisecond)
+	waiting := from.encode(from.heartbeat(SameZonePeers))
+	tf.clock.Advance(4 * time.Second)
+	to.Receive(waiting)
+	is.Equal(told.age, 4100*time.Millisecond)
+}
--- a/pkg/lab/storesim/server.go
+++ b/pkg/lab/storesim/server.go
@@ -43,6 +43,9 @@
 	LoseAnswers bool
 	// ApplyDelay is the time after which a transaction is applied whose response is lost.
 	ApplyDelay time.Duration
+	// HoldFeeds leaves every rows-feed call without an answer while it is set, also those that
+	// wait already, as on a connection that has become silent. Other calls are served.
+	HoldFeeds bool
 	// Delay is the time by which every call is delayed before it takes effect.
 	Delay time.Duration
 }
@@ -143,7 +146,7 @@
 			ctx.SetStatusCode(f.Status)
 			return
 		case f.Unresponsive:
-			s.holdUnanswered(ctx)
+			s.hold(ctx, func(f Faults) bool { return f.Unresponsive })
 			return
 		case f.Reset:
 			_ = ctx.Conn().Close()
@@ -159,21 +162,26 @@
 	s.serve(ctx, name, id)
 }
 
-// holdUnanswered holds the call until Faults.Unresponsive is cleared, then closes the
-// connection.
-func (s *Store) holdUnanswered(ctx *fasthttp.RequestCtx) {
+// hold holds the call while the faults say so, then closes the connection.
+func (s *Store) hold(ctx *fasthttp.RequestCtx, held func(Faults) bool) {
 	for {
 		time.Sleep(10 * time.Millisecond)
 		s.mu.Lock()
-		unresponsive := s.faults.Unresponsive
+		f := s.faults
 		s.mu.Unlock()
-		if !unresponsive {
+		if !held(f) {
 			_ = ctx.Conn().Close()
 			return
 		}
 	}
 }
 
+func (s *Store) holdsFeeds() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.HoldFeeds
+}
+
 // applyUnanswered applies the transaction after the delay and closes the
 // connection without a response.
 func (s *Store) applyUnanswered(ctx *fasthttp.RequestCtx, delay time.Duration) {
@@ -205,9 +213,17 @@
 			ctx.SetStatusCode(fasthttp.StatusBadRequest)
 			return
 		}
+		if s.holdsFeeds() {
+			s.hold(ctx, func(f Faults) bool { return f.HoldFeeds })
+			return
+		}
 		wait := min(time.Duration(q.GetUintOrZero("wait_ms"))*time.Millisecond, maxFeedWait)
 		began := s.tables.currentEra()
 		rows, version, gone := s.tables.changesAfter(argument("table"), after, wait)
+		if s.holdsFeeds() {
+			s.hold(ctx, func(f Faults) bool { return f.HoldFeeds })
+			return
+		}
 		if s.tables.currentEra() != began && s.hangsFeeds() {
 			time.Sleep(wait)
 			_ = ctx.Conn().Close()
