Take a version that nobody has confirmed for unconfirmed after a boot

Cause: the time of the last confirmation was 0 at first, which is the boot of the machine. For the first 1.5 s after a boot a standby did not read the store before a request, and what it told others in heartbeats confirmed their versions.

Change: the time lies before all others until there is a confirmation, as that of the listing does; likewise that of the last failed read.

--- a/pkg/follow/evacuations.go
+++ b/pkg/follow/evacuations.go
@@ -25,7 +25,7 @@
 // instance of an earlier release may serve without knowing the evacuated zones: the store
 // has turned its read away, and no other instance has told them.
 func (f *Follower) mayAssumeNoEvacuation() bool {
-	return f.failedAt.Load() != 0 && f.clock.SinceBoot()-time.Duration(f.configuredAt.Load()) >= unknownEvacuationsWait
+	return f.failedAt.Load() != int64(beforeBoot) && f.clock.SinceBoot()-time.Duration(f.configuredAt.Load()) >= unknownEvacuationsWait
 }
 
 // mergeEvacuations takes over a set that another instance has told, if it is newer.
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -47,6 +47,8 @@
 	// activationTTL is how long a follower stays active after the last call of
 	// Activate: callers may still know the instance's address.
 	activationTTL = 5 * time.Second
+	// beforeBoot is a time since boot before all others.
+	beforeBoot = -time.Hour
 )
 
 // Cursor is a position in the store's changes. The zero value is that before the first
@@ -117,13 +119,14 @@
 
 	// confirmedAt is the latest time since boot at which there was no configuration and no
 	// set of evacuated zones newer than the applied ones, as known from a serving instance or
-	// from the source.
+	// from the source; beforeBoot if it has never been known.
 	confirmedAt atomic.Int64
 	// retryAt is the time since boot before which EnsureMaxAge and copyConfig do not
 	// repeat a failed read.
 	retryAt atomic.Int64
 
-	// failedAt is the start, as time since boot, of the last read that failed.
+	// failedAt is the start, as time since boot, of the last read that failed; beforeBoot
+	// without one.
 	failedAt atomic.Int64
 
 	// readMu is held by EnsureMaxAge during a read and by copyConfig, so that there is
@@ -140,6 +143,8 @@
 func New(c clock.Clock, source Source, peerConfigs PeerConfigs, copySources *fleet.CopySources, self membership.Member, log *zerolog.Logger, onApply func(own bool)) *Follower {
 	f := &Follower{source: source, peerConfigs: peerConfigs, copySources: copySources, clock: c, log: log, onApply: onApply, wake: make(chan struct{}, 1)}
 	f.activatedAt.Store(int64(-activationTTL))
+	f.confirmedAt.Store(int64(beforeBoot))
+	f.failedAt.Store(int64(beforeBoot))
 	f.view.Store(&control.View{Config: config.NewSnapshot(0, config.Empty()), Membership: &membership.Membership{}, Self: self})
 	return f
 }
@@ -339,7 +344,7 @@
 		if outdatedAt := f.outdatedAt.Load(); outdatedAt != 0 {
 			line = line.Dur("outdated", f.clock.SinceBoot()-time.Duration(outdatedAt))
 		}
-		if f.confirmedAt.Load() != 0 {
+		if f.confirmed() {
 			line = line.Dur("unconfirmed", f.Age())
 		}
 		line.Send()
--- a/pkg/follow/observe.go
+++ b/pkg/follow/observe.go
@@ -16,7 +16,7 @@
 // Observe logs when the applied version ceases to be confirmed within maxUnconfirmed, and when
 // it is again. It is to be called several times a second.
 func (f *Follower) Observe() {
-	if !f.hasConfig.Load() {
+	if !f.hasConfig.Load() || !f.confirmed() {
 		return
 	}
 	age := f.Age()
@@ -28,12 +28,15 @@
 		return
 	}
 	line := event.ConfigUnconfirmed.Log(f.log).Int64("version", f.View().Config.Version).Int64("newest_heard", f.NewestHeard()).Dur("unconfirmed", age)
-	if failedAt := f.failedAt.Load(); failedAt != 0 {
+	if failedAt := f.failedAt.Load(); failedAt != int64(beforeBoot) {
 		line = line.Dur("last_failed_read", f.clock.SinceBoot()-time.Duration(failedAt))
 	}
 	line.Send()
 }
 
+// confirmed reports whether any version has ever been known to be the newest.
+func (f *Follower) confirmed() bool { return f.confirmedAt.Load() != int64(beforeBoot) }
+
 // observeVersion records that a version is known to exist, and since when the applied one is
 // older.
 func (f *Follower) observeVersion(version int64) {
