Count the age of what a heartbeat tells from its sending

Cause: the age of a configuration, a listing or a statement counted from the receipt of the heartbeat. One that waits in a full link or socket confirmed an old version at a time at which its sender had not been asked; 4 s under way, an age of 0.1 s stayed 0.1 s.

Change: the receiver adds the time for which the heartbeat was under way beyond the fastest one of the same process in the last one to two minutes, from the steady clocks of both. Older confirmations then lead to a read, as they should.

Mixed builds: the last release skips the field, and what it sends counts as before (TestLastReleaseReadsDelayedHeartbeat, TestTransitDelay).

--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -354,7 +354,8 @@
 	f.Transport.Send(address, f.encode(f.heartbeat(IdentityOnly)))
 }
 
-// recordHeartbeat updates the state of the sender. It returns false for an
+// recordHeartbeat updates the state of the sender and adds the time for which the heartbeat was
+// under way to the ages in it. It returns false for an
 // outdated heartbeat, which must be ignored.
 func (f *Fleet) recordHeartbeat(h *peerpb.Heartbeat) bool {
 	now := f.Clock.SinceBoot()
@@ -377,7 +378,9 @@
 		GossipAddress: h.GossipAddress, Capacity: h.Capacity, DiagnosticsAddress: k.DiagnosticsAddress,
 	}
 	k.heard = true
-	f.heartbeatDelay = max(f.heartbeatDelay, k.transit.delay(h, now))
+	delay := k.transit.delay(h, now)
+	f.heartbeatDelay = max(f.heartbeatDelay, delay)
+	addDelay(h, delay)
 	k.lastReceived, k.serving, k.leaving, k.quiet, k.pathsLost, k.rate = now, h.Serving, h.Leaving, h.Quiet, h.PathsLost, float64(h.Rate)
 	if h.ConnectedAgeMs != nil {
 		k.connectedAt = max(k.connectedAt, now-time.Duration(*h.ConnectedAgeMs)*time.Millisecond)
--- a/pkg/fleet/transit.go
+++ b/pkg/fleet/transit.go
@@ -10,6 +10,9 @@
 // steady clocks drift: 50 millionths are 6 ms in two windows.
 const transitWindow = time.Minute
 
+// maxAddedDelay bounds the delay that is added to an age.
+const maxAddedDelay = time.Hour
+
 // transit tells how long the heartbeats of one process were under way, in its socket, on the
 // links and in the own socket. The clocks of two machines have different origins, so that only
 // the difference to the fastest heartbeat of the last windows is known.
@@ -38,3 +41,25 @@
 	}
 	return difference - min(t.fastest, t.previous)
 }
+
+// addDelay adds the time for which a heartbeat was under way to the ages of what it tells,
+// which count from its sending.
+func addDelay(h *peerpb.Heartbeat, delay time.Duration) {
+	ms := uint32(min(delay, maxAddedDelay).Milliseconds())
+	h.ConfigAgeMs += ms
+	if h.Listing != nil {
+		h.Listing.AgeMs += ms
+	}
+	if h.ConnectedAgeMs != nil {
+		*h.ConnectedAgeMs += ms
+	}
+	for _, limit := range h.RateLimits {
+		limit.AgeMs += ms
+	}
+	for _, target := range h.ColdTargets {
+		target.AgeMs += ms
+		if target.ReachedAgeMs != nil {
+			*target.ReachedAgeMs += ms
+		}
+	}
+}
--- a/pkg/fleet/transit_test.go
+++ b/pkg/fleet/transit_test.go
@@ -1,10 +1,15 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protodesc"
+	"google.golang.org/protobuf/types/descriptorpb"
+	"google.golang.org/protobuf/types/dynamicpb"
 
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
@@ -77,3 +82,23 @@
 	to.Receive(waiting)
 	is.Equal(told.age, 4100*time.Millisecond)
 }
+
+// Guards against a heartbeat that instances of the last release cannot read.
+func TestLastReleaseReadsDelayedHeartbeat(t *testing.T) {
+	is := is.New(t)
+	file := protodesc.ToFileDescriptorProto((&peerpb.Heartbeat{}).ProtoReflect().Descriptor().ParentFile())
+	for _, m := range file.MessageType {
+		if m.GetName() == "Heartbeat" {
+			m.Field = slices.DeleteFunc(m.Field, func(f *descriptorpb.FieldDescriptorProto) bool { return f.GetName() == "sent_ms" })
+		}
+	}
+	last, err := protodesc.NewFile(file, nil)
+	is.NoErr(err)
+	data, err := proto.Marshal(&peerpb.Heartbeat{Instance: "e1", Serving: true, ConfigVersion: 3, ConfigAgeMs: 70, SentMs: 5000})
+	is.NoErr(err)
+	read := dynamicpb.NewMessage(last.Messages().ByName("Heartbeat"))
+	is.NoErr(proto.Unmarshal(data, read))
+	is.Equal(read.Get(read.Descriptor().Fields().ByName("config_age_ms")).Uint(), uint64(70))
+	// What the last release sends counts with the ages in it.
+	is.Equal((&transit{}).delay(&peerpb.Heartbeat{ConfigAgeMs: 70}, time.Hour), time.Duration(0))
+}
