Let a wait for changes confirm nothing once its answer is due

Cause: a lister waits for changes on one connection and lists the targets on another. With the answer lost, the lister and all instances that hear its heartbeats took the old version for the newest.

A full read follows each failed wait, as the next wait may fail likewise.

--- a/pkg/edge/shutdown.go
+++ b/pkg/edge/shutdown.go
@@ -25,7 +25,7 @@
 	// keep a response of the directory for up to three times its TTL.
 	lingerFraction = 0.55
 	// stopTimeout bounds how long the exit of the process waits for background work:
-	// a call to the store may last for 25 s.
+	// a call to the store may last for seconds.
 	stopTimeout = 200 * time.Millisecond
 )
 
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -44,6 +44,10 @@
 	failedReadBackoff = 2 * time.Second
 	// maxTimeoutDelay is how late a timeout may be noticed by a process that runs.
 	maxTimeoutDelay = 300 * time.Millisecond
+	// MaxWait is the longest time for which a Source waits for changes. The answer to such a
+	// wait may be lost while the source is reachable otherwise; until the wait has ended, the
+	// lack of changes is not known.
+	MaxWait = time.Second
 	// activationTTL is how long a follower stays active after the last call of
 	// Activate: callers may still know the instance's address.
 	activationTTL = 5 * time.Second
@@ -179,10 +183,12 @@
 }
 
 // ConfirmReachable tells the follower that the source was reachable at the given time since
-// boot, in an era of the store. If Run was already waiting for changes in that era,
-// there had been none, so that the applied version is confirmed as the newest.
+// boot, in an era of the store. If Run was already waiting for changes in that era, for no
+// longer than MaxWait, there had been none, so that the applied version is confirmed as the
+// newest. After MaxWait, the answer is due, and its lack tells nothing.
 func (f *Follower) ConfirmReachable(at time.Duration, era int64) {
-	if since := f.waitingSince.Load(); since != 0 && since <= int64(at) && f.waitingEra.Load() == era {
+	since := time.Duration(f.waitingSince.Load())
+	if since != 0 && since <= at && at-since <= MaxWait && f.waitingEra.Load() == era {
 		f.confirmNewest(at)
 	}
 }
@@ -285,6 +291,8 @@
 				event.PlatformUnavailable.Log(f.log).Err(err).Int64("config_version", f.View().Config.Version).Send()
 			}
 			available = false
+			// A wait that failed may have missed a change, and the next one may fail likewise.
+			cursor = Cursor{}
 			if err := f.clock.Sleep(ctx, rand.N(retryDelay)); err != nil {
 				return errors.WithStack(err)
 			}
