Act on a configuration only while it may be the newest

Cause: an instance that could not learn whether its configuration is the newest went on with it without a bound. A read that took over 0.4 s (0.2 s for a request) counted as an outage of the store, its answer was thrown away, and for 2 s no other was tried; so a standby whose reads are slow, or whose processor time is short, never learned of a change and served on, also when serving instances had named a newer version.

Change: - A request is admitted and sent only if the configuration was known to be the newest within 2 s, the time within which a change must be in force, or if a read that began within 2.9 s has failed: in an outage what is known stays in use. Otherwise it is refused as not run (instance_not_fresh). - Nor is one after a newer version has been named for 1 s and could not be got. - Callers wait for a read as before, but its answer counts up to 1.6 s after its begin. - A read without an answer after 0.4 s counts as a failure only if the process notices that in time.

--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -40,9 +40,9 @@
 
 // serveCaller handles one request of a caller. A standby, which does not follow the
 // store all the time, refreshes its configuration and listing first, and so does every
-// instance after a pause.
+// instance after a pause or with a configuration that it may not act on.
 func (i *Instance) serveCaller(ctx *fasthttp.RequestCtx) {
-	if !i.freshness.observe() || !i.fleet.View().Called {
+	if !i.freshness.observe() || !i.fleet.View().Called || !i.follower.MayAct() {
 		limited, cancel := context.WithTimeout(context.Background(), requestReadTimeout)
 		i.freshness.refresh(limited, standbyMaxAge)
 		cancel()
@@ -92,12 +92,11 @@
 		}
 		switch {
 		case view.Called && i.isLister(view):
-			i.registry.EnsureMaxAge(ctx, listInterval)
 			i.follower.Activate()
+			i.freshness.ensureMaxAges(ctx, listInterval, relayMaxAge)
 			i.follower.ConfirmReachable(i.registry.ListedAt())
 		case view.Called:
-			i.registry.EnsureMaxAge(ctx, relayMaxAge)
-			i.follower.EnsureMaxAge(ctx, relayMaxAge)
+			i.freshness.ensureMaxAges(ctx, relayMaxAge, relayMaxAge)
 		case i.registry.Catalogue().Version == 0 && (i.registry.OutOfSync() || i.clock.SinceBoot()-i.startedAt > firstListInterval):
 			i.registry.EnsureMaxAge(ctx, firstListInterval)
 		}
--- a/pkg/edge/freshness.go
+++ b/pkg/edge/freshness.go
@@ -35,7 +35,9 @@
 }
 
 // MayServe reports whether a request may be admitted or sent to a target now.
-func (f *freshness) MayServe() bool { return f.observe() && f.follower.MayServe() }
+func (f *freshness) MayServe() bool {
+	return f.observe() && f.follower.MayServe() && f.follower.MayAct()
+}
 
 // observe records that the process runs, and reports whether nothing has been missed
 // in a pause.
@@ -56,12 +58,18 @@
 	f.observe()
 	at := f.pauses.ResumedAt()
 	var reads sync.WaitGroup
-	reads.Go(func() {
-		f.follower.EnsureCheckedSince(ctx, at)
-		f.follower.EnsureMaxAge(ctx, maxAge)
-	})
+	reads.Go(func() { f.follower.EnsureCheckedSince(ctx, at) })
 	f.registry.EnsureCheckedSince(ctx, at)
-	f.registry.EnsureMaxAge(ctx, maxAge)
+	reads.Wait()
+	f.ensureMaxAges(ctx, maxAge, maxAge)
+}
+
+// ensureMaxAges reads the listing and the configuration unless they are recent, at the same time:
+// neither waits for a slow read of the other.
+func (f *freshness) ensureMaxAges(ctx context.Context, listing, config time.Duration) {
+	var reads sync.WaitGroup
+	reads.Go(func() { f.follower.EnsureMaxAge(ctx, config) })
+	f.registry.EnsureMaxAge(ctx, listing)
 	reads.Wait()
 }
 
--- a/pkg/follow/copy.go
+++ b/pkg/follow/copy.go
@@ -59,8 +59,6 @@
 // copyConfig copies the configuration from the sender of a heartbeat. It reads the source
 // if that instance does not give one, or no instance has told the evacuated zones.
 func (f *Follower) copyConfig(h *peerpb.Heartbeat) {
-	f.readMu.Lock()
-	defer f.readMu.Unlock()
 	applied := f.View().Config.Version
 	if h.ConfigVersion <= applied {
 		return
@@ -77,6 +75,6 @@
 		event.CopyFailed.Log(f.log).Err(err).Str("from", h.Instance).Int64("config_version", applied).Send()
 	}
 	if f.clock.SinceBoot() >= time.Duration(f.retryAt.Load()) {
-		f.readConfig(context.Background())
+		f.read(context.Background())
 	}
 }
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -36,9 +36,15 @@
 	// unconfiguredReadInterval replaces standbyReadInterval while no configuration or no
 	// set of evacuated zones is known.
 	unconfiguredReadInterval = 4 * time.Second
-	// readTimeout bounds a read that a caller waits for: by EnsureMaxAge or after a
-	// failed copy.
-	readTimeout = 400 * time.Millisecond
+	// readWait is the longest time for which a caller waits for a read. Without an answer by
+	// then the source counts as failing, but a late answer is used.
+	readWait = 400 * time.Millisecond
+	// readTimeout bounds the read itself.
+	readTimeout = 1600 * time.Millisecond
+	// maxWaitDelay is how late the end of readWait may be noticed by a process that has enough
+	// processor time. With less, an answer may have come that it has not seen yet, so that
+	// nothing is known of the source.
+	maxWaitDelay = 100 * time.Millisecond
 	// failedReadBackoff is the time after a failed read of this kind before the next
 	// one, so that no request waits for another failure.
 	failedReadBackoff = 2 * time.Second
@@ -133,9 +139,9 @@
 	// without one.
 	failedAt atomic.Int64
 
-	// readMu is held by EnsureMaxAge during a read and by copyConfig, so that there is
-	// one read or copy at a time.
-	readMu sync.Mutex
+	// readMu guards reading, the read in progress that callers wait for, or nil.
+	readMu  sync.Mutex
+	reading *read
 	// applyMu is held while a configuration is compared with the applied one and
 	// published.
 	applyMu sync.Mutex
@@ -209,46 +215,19 @@
 	if f.Age() < maxAge {
 		return
 	}
-	f.readMu.Lock()
-	defer f.readMu.Unlock()
-	if f.Age() >= maxAge && f.clock.SinceBoot() >= time.Duration(f.retryAt.Load()) {
-		f.readConfig(ctx)
+	if f.clock.SinceBoot() >= time.Duration(f.retryAt.Load()) {
+		f.read(ctx)
 	}
 }
 
 // EnsureCheckedSince reads the configuration unless CheckedAt is at or after the given
 // time since boot.
 func (f *Follower) EnsureCheckedSince(ctx context.Context, at time.Duration) {
-	if f.CheckedAt() >= at {
-		return
-	}
-	f.readMu.Lock()
-	defer f.readMu.Unlock()
-	if f.CheckedAt() < at {
-		f.readConfig(ctx)
-	}
-}
-
-// readConfig reads the newest configuration from the source and applies it. The
-// caller holds readMu.
-func (f *Follower) readConfig(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
-	startedAt := f.clock.SinceBoot()
-	update, err := f.source.Await(ctx, Cursor{})
-	if err != nil {
-		// A read that took far longer than its timeout spans a pause of the process and
-		// says nothing about the source.
-		if now := f.clock.SinceBoot(); now-startedAt < readTimeout+maxTimeoutDelay {
-			f.retryAt.Store(int64(now + failedReadBackoff))
-			f.failedAt.Store(int64(startedAt))
+	for f.CheckedAt() < at && ctx.Err() == nil {
+		if startedAt := f.read(ctx); startedAt >= at {
+			return
 		}
-		event.PlatformUnavailable.Log(f.log).Err(err).Int64("config_version", f.View().Config.Version).Send()
-		return
 	}
-	// The confirmation comes last: it lets requests pass that wait after a pause.
-	f.apply(update, fromStore)
-	f.confirmNewest(startedAt)
 }
 
 // CheckedAt returns the latest time since boot for which it is known whether there was
@@ -303,8 +282,7 @@
 			event.PlatformAvailable.Log(f.log).Send()
 		}
 		retryDelay, available, cursor = initialRetryDelay, true, update.Cursor
-		f.apply(update, fromStore)
-		f.confirmNewest(startedAt)
+		f.applyFromSource(update, startedAt)
 	}
 }
 
--- a/pkg/follow/observe.go
+++ b/pkg/follow/observe.go
@@ -10,6 +10,26 @@
 // not learned for so long whether there is one may act on an old version.
 const maxUnconfirmed = 2 * time.Second
 
+const (
+	// maxOutdated is the time for which an instance may act on its version after it has heard
+	// of a newer one: a copy and, if that fails, a read.
+	maxOutdated = time.Second
+	// outageHold is the time after the start of a failed read for which the instance goes on
+	// with what it has: until the next read has failed, too.
+	outageHold = failedReadBackoff + 2*readWait + maxWaitDelay
+)
+
+// MayAct reports whether the applied version may be acted on: it has been known to be the newest
+// within maxUnconfirmed, or the source has lately failed to tell. It may not while a newer version
+// is known to exist that the instance has failed to get within maxOutdated.
+func (f *Follower) MayAct() bool {
+	now := f.clock.SinceBoot()
+	if outdatedAt := f.outdatedAt.Load(); outdatedAt != 0 && now-time.Duration(outdatedAt) >= maxOutdated {
+		return false
+	}
+	return f.Age() < maxUnconfirmed || now-time.Duration(f.failedAt.Load()) < outageHold
+}
+
 // NewestHeard returns the newest version that a serving instance or the source has named.
 func (f *Follower) NewestHeard() int64 { return f.newestHeard.Load() }
 
--- a/pkg/lab/soak/check.go
+++ b/pkg/lab/soak/check.go
@@ -162,7 +162,7 @@
 	var since time.Time
 	for _, c := range tb.changes {
 		late := r.sentAt.Sub(c.submittedAt) > maxApplyTime+timestampTolerance
-		if late && c.key == r.key && c.key != "" && tb.faultFree(r.ip, c.submittedAt, r.sentAt) {
+		if late && c.key == r.key && c.key != "" && tb.faultFree(r.ip, c.submittedAt, r.sentAt, allowShort) {
 			tb.addViolation("withdrawn keys are refused", "%s ran %.2f s after its key was withdrawn", r.id, r.sentAt.Sub(c.submittedAt).Seconds())
 		}
 		if late && c.movedSet {
@@ -176,7 +176,7 @@
 			service = ""
 		}
 	}
-	if strings.HasPrefix(r.path, movingRoute) && service != "" && run.Service != service && tb.faultFree(r.ip, since, r.sentAt) {
+	if strings.HasPrefix(r.path, movingRoute) && service != "" && run.Service != service && tb.faultFree(r.ip, since, r.sentAt, allowShort) {
 		tb.addViolation("route changes take effect", "%s ran at %s %.2f s after its route moved", r.id, run.Service, r.sentAt.Sub(since).Seconds())
 	}
 }
@@ -188,17 +188,20 @@
 		if t.ID != run.Target || t.drainingSince.IsZero() {
 			continue
 		}
-		if delay := run.StartedAt.Sub(t.drainingSince); delay > maxApplyTime+timestampTolerance && tb.faultFree(r.ip, t.drainingSince, run.StartedAt) &&
+		if delay := run.StartedAt.Sub(t.drainingSince); delay > maxApplyTime+timestampTolerance && tb.faultFree(r.ip, t.drainingSince, run.StartedAt, !allowShort) &&
 			r.sentAt.Sub(t.drainingSince) > maxApplyTime+timestampTolerance {
 			tb.addViolation("draining targets receive no new requests", "%s reached %s %.2f s after it began to drain", r.id, t.ID, delay.Seconds())
 		}
 	}
 }
 
+// allowShort says that a bound holds also while the processor time of an instance is short.
+const allowShort = true
+
 // faultFree reports whether an instance and the store were without faults from
 // faultMargin before the event until the request. The bounds on time hold only
-// then.
-func (tb *testbed) faultFree(ip string, event, request time.Time) bool {
+// then. With allowShort, a lack of processor time is no fault.
+func (tb *testbed) faultFree(ip string, event, request time.Time, allowShort bool) bool {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	from := event.Add(-faultMargin)
@@ -206,7 +209,7 @@
 		return false
 	}
 	for _, i := range tb.instances {
-		if i.ip == ip && overlaps(i.faultSpans, from, request) {
+		if i.ip == ip && (overlaps(i.faultSpans, from, request) || (!allowShort && overlaps(i.shortSpans, from, request))) {
 			return false
 		}
 	}
@@ -239,7 +242,7 @@
 			duringStop := r.sentAt.After(s.from) && r.endedAt.Before(s.from.Add(gracePeriod))
 			otherFault := slices.ContainsFunc(i.faultSpans, func(t span) bool {
 				return t.from.Before(r.endedAt) && (t.to.IsZero() || t.to.Add(faultMargin).After(r.sentAt)) && t.from.Sub(i.gracefulStopSpans[n].from).Abs() > 50*time.Millisecond
-			})
+			}) || overlaps(i.shortSpans, r.sentAt, r.endedAt)
 			if duringStop && !otherFault {
 				return true
 			}
--- a/pkg/lab/soak/testbed.go
+++ b/pkg/lab/soak/testbed.go
@@ -64,6 +64,8 @@
 	// faultSpans are the intervals of its faults; gracefulStopSpans are those
 	// from SIGTERM to the end of the process and of the fault.
 	faultSpans, gracefulStopSpans []span
+	// shortSpans are the intervals in which its processor time was short.
+	shortSpans []span
 }
 
 // target is one target and the relay in front of it.
--- a/pkg/lab/storesim/server.go
+++ b/pkg/lab/storesim/server.go
@@ -43,9 +43,6 @@
 	LoseAnswers bool
 	// ApplyDelay is the time after which a transaction is applied whose response is lost.
 	ApplyDelay time.Duration
-	// HoldFeeds leaves every rows-feed call without an answer while it is set, also those that
-	// wait already, as on a connection that has become silent. Other calls are served.
-	HoldFeeds bool
 	// Delay is the time by which every call is delayed before it takes effect.
 	Delay time.Duration
 }
@@ -61,6 +58,8 @@
 	calls map[string]int
 	// hangFeeds says that calls that waited during the last restore stay unanswered.
 	hangFeeds bool
+	// feedsHeld says that no rows-feed call is answered.
+	feedsHeld bool
 }
 
 // eraHeader counts the restores of the store in all its answers.
@@ -146,7 +145,7 @@
 			ctx.SetStatusCode(f.Status)
 			return
 		case f.Unresponsive:
-			s.hold(ctx, func(f Faults) bool { return f.Unresponsive })
+			s.hold(ctx, s.unresponsive)
 			return
 		case f.Reset:
 			_ = ctx.Conn().Close()
@@ -162,24 +161,32 @@
 	s.serve(ctx, name, id)
 }
 
-// hold holds the call while the faults say so, then closes the connection.
-func (s *Store) hold(ctx *fasthttp.RequestCtx, held func(Faults) bool) {
-	for {
+// hold leaves a call without an answer for as long as held says, then closes its connection.
+func (s *Store) hold(ctx *fasthttp.RequestCtx, held func() bool) {
+	for held() {
 		time.Sleep(10 * time.Millisecond)
-		s.mu.Lock()
-		f := s.faults
-		s.mu.Unlock()
-		if !held(f) {
-			_ = ctx.Conn().Close()
-			return
-		}
 	}
+	_ = ctx.Conn().Close()
+}
+
+func (s *Store) unresponsive() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.Unresponsive
+}
+
+// HoldFeeds begins or ends a time in which no rows-feed call is answered, also none that waits
+// already, as on connections that have become silent. Other calls are served.
+func (s *Store) HoldFeeds(hold bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.feedsHeld = hold
 }
 
 func (s *Store) holdsFeeds() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.faults.HoldFeeds
+	return s.feedsHeld
 }
 
 // applyUnanswered applies the transaction after the delay and closes the
@@ -214,14 +221,14 @@
 			return
 		}
 		if s.holdsFeeds() {
-			s.hold(ctx, func(f Faults) bool { return f.HoldFeeds })
+			s.hold(ctx, s.holdsFeeds)
 			return
 		}
 		wait := min(time.Duration(q.GetUintOrZero("wait_ms"))*time.Millisecond, maxFeedWait)
 		began := s.tables.currentEra()
 		rows, version, gone := s.tables.changesAfter(argument("table"), after, wait)
 		if s.holdsFeeds() {
-			s.hold(ctx, func(f Faults) bool { return f.HoldFeeds })
+			s.hold(ctx, s.holdsFeeds)
 			return
 		}
 		if s.tables.currentEra() != began && s.hangsFeeds() {
