--- a/pkg/follow/copy_test.go
+++ b/pkg/follow/copy_test.go
@@ -107,5 +107,8 @@
 	is.True(f.Age() >= 2*time.Second) // the store was reached in another era than that of the wait
 	f.ConfirmReachable(c.SinceBoot()-100*time.Millisecond, 0)
 	is.Equal(f.Age(), 100*time.Millisecond)
+	c.Advance(MaxWait)
+	f.ConfirmReachable(c.SinceBoot(), 0)
+	is.True(f.Age() > MaxWait) // the answer to the wait is due
 	is.Equal(s.reads, 1)
 }
--- a/pkg/lab/soak/delays.go
+++ b/pkg/lab/soak/delays.go
@@ -12,47 +12,71 @@
 	// processor time is short. Neither is a pause that the process notices.
 	shortRun  = 30 * time.Millisecond
 	shortStop = 120 * time.Millisecond
-	// delayStream is the number of the stream of random numbers for these faults.
-	delayStream = 9
+	// calmDelay is the length of a delay without another fault around: an instance that takes
+	// an old configuration for the newest serves by it in the last second.
+	calmDelay = maxApplyTime + timestampTolerance + time.Second
+	// delayStream and calmDelayStream are the numbers of the streams of random numbers for these
+	// faults.
+	delayStream     = 9
+	calmDelayStream = 10
 )
 
-// injectDelays delays what instances learn, until ctx ends: connections to the store become
-// silent while new ones work, calls that wait for changes are not answered, or the processor time
-// of an instance is short. No bound on the time of a configuration change is lifted for these
-// faults. The draws are apart from those of the other faults.
+// injectDelays delays what instances learn of changes, until ctx ends. The draws are apart from
+// those of the other faults.
 func (tb *testbed) injectDelays(ctx context.Context, report *Report) {
 	rng := rand.New(rand.NewPCG(tb.Seed, delayStream))
 	for ctx.Err() == nil {
 		if sleep(ctx, startupTime+time.Duration(rng.Int64N(int64(2*time.Second)))) != nil {
 			return
 		}
-		kind, length := rng.IntN(3), time.Second+time.Duration(rng.Int64N(int64(4*time.Second)))
-		chosen := tb.instances[rng.IntN(len(tb.instances))]
-		switch kind {
-		case 0:
-			all := rng.IntN(2) == 0
-			tb.addFault(report, fmt.Sprintf("connections to the store become silent at %s (all: %t)", chosen.name, all))
-			for _, i := range tb.instances {
-				if all || i == chosen {
-					i.store.BlackholeExisting()
-				}
-			}
-		case 1:
-			tb.addFault(report, fmt.Sprintf("calls that wait for changes get no answer for %.1f s", length.Seconds()))
-			tb.store.HoldFeeds(true)
-			_ = sleep(ctx, length)
-			tb.store.HoldFeeds(false)
-		default:
-			if i := tb.reserveInstance(rng); i != nil {
-				tb.addFault(report, fmt.Sprintf("the processor time of %s is short for %.1f s", i.name, length.Seconds()))
-				tb.shorten(ctx, i, length)
-			}
+		tb.delayNews(ctx, report, rng, 2*time.Second+time.Duration(rng.Int64N(int64(4*time.Second))))
+	}
+}
+
+// delayInCalm delays what instances learn of a change without another fault around.
+func (tb *testbed) delayInCalm(ctx context.Context, report *Report) error {
+	tb.delayNews(ctx, report, rand.New(rand.NewPCG(tb.Seed, calmDelayStream)), calmDelay)
+	return ctx.Err()
+}
+
+// delayNews changes the configuration after one of three faults: connections to the store are
+// silent while new ones work, calls that wait for changes are not answered, or the processor time
+// of an instance is short. The bound on the time of the change holds nevertheless.
+func (tb *testbed) delayNews(ctx context.Context, report *Report, rng *rand.Rand, length time.Duration) {
+	switch kind := rng.IntN(3); kind {
+	case 0:
+		tb.addFault(report, "connections to the store become silent")
+		for _, i := range tb.instances {
+			i.store.BlackholeExisting()
+		}
+		tb.change(rng)
+		_ = sleep(ctx, length)
+	case 1:
+		tb.addFault(report, fmt.Sprintf("calls that wait for changes get no answer for %.1f s", length.Seconds()))
+		tb.store.HoldFeeds(true)
+		tb.change(rng)
+		_ = sleep(ctx, length)
+		tb.store.HoldFeeds(false)
+	default:
+		if i := tb.reserveInstance(rng); i != nil {
+			tb.addFault(report, fmt.Sprintf("the processor time of %s is short for %.1f s", i.name, length.Seconds()))
+			tb.change(rng)
+			tb.shortenProcessor(ctx, i, length)
 		}
 	}
 }
 
-// shorten stops and resumes a reserved instance in turn.
-func (tb *testbed) shorten(ctx context.Context, i *instance, length time.Duration) {
+// change moves the moving route or withdraws a key.
+func (tb *testbed) change(rng *rand.Rand) {
+	if rng.IntN(2) == 0 {
+		tb.moveRouteFault(rng).begin()
+	} else {
+		tb.withdrawKeyFault(rng).begin()
+	}
+}
+
+// shortenProcessor stops and resumes a reserved instance in turn.
+func (tb *testbed) shortenProcessor(ctx context.Context, i *instance, length time.Duration) {
 	end := tb.openSpan(&i.shortSpans)
 	for began := time.Now(); ctx.Err() == nil && time.Since(began) < length; {
 		i.process.Freeze()
