--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -22,18 +22,23 @@
 		}
 	}
 	next.Settled = f.settled(next.Serving, now)
-	next.ZoneSizes = map[string]int{f.Self.Zone: 1}
+	own, sizes := f.zoneNumber(f.self), make([]int, len(f.zones)+1)
+	sizes[own] = 1
 	f.quiet.update(f, next.Serving, now)
 	if f.quiet.value {
 		next.Quiet[f.Self.Instance] = true
 	}
 	for _, k := range f.members {
-		next.ZoneSizes[k.Zone]++
+		zone := f.zoneNumber(k)
+		for zone >= len(sizes) {
+			sizes = append(sizes, 0)
+		}
+		sizes[zone]++
 		if f.maySilentlyServe(k, now) {
 			next.Silent = append(next.Silent, k.Member)
 		}
 		timeout := unresponsiveTimeout
-		if !old.Serving && k.Zone != f.Self.Zone {
+		if !old.Serving && zone != own {
 			timeout = otherZoneUnresponsiveTimeout
 		}
 		if now-k.lastReceived < timeout && k.serving && !k.leaving {
@@ -46,7 +51,13 @@
 			}
 		}
 	}
-	next.FixedShare = f.fixedShare()
+	next.ZoneSizes = make(map[string]int, len(sizes))
+	for name, zone := range f.zones {
+		if sizes[zone] > 0 {
+			next.ZoneSizes[name] = sizes[zone]
+		}
+	}
+	next.FixedShare = f.fixedShare(len(next.ZoneSizes))
 	sortByName(next.Peers)
 	sortByName(next.Silent)
 	samePeers := next.Serving == old.Serving && slices.Equal(next.Peers, old.Peers) && maps.Equal(next.Detached, old.Detached)
@@ -99,11 +110,12 @@
 		f.promotableSince = 0
 		return wasCalled
 	}
-	self := &memberState{Member: f.Self, serving: wasCalled, rate: f.Rate()}
+	self, own := f.self, f.zoneNumber(f.self)
+	self.serving, self.rate = wasCalled, f.Rate()
 	zone := []*memberState{self}
 	rate, size, unresponsiveAhead := self.rate, 1, 0
 	for _, k := range f.members {
-		if k.Zone != f.Self.Zone {
+		if f.zoneNumber(k) != own {
 			continue
 		}
 		size++
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -132,6 +132,11 @@
 
 	mu      sync.Mutex
 	members map[string]*memberState
+	// self is this instance; only its fields of Member and those derived from them are used.
+	self *memberState
+	// zones numbers the zones of all members from 1 on: comparing numbers is cheaper than
+	// comparing names, and each update of the view does so for each member.
+	zones map[string]int
 	// rosterRead says that members holds all instances of the roster.
 	rosterRead bool
 	// announcedServing is the last value of View.Serving that was sent to all members.
@@ -153,7 +158,7 @@
 
 // New returns a fleet that knows only this instance.
 func New(o Options) *Fleet {
-	f := &Fleet{Options: o, members: map[string]*memberState{}, calledChanged: make(chan struct{}, 1), push: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), createdAt: o.Clock.SinceBoot()}
+	f := &Fleet{Options: o, members: map[string]*memberState{}, calledChanged: make(chan struct{}, 1), push: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), createdAt: o.Clock.SinceBoot(), zones: map[string]int{}, self: &memberState{Member: o.Self}}
 	f.view.Store(&View{Self: o.Self})
 	return f
 }
@@ -373,6 +378,9 @@
 		k = &memberState{}
 		f.members[h.Instance] = k
 	}
+	if k.Zone != h.Zone {
+		k.zoneNumber = 0
+	}
 	k.Member = Member{
 		Instance: h.Instance, Incarnation: h.Incarnation, Zone: h.Zone, CallerAddress: h.CallerAddress,
 		GossipAddress: h.GossipAddress, Capacity: h.Capacity, DiagnosticsAddress: k.DiagnosticsAddress,
@@ -391,6 +399,19 @@
 	return true
 }
 
+// zoneNumber returns the number of a member's zone. The caller holds mu.
+func (f *Fleet) zoneNumber(k *memberState) int {
+	if k.zoneNumber == 0 {
+		number, ok := f.zones[k.Zone]
+		if !ok {
+			number = len(f.zones) + 1
+			f.zones[k.Zone] = number
+		}
+		k.zoneNumber = number
+	}
+	return k.zoneNumber
+}
+
 // sortByName orders members by instance name.
 func sortByName(members []Member) {
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Instance, b.Instance) })
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -63,6 +63,10 @@
 	connectedAt time.Duration
 	rate        float64
 	transit     transit
+	// hash is that of the name, 0 until it is needed; the name never changes.
+	hash uint64
+	// zoneNumber is the number of Zone in Fleet.zones, 0 until it is needed.
+	zoneNumber int
 	// lastSent is the time since boot of the last heartbeat to it.
 	lastSent time.Duration
 }
@@ -73,7 +77,21 @@
 const capacityStep = 50
 
 // compareRank orders the members of a zone: the first ones serve callers.
-func compareRank(a, b *memberState) int { return compareMembers(a.Member, b.Member) }
+func compareRank(a, b *memberState) int {
+	return cmp.Or(
+		cmp.Compare(b.Capacity/capacityStep, a.Capacity/capacityStep),
+		cmp.Compare(a.nameHash(), b.nameHash()),
+		cmp.Compare(a.Instance, b.Instance),
+	)
+}
+
+// nameHash returns the hash of the instance's name.
+func (k *memberState) nameHash() uint64 {
+	if k.hash == 0 {
+		k.hash = xxhash.Sum64String(k.Instance)
+	}
+	return k.hash
+}
 
 // RanksBefore reports whether m ranks before other. It decides which of several
 // instances takes on a task.
--- a/pkg/fleet/share.go
+++ b/pkg/fleet/share.go
@@ -10,28 +10,27 @@
 	fixedShareMargin = 0.9
 )
 
-// fixedShare returns the fraction of a constant that this instance may use alone. The
-// fractions of all instances add up to fixedShareMargin. They depend on the known members and
-// on their ranks only, not on who is alive or serves, so they hold during partitions and
-// while standbys take over; the share of a silent instance is not assigned again. The caller
-// holds mu.
-func (f *Fleet) fixedShare() float64 {
+// fixedShare returns the fraction of a constant that this instance may use alone, with members
+// in the given number of zones. The fractions of all instances add up to fixedShareMargin. They
+// depend on the known members and on their ranks only, not on who is alive or serves, so they
+// hold during partitions and while standbys take over; the share of a silent instance is not
+// assigned again. The caller holds mu.
+func (f *Fleet) fixedShare(zones int) float64 {
 	if !f.rosterRead {
 		return 0
 	}
-	zones := map[string]bool{f.Self.Zone: true}
+	own := f.zoneNumber(f.self)
 	size, ahead := 1, 0
 	for _, k := range f.members {
-		zones[k.Zone] = true
-		if k.Zone != f.Self.Zone {
+		if f.zoneNumber(k) != own {
 			continue
 		}
 		size++
-		if k.RanksBefore(f.Self) {
+		if compareRank(k, f.self) < 0 {
 			ahead++
 		}
 	}
-	zone := fixedShareMargin / float64(len(zones))
+	zone := fixedShareMargin / float64(zones)
 	first := minimumServing(size)
 	switch {
 	case size <= first:
