Serve without interruption while the store gives no answers

Found by reading again. While the store was silent, a read failed twice, after 0.4 s and at its own timeout of 1.6 s, and the second failure put the next read off once more: the hold of the first failure ended before it, and requests were refused for some 0.5 s in every 4 s. A request after a pause waited 0.2 s, less than the 0.4 s after which the read counts as failed, so that it was served only where the listing made it wait longer (TestPausedProcessServesInAnOutage failed in one of two runs on the way).

Change: the backoff counts from the end of the wait at the latest, the hold covers the next read, and a request waits 0.5 s for a read without which it is refused. An answer that began before a newer version was named no longer ends the time since which the instance is known to be outdated.

TestOutageWithoutAnswersIsServed failed before (503 at 4.54 s of the outage); it, TestPausedProcess*, TestSlowRead* and TestSilentWait* passed in 3 of 3 runs after.

--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -30,8 +30,11 @@
 	// prepareTimeout bounds the reads of an instance that is selected to serve. After
 	// it, the instance serves with the state that it has.
 	prepareTimeout = 500 * time.Millisecond
-	// requestReadTimeout bounds how long a request waits for a read of the store.
+	// requestReadTimeout bounds how long a request waits for a read of the store that is due.
 	requestReadTimeout = 200 * time.Millisecond
+	// neededReadTimeout bounds how long a request waits for a read without which it is refused.
+	// By then the read has been answered or counts as failed, so that an outage refuses none.
+	neededReadTimeout = 500 * time.Millisecond
 	// followInterval is the interval between checks whether a listing is due. The sum
 	// of followInterval, relayMaxAge and the time of a read stays below the 2 s within
 	// which a change must take effect.
@@ -42,8 +45,15 @@
 // store all the time, refreshes its configuration and listing first, and so does every
 // instance after a pause or with a configuration that it may not act on.
 func (i *Instance) serveCaller(ctx *fasthttp.RequestCtx) {
-	if !i.freshness.observe() || !i.fleet.View().Called || !i.follower.MayAct() {
-		limited, cancel := context.WithTimeout(context.Background(), requestReadTimeout)
+	timeout := time.Duration(0)
+	switch {
+	case !i.freshness.observe() || !i.follower.MayAct():
+		timeout = neededReadTimeout
+	case !i.fleet.View().Called:
+		timeout = requestReadTimeout
+	}
+	if timeout > 0 {
+		limited, cancel := context.WithTimeout(context.Background(), timeout)
 		i.freshness.refresh(limited, standbyMaxAge)
 		cancel()
 	}
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -132,7 +132,7 @@
 
 	mu      sync.Mutex
 	members map[string]*memberState
-	// self is this instance; only its fields of Member and those derived from them are used.
+	// self ranks this instance among the members of its zone; it is in none of the other lists.
 	self *memberState
 	// zones numbers the zones of all members from 1 on: comparing numbers is cheaper than
 	// comparing names, and each update of the view does so for each member.
@@ -166,16 +166,6 @@
 // View returns the current set of serving instances.
 func (f *Fleet) View() *View { return f.view.Load() }
 
-// HeartbeatDelay returns the longest time that heartbeats were under way since it was last
-// called, beyond that of their sender's fastest one.
-func (f *Fleet) HeartbeatDelay() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	longest := f.heartbeatDelay
-	f.heartbeatDelay = 0
-	return longest
-}
-
 // CalledChanged receives whenever View.Called may have changed.
 func (f *Fleet) CalledChanged() <-chan struct{} { return f.calledChanged }
 
@@ -399,19 +389,6 @@
 	return true
 }
 
-// zoneNumber returns the number of a member's zone. The caller holds mu.
-func (f *Fleet) zoneNumber(k *memberState) int {
-	if k.zoneNumber == 0 {
-		number, ok := f.zones[k.Zone]
-		if !ok {
-			number = len(f.zones) + 1
-			f.zones[k.Zone] = number
-		}
-		k.zoneNumber = number
-	}
-	return k.zoneNumber
-}
-
 // sortByName orders members by instance name.
 func sortByName(members []Member) {
 	slices.SortFunc(members, func(a, b Member) int { return strings.Compare(a.Instance, b.Instance) })
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -93,6 +93,19 @@
 	return k.hash
 }
 
+// zoneNumber returns the number of a member's zone. The caller holds mu.
+func (f *Fleet) zoneNumber(k *memberState) int {
+	if k.zoneNumber == 0 {
+		number, ok := f.zones[k.Zone]
+		if !ok {
+			number = len(f.zones) + 1
+			f.zones[k.Zone] = number
+		}
+		k.zoneNumber = number
+	}
+	return k.zoneNumber
+}
+
 // RanksBefore reports whether m ranks before other. It decides which of several
 // instances takes on a task.
 func (m Member) RanksBefore(other Member) bool { return compareMembers(m, other) < 0 }
--- a/pkg/fleet/transit.go
+++ b/pkg/fleet/transit.go
@@ -63,3 +63,13 @@
 		}
 	}
 }
+
+// HeartbeatDelay returns the longest time that heartbeats were under way since it was last
+// called, beyond that of their sender's fastest one.
+func (f *Fleet) HeartbeatDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	longest := f.heartbeatDelay
+	f.heartbeatDelay = 0
+	return longest
+}
--- a/pkg/follow/follow.go
+++ b/pkg/follow/follow.go
@@ -37,7 +37,7 @@
 	// set of evacuated zones is known.
 	unconfiguredReadInterval = 4 * time.Second
 	// readWait is the longest time for which a caller waits for a read. Without an answer by
-	// then the source counts as failing, but a late answer is used.
+	// then, the source counts as failing, but a late answer is used.
 	readWait = 400 * time.Millisecond
 	// readTimeout bounds the read itself.
 	readTimeout = 1600 * time.Millisecond
@@ -45,8 +45,8 @@
 	// processor time. With less, an answer may have come that it has not seen yet, so that
 	// nothing is known of the source.
 	maxWaitDelay = 100 * time.Millisecond
-	// failedReadBackoff is the time after a failed read of this kind before the next
-	// one, so that no request waits for another failure.
+	// failedReadBackoff is the time from a failure, at the latest from the end of readWait, to the
+	// next read, so that no request waits for another failure.
 	failedReadBackoff = 2 * time.Second
 	// maxTimeoutDelay is how late a timeout may be noticed by a process that runs.
 	maxTimeoutDelay = 300 * time.Millisecond
--- a/pkg/follow/observe.go
+++ b/pkg/follow/observe.go
@@ -16,7 +16,7 @@
 	maxOutdated = time.Second
 	// outageHold is the time after the start of a failed read for which the instance goes on
 	// with what it has: until the next read has failed, too.
-	outageHold = failedReadBackoff + 2*readWait + maxWaitDelay
+	outageHold = failedReadBackoff + 2*readWait + 3*maxWaitDelay
 )
 
 // MayAct reports whether the applied version may be acted on: it has been known to be the newest
--- a/pkg/follow/read.go
+++ b/pkg/follow/read.go
@@ -91,14 +91,17 @@
 // one that was lost in a restore of the store.
 func (f *Follower) applyFromSource(update Update, startedAt time.Duration) {
 	f.apply(update, fromStore)
-	f.newestHeard.Store(f.View().Config.Version)
-	f.outdatedAt.Store(0)
+	if f.outdatedAt.Load() <= int64(startedAt) {
+		f.newestHeard.Store(f.View().Config.Version)
+		f.outdatedAt.Store(0)
+	}
 	// The confirmation comes last: it lets requests pass that wait after a pause.
 	f.confirmNewest(startedAt)
 }
 
 // recordFailure records that the source could not tell whether there is a newer version.
+// A failure after readWait does not put the next read off once more.
 func (f *Follower) recordFailure(r *read) {
-	f.retryAt.Store(int64(f.clock.SinceBoot() + failedReadBackoff))
+	f.retryAt.Store(int64(min(f.clock.SinceBoot(), r.startedAt+readWait) + failedReadBackoff))
 	f.failedAt.Store(int64(r.startedAt))
 }
