--- a/pkg/edge/freshness.go
+++ b/pkg/edge/freshness.go
@@ -26,7 +26,8 @@
 // freshness decides whether the configuration, the evacuated zones and the listing may be acted on. After a
 // pause, they may have changed without this process noticing, so that one read of each
 // must have ended that began after the pause: with an answer, or with a failure, which
-// tells the pause from an outage of the store. It implements control.ServeChecker.
+// tells the pause from an outage of the store. At all times, follow.Follower.MayAct bounds how
+// long the configuration may go unconfirmed. It implements control.ServeChecker.
 type freshness struct {
 	pauses   *clock.PauseDetector
 	follower *follow.Follower
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -108,14 +108,8 @@
 
 // RanksBefore reports whether m ranks before other. It decides which of several
 // instances takes on a task.
-func (m Member) RanksBefore(other Member) bool { return compareMembers(m, other) < 0 }
-
-func compareMembers(a, b Member) int {
-	return cmp.Or(
-		cmp.Compare(b.Capacity/capacityStep, a.Capacity/capacityStep),
-		cmp.Compare(xxhash.Sum64String(a.Instance), xxhash.Sum64String(b.Instance)),
-		cmp.Compare(a.Instance, b.Instance),
-	)
+func (m Member) RanksBefore(other Member) bool {
+	return compareRank(&memberState{Member: m}, &memberState{Member: other}) < 0
 }
 
 // View says which instances serve, as seen by this instance. It is immutable. Dumps
--- a/pkg/lab/soak/check.go
+++ b/pkg/lab/soak/check.go
@@ -200,8 +200,8 @@
 
 // faultFree reports whether an instance and the store were without faults from
 // faultMargin before the event until the request. The bounds on time hold only
-// then. With allowShort, a lack of processor time is no fault.
-func (tb *testbed) faultFree(ip string, event, request time.Time, allowShort bool) bool {
+// then. With mayBeShort, a lack of processor time is no fault.
+func (tb *testbed) faultFree(ip string, event, request time.Time, mayBeShort bool) bool {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	from := event.Add(-faultMargin)
@@ -209,7 +209,7 @@
 		return false
 	}
 	for _, i := range tb.instances {
-		if i.ip == ip && (overlaps(i.faultSpans, from, request) || (!allowShort && overlaps(i.shortSpans, from, request))) {
+		if i.ip == ip && (overlaps(i.faultSpans, from, request) || (!mayBeShort && overlaps(i.shortSpans, from, request))) {
 			return false
 		}
 	}
