Start the timer loops of the limiter's test fleet before the clock is shifted

Cause: the timer loop of a limiter notes the time of its last idle check when it starts. A loop whose goroutine first ran after the shift took the shifted time for it, so that its next check was due 5 s later. A trace of the checks showed none at all in a failing run. The limiter itself is right: pools of idle teams may stay for 5 s.

startFleet now waits until each loop has gone round once. All assertions and bounds are unchanged.

--- a/pkg/limit/limiter_test.go
+++ b/pkg/limit/limiter_test.go
@@ -82,6 +82,10 @@
 		running.Go(func() { _ = l.Run(ctx) })
 	}
 	t.Cleanup(func() { cancel(); running.Wait() })
+	// A loop that starts after a shift of the clock counts its first idle check from the shifted time.
+	for _, l := range f.limiters {
+		awaitFirstSleep(l)
+	}
 	f.clock.shift.Store(int64(24 * time.Hour))
 	for _, issuer := range p.Issuers(m, "school", c.Teams["school"]) {
 		issuers = append(issuers, issuer.PeerAddress)
@@ -94,6 +98,15 @@
 	return f, views, issuers, others
 }
 
+// awaitFirstSleep waits until the timer loop of l has gone round once.
+func awaitFirstSleep(l *Limiter) {
+	for slept := false; !slept; time.Sleep(time.Millisecond) {
+		l.schedule.mu.Lock()
+		slept = l.schedule.sleepEnd != 0
+		l.schedule.mu.Unlock()
+	}
+}
+
 // code returns the refusal code of err, or "" if err is no refusal.
 func code(err error) refusal.Code {
 	var r *refusal.Refusal
