Failing test: a process that starts takes waiting heartbeats for new ones

The time for which a heartbeat was under way is known only relative to the fastest one of its sender. A process that has just started has no other one, so that a heartbeat that waited 4 s in its socket confirms an old configuration.

--- a/pkg/fleet/transit_test.go
+++ b/pkg/fleet/transit_test.go
@@ -83,6 +83,22 @@
 	is.Equal(told.age, 4100*time.Millisecond)
 }
 
+// Guards against an instance that starts, reads heartbeats that have waited in its socket, and takes an old configuration for the newest.
+func TestFirstHeartbeatThatWaitedConfirmsOldConfig(t *testing.T) {
+	is := is.New(t)
+	tf := newTestFleet(12)
+	tf.run(3 * time.Second)
+	from := tf.instances[tf.serving("a")[0]]
+	told := &confirmation{}
+	from.StateExchangers = []StateExchanger{told}
+	waiting := from.encode(from.heartbeat(SameZonePeers))
+	tf.clock.Advance(4 * time.Second)
+	started := tf.add("a99", "a", 1)
+	started.StateExchangers = []StateExchanger{told}
+	started.Receive(waiting)
+	is.True(told.age >= 4100*time.Millisecond)
+}
+
 // Guards against a heartbeat that instances of the last release cannot read.
 func TestLastReleaseReadsDelayedHeartbeat(t *testing.T) {
 	is := is.New(t)
