Tell by the store's clock how long a heartbeat was under way

Cause: the time under way was the difference to the fastest heartbeat of the same sender. A process that has just started has none, and a queue of constant length is never noticed, so that both count as no delay.

Change: all instances read the same store, and its answers show its steady clock. Each answer bounds the difference of that clock to the own one (clock.Remote). A heartbeat names the earliest time that the store may have shown at its sending; the receiver subtracts it from the latest that it may show now. Restores are told apart by the era. Where the delay is unknown, also from earlier releases, a heartbeat confirms no configuration, and the receiver reads it itself.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -61,6 +61,8 @@
 	discovery.Source
 	fleet.Roster
 	quarantine.Store
+	// StoreClock returns the steady clock of the store, as its answers show it.
+	StoreClock() *clock.Remote
 }
 
 // Options are the parts of an instance that depend on the platform.
@@ -149,6 +151,7 @@
 		Clock: i.clock, Roster: o.Platform, Transport: i, StateExchangers: []fleet.StateExchanger{i.limiter, i.balancer, i.registry, i.follower, suspectExchange{i.suspects}},
 		FirstStart: s.FirstStart, Rate: i.balancer.Rate, Ready: i.ready, OnStep: i.step, HasNews: i.suspects.HasNews,
 		PathsLost: i.paths.Lost, ConnectedAt: i.paths.ConnectedAt, AsksForPaths: i.paths.Asking, OnAsked: i.answerPaths, Log: o.Log,
+		StoreClock: o.Platform.StoreClock(),
 	})
 	i.proxy = proxy.New(proxy.Ports{
 		Viewer: i.follower, ServeChecker: i.freshness, Clock: i.clock, Limiter: i.limiter, Queue: noQueue{},
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/discovery"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/follow"
@@ -47,6 +48,8 @@
 	return context.DeadlineExceeded
 }
 
+func (unavailablePlatform) StoreClock() *clock.Remote { return &clock.Remote{} }
+
 // FuzzDatagram guards against a datagram that ends the process: it is passed to all
 // parts of an instance without the containment around it.
 func FuzzDatagram(f *testing.F) {
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -111,6 +111,9 @@
 	// know yet: a standby sends it, too.
 	HasNews func() bool
 	Log     *zerolog.Logger
+	// StoreClock is the steady clock of the platform's store, by which instances tell how long
+	// heartbeats were under way. Without it, heartbeats confirm no configuration.
+	StoreClock *clock.Remote
 }
 
 // Fleet tracks the other instances by their heartbeats and decides whether this
@@ -376,9 +379,9 @@
 		GossipAddress: h.GossipAddress, Capacity: h.Capacity, DiagnosticsAddress: k.DiagnosticsAddress,
 	}
 	k.heard = true
-	delay := k.transit.delay(h, now)
+	delay, known := transitTime(h, f.StoreClock, now)
 	f.heartbeatDelay = max(f.heartbeatDelay, delay)
-	addDelay(h, delay)
+	addDelay(h, delay, known)
 	k.lastReceived, k.serving, k.leaving, k.quiet, k.pathsLost, k.rate = now, h.Serving, h.Leaving, h.Quiet, h.PathsLost, float64(h.Rate)
 	if h.ConnectedAgeMs != nil {
 		k.connectedAt = max(k.connectedAt, now-time.Duration(*h.ConnectedAgeMs)*time.Millisecond)
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -64,6 +64,8 @@
 
 func (tf *testFleet) add(name, zone string, incarnation uint64) *testInstance {
 	n := &testInstance{testFleet: tf, ready: true}
+	store := &clock.Remote{}
+	store.Observe(1, tf.clock.SinceBoot()+time.Minute, tf.clock.SinceBoot(), tf.clock.SinceBoot())
 	n.Fleet = New(Options{
 		Self: Member{
 			Instance: name, Incarnation: incarnation, Zone: zone, CallerAddress: "c-" + name, GossipAddress: name, Capacity: capacity,
@@ -75,6 +77,7 @@
 				n.onAsked(address)
 			}
 		},
+		StoreClock: store,
 	})
 	tf.instances[name] = n
 	return n
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -62,7 +62,6 @@
 	pathsLost   bool
 	connectedAt time.Duration
 	rate        float64
-	transit     transit
 	// hash is that of the name, 0 until it is needed; the name never changes.
 	hash uint64
 	// zoneNumber is the number of Zone in Fleet.zones, 0 until it is needed.
--- a/pkg/fleet/send.go
+++ b/pkg/fleet/send.go
@@ -128,8 +128,8 @@
 		Instance: f.Self.Instance, Incarnation: f.Self.Incarnation, Zone: f.Self.Zone,
 		CallerAddress: f.Self.CallerAddress, GossipAddress: f.Self.GossipAddress, Capacity: f.Self.Capacity,
 		Serving: view.Serving, Leaving: f.leaving.Load(), Rate: float32(f.Rate()), Quiet: view.Quiet[f.Self.Instance], PathsLost: f.pathsLost(),
-		SentMs: uint64(f.Clock.SinceBoot().Milliseconds()),
 	}
+	stamp(h, f.StoreClock, f.Clock.SinceBoot())
 	h.AsksForPaths = f.AsksForPaths != nil && f.AsksForPaths()
 	if f.ConnectedAt != nil {
 		if at := f.ConnectedAt(); at > 0 {
--- a/pkg/fleet/transit.go
+++ b/pkg/fleet/transit.go
@@ -1,71 +1,76 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
+	"github.com/arbutuslink/arbutuslink/pkg/clock"
 	"github.com/arbutuslink/arbutuslink/pkg/peer/peerpb"
 )
 
-// transitWindow is the time after which an older fastest heartbeat no longer counts, because
-// steady clocks drift: 50 millionths are 6 ms in two windows.
-const transitWindow = time.Minute
-
-// maxAddedDelay bounds the delay that is added to an age.
+// maxAddedDelay bounds the delay that is added to an age, and is added to that of a
+// configuration if the delay is unknown.
 const maxAddedDelay = time.Hour
 
-// transit tells how long the heartbeats of one process were under way, in its socket, on the
-// links and in the own socket. The clocks of two machines have different origins, so that only
-// the difference to the fastest heartbeat of the last windows is known.
-type transit struct {
-	incarnation uint64
-	windowStart time.Duration
-	// fastest is the least difference between the clocks at receipt and at sending in the
-	// current window, previous that in the one before.
-	fastest, previous time.Duration
+// stamp records in a heartbeat when it is built, if the store's clock is known.
+func stamp(h *peerpb.Heartbeat, store *clock.Remote, now time.Duration) {
+	if store == nil {
+		return
+	}
+	if era, earliest, _, ok := store.At(now); ok {
+		h.SentMs, h.SentEra = earliest.Milliseconds(), era
+	}
 }
 
-// delay returns how much longer than the fastest one a heartbeat that is received now was under
-// way; 0 for one of an earlier release.
-func (t *transit) delay(h *peerpb.Heartbeat, now time.Duration) time.Duration {
-	if h.SentMs == 0 {
-		return 0
+// transitTime returns the longest time that a heartbeat received now may have been under way, in
+// the socket of its sender, on the links and in the own socket. It returns false if that is
+// unknown: sender and receiver have not both read the store's clock in the same era, or the
+// sender is of an earlier release.
+func transitTime(h *peerpb.Heartbeat, store *clock.Remote, now time.Duration) (time.Duration, bool) {
+	if h.SentMs == 0 || store == nil {
+		return 0, false
 	}
-	difference := now - time.Duration(h.SentMs)*time.Millisecond
-	switch {
-	case t.incarnation != h.Incarnation || now-t.windowStart >= 2*transitWindow:
-		*t = transit{incarnation: h.Incarnation, windowStart: now, fastest: difference, previous: difference}
-	case now-t.windowStart >= transitWindow:
-		t.windowStart, t.previous, t.fastest = now, t.fastest, difference
-	default:
-		t.fastest = min(t.fastest, difference)
+	era, _, latest, ok := store.At(now)
+	if !ok || era != h.SentEra {
+		return 0, false
 	}
-	return difference - min(t.fastest, t.previous)
+	return max(0, latest-time.Duration(h.SentMs)*time.Millisecond), true
 }
 
-// addDelay adds the time for which a heartbeat was under way to the ages of what it tells,
-// which count from its sending.
-func addDelay(h *peerpb.Heartbeat, delay time.Duration) {
-	ms := uint32(min(delay, maxAddedDelay).Milliseconds())
-	h.ConfigAgeMs += ms
+// addDelay adds the time for which a heartbeat was under way to the ages of what it tells, which
+// count from its sending. If that time is unknown, the heartbeat confirms no configuration; the
+// other ages stay as they are.
+func addDelay(h *peerpb.Heartbeat, delay time.Duration, known bool) {
+	if !known {
+		addToAge(&h.ConfigAgeMs, maxAddedDelay)
+		return
+	}
+	addToAge(&h.ConfigAgeMs, delay)
 	if h.Listing != nil {
-		h.Listing.AgeMs += ms
+		addToAge(&h.Listing.AgeMs, delay)
 	}
 	if h.ConnectedAgeMs != nil {
-		*h.ConnectedAgeMs += ms
+		addToAge(h.ConnectedAgeMs, delay)
 	}
 	for _, limit := range h.RateLimits {
-		limit.AgeMs += ms
+		addToAge(&limit.AgeMs, delay)
 	}
 	for _, target := range h.ColdTargets {
-		target.AgeMs += ms
+		addToAge(&target.AgeMs, delay)
 		if target.ReachedAgeMs != nil {
-			*target.ReachedAgeMs += ms
+			addToAge(target.ReachedAgeMs, delay)
 		}
 	}
 }
 
+// addToAge adds a delay to an age in ms, without overflow.
+func addToAge(age *uint32, delay time.Duration) {
+	ms := uint32(min(delay, maxAddedDelay).Milliseconds())
+	*age += min(ms, math.MaxUint32-*age)
+}
+
 // HeartbeatDelay returns the longest time that heartbeats were under way since it was last
-// called, beyond that of their sender's fastest one.
+// called, as far as it is known.
 func (f *Fleet) HeartbeatDelay() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/lab/storesim/rows.go
+++ b/pkg/lab/storesim/rows.go
@@ -46,10 +46,15 @@
 	blobs map[string][]byte
 	// era counts the restores, from 1 on.
 	era int64
+	// clockOrigin is when the store's steady clock showed 0.
+	clockOrigin time.Time
 }
 
+// clockStart is what the store's clock shows at its start and after a restore.
+const clockStart = time.Hour
+
 func newTables() *tables {
-	return &tables{rows: map[string]Row{}, changed: make(chan struct{}), blobs: map[string][]byte{}, era: 1}
+	return &tables{rows: map[string]Row{}, changed: make(chan struct{}), blobs: map[string][]byte{}, era: 1, clockOrigin: time.Now().Add(-clockStart)}
 }
 
 // transaction is the body of a rows-tx call. It is applied only if each row in
@@ -175,6 +180,13 @@
 	return t.era
 }
 
+// now returns what the steady clock shows.
+func (t *tables) now() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(t.clockOrigin)
+}
+
 // tablesCopy is the contents of the store at one moment.
 type tablesCopy struct {
 	version, trimmedVersion int64
@@ -200,6 +212,7 @@
 	t.version, t.trimmedVersion, t.rows = c.version, c.trimmedVersion, maps.Clone(c.rows)
 	t.history, t.blobs = slices.Clone(c.history), maps.Clone(c.blobs)
 	t.era++
+	t.clockOrigin = time.Now().Add(-clockStart)
 	close(t.changed)
 	t.changed = make(chan struct{})
 }
--- a/pkg/lab/storesim/server.go
+++ b/pkg/lab/storesim/server.go
@@ -211,7 +211,7 @@
 			limit = maxRows
 		}
 		rows, more, version := s.tables.list(argument("table"), argument("part"), argument("from"), argument("to"), limit)
-		s.writeJSON(ctx, map[string]any{"rows": rows, "has_more": more, "ver": version})
+		s.writeJSON(ctx, map[string]any{"rows": rows, "has_more": more, "ver": version, "now": s.now()})
 	case "rows-parts":
 		s.writeJSON(ctx, map[string]any{"parts": s.tables.parts(argument("table"), argument("after")), "has_more": false})
 	case "rows-feed":
@@ -240,7 +240,7 @@
 			ctx.SetStatusCode(fasthttp.StatusGone)
 			return
 		}
-		s.writeJSON(ctx, map[string]any{"rows": rows, "ver": version})
+		s.writeJSON(ctx, map[string]any{"rows": rows, "ver": version, "now": s.now()})
 	case "blob-put", "blob-get", "blob-drop", "blob-list":
 		s.serveBlob(ctx, name, id)
 	default:
@@ -269,10 +269,10 @@
 	version, conflict, ok := s.tables.apply(tx)
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
-		s.writeJSON(ctx, map[string]any{"rows": conflict, "ver": version})
+		s.writeJSON(ctx, map[string]any{"rows": conflict, "ver": version, "now": s.now()})
 		return
 	}
-	s.writeJSON(ctx, map[string]any{"ver": version})
+	s.writeJSON(ctx, map[string]any{"ver": version, "now": s.now()})
 }
 
 // serveBlob serves the blob calls; id is the name of the object.
@@ -303,6 +303,9 @@
 	}
 }
 
+// now is the steady clock as answers show it.
+func (s *Store) now() string { return strconv.FormatInt(s.tables.now().Milliseconds(), 10) + "ms" }
+
 // writeJSON writes a JSON body and leaves the response status as it is.
 func (s *Store) writeJSON(ctx *fasthttp.RequestCtx, body any) {
 	data, err := json.Marshal(body)
