Leave the view of a standby alone when other zones send at their interval

Serving instances send to the standbys of other zones each 3 s, and each heartbeat after 1.6 s of silence counted as the return of its sender, so that a standby went through all members with nearly each one. It also counted such senders as silent in between, beside counting them as peers, which moved shares to and fro.

Change: one timeout for both, the one by which the view counts peers: 9 s for other zones at a standby. TestStandbyViewIsSteady fails before and passes.

--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -34,13 +34,10 @@
 			sizes = append(sizes, 0)
 		}
 		sizes[zone]++
-		if f.maySilentlyServe(k, now) {
+		timeout := silenceTimeout(zone == own, old.Serving)
+		if f.maySilentlyServe(k, now, timeout) {
 			next.Silent = append(next.Silent, k.Member)
 		}
-		timeout := unresponsiveTimeout
-		if !old.Serving && zone != own {
-			timeout = otherZoneUnresponsiveTimeout
-		}
 		if now-k.lastReceived < timeout && k.serving && !k.leaving {
 			next.Peers = append(next.Peers, k.Member)
 			if k.quiet {
@@ -179,8 +176,19 @@
 	return now-f.servingSince >= settleTime
 }
 
-// maySilentlyServe reports whether k may serve although nothing is received from it.
-func (f *Fleet) maySilentlyServe(k *memberState, now time.Duration) bool {
+// silenceTimeout returns the time without a heartbeat after which a member counts as
+// unresponsive, by whether it is in the own zone and whether this instance serves: the serving
+// instances of other zones send to standbys only every slowInterval.
+func silenceTimeout(ownZone, serving bool) time.Duration {
+	if ownZone || serving {
+		return unresponsiveTimeout
+	}
+	return otherZoneUnresponsiveTimeout
+}
+
+// maySilentlyServe reports whether k may serve although nothing has been received from it for
+// the given timeout.
+func (f *Fleet) maySilentlyServe(k *memberState, now, timeout time.Duration) bool {
 	switch {
 	case k.leaving:
 		return false
@@ -188,7 +196,7 @@
 		return now-f.createdAt < unheardReserve
 	default:
 		silent := now - k.lastReceived
-		return k.serving && silent >= unresponsiveTimeout && silent < silentReserve
+		return k.serving && silent >= timeout && silent < silentReserve
 	}
 }
 
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -366,7 +366,8 @@
 	if k != nil && h.Incarnation < k.Incarnation && now-k.lastReceived < unresponsiveTimeout {
 		return false
 	}
-	changed := k == nil || k.serving != h.Serving || k.leaving != h.Leaving || k.quiet != h.Quiet || k.pathsLost != h.PathsLost || now-k.lastReceived >= unresponsiveTimeout
+	changed := k == nil || k.serving != h.Serving || k.leaving != h.Leaving || k.quiet != h.Quiet || k.pathsLost != h.PathsLost ||
+		now-k.lastReceived >= silenceTimeout(k.Zone == f.Self.Zone, f.View().Serving)
 	if k == nil {
 		k = &memberState{}
 		f.members[h.Instance] = k
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -381,3 +381,36 @@
 	tf.run(time.Second)
 	is.New(t).True(tf.instances["a00"].View().Serving)
 }
+
+// Guards against a standby that goes through all members with each heartbeat from another zone,
+// which come more rarely, and counts their senders as serving and as silent by turns.
+func TestStandbyViewIsSteady(t *testing.T) {
+	is := is.New(t)
+	tf := newTestFleet(12)
+	tf.run(6 * time.Second)
+	var standby, other *testInstance
+	for _, n := range tf.instances {
+		switch {
+		case n.View().Serving && n.Self.Zone == "b":
+			other = n
+		case !n.View().Serving && n.Self.Zone == "a":
+			standby = n
+		}
+	}
+	shares, peers := standby.View().SharesVersion, len(standby.View().Peers)
+	is.Equal(peers, 2*minServing)
+	for range 40 {
+		tf.run(checkInterval)
+		is.Equal(len(standby.View().Silent), 0)
+	}
+	is.Equal(standby.View().SharesVersion, shares)
+	tf.clock.Advance(slowInterval)
+	view := standby.View()
+	standby.Receive(other.encode(other.heartbeat(IdentityOnly)))
+	is.True(standby.View() == view)
+	// A serving instance that is lost is missed after three intervals.
+	other.down = true
+	tf.run(otherZoneUnresponsiveTimeout + slowInterval)
+	is.Equal(len(standby.View().Peers), peers)
+	is.Equal(len(standby.View().Silent), 1)
+}
