Spend nothing on the counts of an instance that admits no requests

Each heartbeat of a standby entered it as a peer, looked for its counts in all teams three times, and dropped it again. No decision changes: an unknown peer has no counts.

--- a/pkg/usage/exchange.go
+++ b/pkg/usage/exchange.go
@@ -53,11 +53,18 @@
 	teams := l.viewer.View().Config.Config.Teams
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	p := l.peers[from]
+	p, admits := l.peers[from], h.Serving || len(h.Teams) > 0
+	if p == nil && !admits {
+		l.chargeUnresponsive(now)
+		l.forgetUnresponsive(now)
+		return
+	}
 	if p == nil || p.incarnation != h.Incarnation {
+		if p != nil {
+			l.forgetCounts(from, now)
+		}
 		p = &peer{incarnation: h.Incarnation}
 		l.peers[from] = p
-		l.forgetCounts(from, now)
 	}
 	p.lastReceived, p.unresponsive = now, false
 	l.chargeUnresponsive(now)
@@ -79,7 +86,7 @@
 			c.chargedAt = 0
 		}
 	}
-	if h.Leaving || (!h.Serving && len(h.Teams) == 0) {
+	if h.Leaving || !admits {
 		l.forget(from, now)
 	}
 	l.forgetUnresponsive(now)
