Soak: a process that starts with hardly any processor time

One of the delays of news: an instance is killed and started again, gets 30 ms of processor time in each 480 ms, and the configuration changes meanwhile. The bound on the change holds right after the start.

--- a/pkg/lab/soak/check.go
+++ b/pkg/lab/soak/check.go
@@ -209,7 +209,7 @@
 		return false
 	}
 	for _, i := range tb.instances {
-		if i.ip == ip && (overlaps(i.faultSpans, from, request) || (!mayBeShort && overlaps(i.shortSpans, from, request))) {
+		if i.ip == ip && (overlaps(i.faultSpans, from, request) || (!mayBeShort && (overlaps(i.shortSpans, from, request) || overlaps(i.restartSpans, from, request)))) {
 			return false
 		}
 	}
--- a/pkg/lab/soak/delays.go
+++ b/pkg/lab/soak/delays.go
@@ -12,6 +12,9 @@
 	// processor time is short. Neither is a pause that the process notices.
 	shortRun  = 30 * time.Millisecond
 	shortStop = 120 * time.Millisecond
+	// longStop is how long a process that starts with short processor time is stopped in turn; it is
+	// below the length of a pause that the process notices.
+	longStop = 450 * time.Millisecond
 	// calmDelay is the length of a delay without another fault around: an instance that takes
 	// an old configuration for the newest serves by it in the last second.
 	calmDelay = maxApplyTime + timestampTolerance + time.Second
@@ -39,11 +42,12 @@
 	return ctx.Err()
 }
 
-// delayNews changes the configuration after one of three faults: connections to the store are
+// delayNews changes the configuration after one of four faults: connections to the store are
 // silent while new ones work, calls that wait for changes are not answered, or the processor time
-// of an instance is short. The bound on the time of the change holds nevertheless.
+// of an instance is short, which has been running or starts anew. The bound on the time of the
+// change holds nevertheless.
 func (tb *testbed) delayNews(ctx context.Context, report *Report, rng *rand.Rand, length time.Duration) {
-	switch kind := rng.IntN(3); kind {
+	switch kind := rng.IntN(4); kind {
 	case 0:
 		tb.addFault(report, "connections to the store become silent")
 		for _, i := range tb.instances {
@@ -57,15 +61,35 @@
 		tb.change(rng)
 		_ = sleep(ctx, length)
 		tb.store.HoldFeeds(false)
-	default:
+	case 2:
 		if i := tb.reserveInstance(rng); i != nil {
 			tb.addFault(report, fmt.Sprintf("the processor time of %s is short for %.1f s", i.name, length.Seconds()))
 			tb.change(rng)
-			tb.shortenProcessor(ctx, i, length)
+			tb.shortenProcessor(ctx, i, length, shortStop)
+		}
+	default:
+		if i := tb.reserveInstance(rng); i != nil {
+			tb.addFault(report, fmt.Sprintf("%s starts anew, and its processor time is short for %.1f s", i.name, length.Seconds()))
+			tb.restart(i)
+			time.AfterFunc(length/4, func() { tb.change(rng) })
+			tb.shortenProcessor(ctx, i, length, longStop)
 		}
 	}
 }
 
+// restart kills a reserved instance and starts it again.
+func (tb *testbed) restart(i *instance) {
+	end := tb.openSpan(&i.restartSpans)
+	defer end()
+	tb.stopProcess(i, true)
+	if err := tb.startInstance(i, false); err != nil {
+		tb.addViolation("process", "%s does not start: %s", i.name, err)
+	}
+	tb.mu.Lock()
+	defer tb.mu.Unlock()
+	i.exitExpected = true
+}
+
 // change moves the moving route or withdraws a key.
 func (tb *testbed) change(rng *rand.Rand) {
 	if rng.IntN(2) == 0 {
@@ -75,12 +99,12 @@
 	}
 }
 
-// shortenProcessor stops and resumes a reserved instance in turn.
-func (tb *testbed) shortenProcessor(ctx context.Context, i *instance, length time.Duration) {
+// shortenProcessor stops and resumes a reserved instance in turn; stop is the length of each stop.
+func (tb *testbed) shortenProcessor(ctx context.Context, i *instance, length, stop time.Duration) {
 	end := tb.openSpan(&i.shortSpans)
 	for began := time.Now(); ctx.Err() == nil && time.Since(began) < length; {
 		i.process.Freeze()
-		_ = sleep(ctx, shortStop)
+		_ = sleep(ctx, stop)
 		i.process.Resume()
 		_ = sleep(ctx, shortRun)
 	}
--- a/pkg/lab/soak/limits.go
+++ b/pkg/lab/soak/limits.go
@@ -119,6 +119,6 @@
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	return slices.ContainsFunc(tb.instances, func(i *instance) bool {
-		return i.ip == ip && (overlaps(i.faultSpans, from, to) || overlaps(i.gracefulStopSpans, from, to))
+		return i.ip == ip && (overlaps(i.faultSpans, from, to) || overlaps(i.restartSpans, from, to) || overlaps(i.gracefulStopSpans, from, to))
 	})
 }
--- a/pkg/lab/soak/testbed.go
+++ b/pkg/lab/soak/testbed.go
@@ -66,6 +66,9 @@
 	faultSpans, gracefulStopSpans []span
 	// shortSpans are the intervals in which its processor time was short.
 	shortSpans []span
+	// restartSpans are the restarts after which its processor time was short. Changes of the
+	// configuration are in force at an instance that has just started as well as at others.
+	restartSpans []span
 }
 
 // target is one target and the relay in front of it.
