Keep the members of the own zone in order of rank

Each update of the view went through a map of all members four times and sorted those of its zone. Now they are in a list, and those of the own zone in one that is sorted once and again after a change of a zone or a capacity. No decision changes; the tests of pkg/fleet pass, TestRankFollowsCapacityAndZone guards the order.

--- a/pkg/fleet/decide.go
+++ b/pkg/fleet/decide.go
@@ -28,7 +28,7 @@
 	if f.quiet.value {
 		next.Quiet[f.Self.Instance] = true
 	}
-	for _, k := range f.members {
+	for _, k := range f.list {
 		zone := f.zoneNumber(k)
 		for zone >= len(sizes) {
 			sizes = append(sizes, 0)
@@ -93,6 +93,9 @@
 	f.servingLoggedAt, f.servingUnlogged = now, 0
 }
 
+// notRanked is the position of this instance among others until its rank is found.
+const notRanked = -1
+
 // shouldServe reports whether this instance is among the first in rank of its
 // zone; wasCalled is the previous result. Standbys receive heartbeats only from
 // serving instances, not from each other, so a standby gives those ahead of it in
@@ -107,30 +110,32 @@
 		f.promotableSince = 0
 		return wasCalled
 	}
-	self, own := f.self, f.zoneNumber(f.self)
+	self, others := f.self, f.zoneMembers()
 	self.serving, self.rate = wasCalled, f.Rate()
-	zone := []*memberState{self}
-	rate, size, unresponsiveAhead := self.rate, 1, 0
-	for _, k := range f.members {
-		if f.zoneNumber(k) != own {
-			continue
+	zone, position := make([]*memberState, 0, len(others)+1), notRanked
+	rate, size, unresponsiveAhead := self.rate, len(others)+1, 0
+	for _, k := range others {
+		if position == notRanked && compareRank(k, self) > 0 {
+			position = len(zone)
+			zone = append(zone, self)
 		}
-		size++
 		alive := now-k.lastReceived < unresponsiveTimeout && !k.leaving && !k.pathsLost
 		if alive && k.serving {
 			rate += k.rate
 		}
 		// An instance from which nothing is received may be a healthy standby that is
 		// about to take over.
-		if !alive && !k.leaving && !k.pathsLost && compareRank(k, self) < 0 {
+		if !alive && !k.leaving && !k.pathsLost && position == notRanked {
 			unresponsiveAhead++
 		}
 		if alive {
 			zone = append(zone, k)
 		}
 	}
-	slices.SortFunc(zone, compareRank)
-	position := slices.Index(zone, self)
+	if position == notRanked {
+		position = len(zone)
+		zone = append(zone, self)
+	}
 	if wasCalled {
 		// If this instance stopped serving, the remaining ones would soon exceed what
 		// they can carry again. Without a margin, the last serving instance in rank would
@@ -209,7 +214,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var members []Member
-	for _, k := range f.members {
+	for _, k := range f.list {
 		timeout := unresponsiveTimeout
 		if k.Zone != f.Self.Zone {
 			timeout = otherZoneUnresponsiveTimeout
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -135,6 +135,9 @@
 
 	mu      sync.Mutex
 	members map[string]*memberState
+	// list holds the same members, sameZone those of the own zone in order of rank, nil until it
+	// is needed: each update of the view goes through them, and a list costs less than a map.
+	list, sameZone []*memberState
 	// self ranks this instance among the members of its zone; it is in none of the other lists.
 	self *memberState
 	// zones numbers the zones of all members from 1 on: comparing numbers is cheaper than
@@ -295,7 +298,7 @@
 	f.mu.Lock()
 	for _, m := range listed {
 		if m.Instance != f.Self.Instance && f.members[m.Instance] == nil {
-			f.members[m.Instance] = &memberState{Member: m, lastReceived: now}
+			f.addMember(m.Instance, &memberState{Member: m, lastReceived: now})
 		}
 	}
 	f.rosterRead = true
@@ -310,6 +313,27 @@
 	}
 }
 
+// addMember adds a member under its name. The caller holds mu.
+func (f *Fleet) addMember(name string, k *memberState) {
+	f.members[name] = k
+	f.list, f.sameZone = append(f.list, k), nil
+}
+
+// zoneMembers returns the other members of the own zone in order of rank. The caller holds mu.
+func (f *Fleet) zoneMembers() []*memberState {
+	if f.sameZone == nil {
+		own := f.zoneNumber(f.self)
+		f.sameZone = make([]*memberState, 0, len(f.list))
+		for _, k := range f.list {
+			if f.zoneNumber(k) == own {
+				f.sameZone = append(f.sameZone, k)
+			}
+		}
+		slices.SortFunc(f.sameZone, compareRank)
+	}
+	return f.sameZone
+}
+
 // AnnounceLeave tells all members that this instance shuts down.
 func (f *Fleet) AnnounceLeave() {
 	f.leaving.Store(true)
@@ -317,7 +341,7 @@
 	data := f.encode(f.heartbeat(IdentityOnly))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, k := range f.members {
+	for _, k := range f.list {
 		f.Transport.Send(k.GossipAddress, data)
 	}
 }
@@ -370,10 +394,10 @@
 		now-k.lastReceived >= silenceTimeout(k.Zone == f.Self.Zone, f.View().Serving)
 	if k == nil {
 		k = &memberState{}
-		f.members[h.Instance] = k
+		f.addMember(h.Instance, k)
 	}
-	if k.Zone != h.Zone {
-		k.zoneNumber = 0
+	if k.Zone != h.Zone || k.Capacity != h.Capacity {
+		k.zoneNumber, f.sameZone = 0, nil
 	}
 	k.Member = Member{
 		Instance: h.Instance, Incarnation: h.Incarnation, Zone: h.Zone, CallerAddress: h.CallerAddress,
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -414,3 +414,33 @@
 	is.Equal(len(standby.View().Peers), peers)
 	is.Equal(len(standby.View().Silent), 1)
 }
+
+// Guards against an order of rank that outlives a change of a member's capacity or zone.
+func TestRankFollowsCapacityAndZone(t *testing.T) {
+	is := is.New(t)
+	tf := newTestFleet(12)
+	tf.run(6 * time.Second)
+	names := tf.serving("a")
+	from, to := tf.instances[names[0]], tf.instances[names[1]]
+	ranked := func() []*memberState {
+		to.mu.Lock()
+		defer to.mu.Unlock()
+		members := to.zoneMembers()
+		is.True(slices.IsSortedFunc(members, compareRank))
+		return members
+	}
+	tell := func(zone string, capacity uint32) {
+		h := from.heartbeat(SameZonePeers)
+		h.Zone, h.Capacity = zone, capacity
+		to.Receive(to.encode(h))
+	}
+	is.Equal(len(ranked()), 11)
+	tell("a", 100*capacity)
+	is.Equal(ranked()[0].Instance, names[0])
+	tell("a", 1)
+	ranked()
+	tell("b", 1)
+	is.Equal(len(ranked()), 10)
+	tell("a", 1)
+	is.Equal(len(ranked()), 11)
+}
--- a/pkg/fleet/quiet.go
+++ b/pkg/fleet/quiet.go
@@ -69,9 +69,8 @@
 // whose own rate is given.
 func (f *Fleet) meanRateWith(own float64, now time.Duration) float64 {
 	sum, count := own, 1.0
-	zone := f.zoneNumber(f.self)
-	for _, k := range f.members {
-		if f.zoneNumber(k) == zone && k.serving && !k.leaving && !k.pathsLost && now-k.lastReceived < unresponsiveTimeout {
+	for _, k := range f.zoneMembers() {
+		if k.serving && !k.leaving && !k.pathsLost && now-k.lastReceived < unresponsiveTimeout {
 			sum += k.rate
 			count++
 		}
--- a/pkg/fleet/selection_test.go
+++ b/pkg/fleet/selection_test.go
@@ -13,7 +13,7 @@
 	n.ready = false
 	for i := range 3000 { // views of many instances take long to compare
 		name := fmt.Sprint("c", i)
-		n.members[name] = &memberState{Member: Member{Instance: name, Zone: "c"}, serving: true, quiet: true, lastReceived: n.Clock.SinceBoot()}
+		n.addMember(name, &memberState{Member: Member{Instance: name, Zone: "c"}, serving: true, quiet: true, lastReceived: n.Clock.SinceBoot()})
 	}
 	select {
 	case <-n.CalledChanged():
--- a/pkg/fleet/send.go
+++ b/pkg/fleet/send.go
@@ -59,7 +59,7 @@
 	// know its address, so it goes on reporting what it admits.
 	sendsState := serving || f.Rate() >= minStateRate || (f.HasNews != nil && f.HasNews())
 	var addresses [IdentityOnly + 1][]string
-	for _, k := range f.members {
+	for _, k := range f.list {
 		interval, send := f.interval(k, sendsState, now)
 		to := f.audience(k, sendsState)
 		pushed := (to == Standbys && scope >= alsoStandbys) || (to.Serving() && scope == alsoPeers)
--- a/pkg/fleet/share.go
+++ b/pkg/fleet/share.go
@@ -19,13 +19,9 @@
 	if !f.rosterRead {
 		return 0
 	}
-	own := f.zoneNumber(f.self)
-	size, ahead := 1, 0
-	for _, k := range f.members {
-		if f.zoneNumber(k) != own {
-			continue
-		}
-		size++
+	others := f.zoneMembers()
+	size, ahead := len(others)+1, 0
+	for _, k := range others {
 		if compareRank(k, f.self) < 0 {
 			ahead++
 		}
--- a/pkg/fleet/view_bench_test.go
+++ b/pkg/fleet/view_bench_test.go
@@ -16,7 +16,7 @@
 	for n := 1; n <= 440; n++ {
 		zone := fmt.Sprintf("zone-%d", n%6)
 		name := fmt.Sprintf("front-%s-%d", zone, n)
-		f.members[name] = &memberState{Member: Member{Instance: name, Zone: zone, Capacity: uint32(50 + n%3*50)}, heard: true, lastReceived: now, serving: n%12 == 0, rate: 20}
+		f.addMember(name, &memberState{Member: Member{Instance: name, Zone: zone, Capacity: uint32(50 + n%3*50)}, heard: true, lastReceived: now, serving: n%12 == 0, rate: 20})
 	}
 	for b.Loop() {
 		f.updateView(now)
