--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -105,6 +105,27 @@
 	return k.zoneNumber
 }
 
+// addMember adds a member under its name. The caller holds mu.
+func (f *Fleet) addMember(name string, k *memberState) {
+	f.members[name] = k
+	f.list, f.sameZone = append(f.list, k), nil
+}
+
+// zoneMembers returns the other members of the own zone in order of rank. The caller holds mu.
+func (f *Fleet) zoneMembers() []*memberState {
+	if f.sameZone == nil {
+		own := f.zoneNumber(f.self)
+		f.sameZone = make([]*memberState, 0, len(f.list))
+		for _, k := range f.list {
+			if f.zoneNumber(k) == own {
+				f.sameZone = append(f.sameZone, k)
+			}
+		}
+		slices.SortFunc(f.sameZone, compareRank)
+	}
+	return f.sameZone
+}
+
 // RanksBefore reports whether m ranks before other. It decides which of several
 // instances takes on a task.
 func (m Member) RanksBefore(other Member) bool {
