Soak: change the configuration in the run of the fault, not beside it

The change during a start with short processor time ran in a goroutine that could outlive its run and shared the random numbers of the caller.

--- a/pkg/lab/soak/delays.go
+++ b/pkg/lab/soak/delays.go
@@ -66,19 +66,25 @@
 			tb.addFault(report, fmt.Sprintf("the processor time of %s is short for %.1f s", i.name, length.Seconds()))
 			tb.change(rng)
 			tb.shortenProcessor(ctx, i, length, shortStop)
+			tb.release(i)
 		}
 	default:
 		if i := tb.reserveInstance(rng); i != nil {
 			tb.addFault(report, fmt.Sprintf("%s starts anew, and its processor time is short for %.1f s", i.name, length.Seconds()))
-			tb.restart(i)
-			time.AfterFunc(length/4, func() { tb.change(rng) })
-			tb.shortenProcessor(ctx, i, length, longStop)
+			if !tb.restart(i) {
+				return
+			}
+			tb.shortenProcessor(ctx, i, length/4, longStop)
+			tb.change(rng)
+			tb.shortenProcessor(ctx, i, length-length/4, longStop)
+			tb.release(i)
 		}
 	}
 }
 
-// restart kills a reserved instance and starts it again.
-func (tb *testbed) restart(i *instance) {
+// restart kills a reserved instance and starts it again. It returns false if another fault has
+// reserved the instance in the moment of its start.
+func (tb *testbed) restart(i *instance) bool {
 	end := tb.openSpan(&i.restartSpans)
 	defer end()
 	tb.stopProcess(i, true)
@@ -87,7 +93,9 @@
 	}
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
+	reserved := !i.exitExpected
 	i.exitExpected = true
+	return reserved
 }
 
 // change moves the moving route or withdraws a key.
@@ -109,6 +117,10 @@
 		_ = sleep(ctx, shortRun)
 	}
 	end()
+}
+
+// release ends the reservation of an instance for a process fault.
+func (tb *testbed) release(i *instance) {
 	tb.mu.Lock()
 	defer tb.mu.Unlock()
 	i.exitExpected = false
