Guard the targets of the proxy's test fixture, which hedges read late

On a busy machine the first attempts take longer than the delay of 30 ms, so that hedges start where the test expects none. The fixture now reads and replaces its targets under its mutex.

--- a/pkg/proxy/fixture_test.go
+++ b/pkg/proxy/fixture_test.go
@@ -120,12 +120,21 @@
 	if r.onAcquire != nil {
 		r.onAcquire()
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if len(tried) >= len(r.targets) {
 		return nil, refusal.New(refusal.NoTarget, nil)
 	}
 	return &attempt{r, r.targets[len(tried)]}, nil
 }
 
+// setTargets replaces the targets while hedges of answered requests may still ask for one.
+func (r *testProxy) setTargets(targets ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.targets = targets
+}
+
 // AcquireNow implements ImmediateBalancer.
 func (r *testProxy) AcquireNow(request Request, tried []string) Attempt {
 	a, err := r.Acquire(request, tried)
--- a/pkg/proxy/retry_test.go
+++ b/pkg/proxy/retry_test.go
@@ -75,7 +75,7 @@
 		r.hedgeAfter(delay)
 		for range 2 {
 			is.Equal(r.countRefused(t, "/get"), int64(0))
-			r.targets = []string{b, a}
+			r.setTargets(b, a)
 		}
 		fault.Store(true)
 		is.Equal(r.countRefused(t, "/get"), int64(0))
