--- a/pkg/follow/currency_test.go
+++ b/pkg/follow/currency_test.go
@@ -71,15 +71,20 @@
 	is.True(f.MayAct())
 }
 
+// newHeldStandby returns a follower whose source answers only once it is released.
+func newHeldStandby(updates ...any) (*Follower, *heldSource, *clock.Manual) {
+	c := clock.NewManual(time.Unix(0, 0))
+	c.Advance(time.Hour)
+	nop := zerolog.Nop()
+	s := &heldSource{scriptedSource{updates: updates}, make(chan struct{})}
+	return New(c, s, unreachablePeers{}, immediateCopySources(), membership.Member{}, &nop, func(bool) {}), s, c
+}
+
 // Guards against a late answer that is thrown away, so that an instance with a slow path to the
 // store never learns of a change.
 func TestLateAnswerIsUsed(t *testing.T) {
 	is := is.New(t)
-	nop := zerolog.Nop()
-	c := clock.NewManual(time.Unix(0, 0))
-	c.Advance(time.Hour)
-	s := &heldSource{scriptedSource{updates: []any{configUpdate(3)}}, make(chan struct{})}
-	f := New(c, s, unreachablePeers{}, immediateCopySources(), membership.Member{}, &nop, func(bool) {})
+	f, s, c := newHeldStandby(configUpdate(3))
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	f.EnsureMaxAge(ctx, time.Second) // as for a request, which waits only for a short time
@@ -95,11 +100,7 @@
 // of the store and goes on with an old version.
 func TestOwnDelayIsNoOutage(t *testing.T) {
 	is := is.New(t)
-	nop := zerolog.Nop()
-	c := clock.NewManual(time.Unix(0, 0))
-	c.Advance(time.Hour)
-	s := &heldSource{scriptedSource{updates: []any{configUpdate(3)}}, make(chan struct{})}
-	f := New(c, s, unreachablePeers{}, immediateCopySources(), membership.Member{}, &nop, func(bool) {})
+	f, s, c := newHeldStandby(configUpdate(3))
 	done := make(chan struct{})
 	go func() { f.EnsureMaxAge(t.Context(), time.Second); close(done) }()
 	time.Sleep(readWait / 2)
