Refuse answers that give their length in two ways

What callers saw: an answer with both Transfer-Encoding and Content-Length as a sound 200.

Cause: fasthttp lets Transfer-Encoding win over Content-Length, and ignores Transfer-Encoding unless the version is exactly HTTP/1.1.

Change: the check of the head also checks what the fields say of the length (RFC 9112, 6). Both fields, one of them twice, a length that is no decimal number and a Transfer-Encoding in HTTP/1.0 make the answer broken. A later minor version is read as HTTP/1.1 (RFC 9110, 2.5).

The test of answers to HEAD passed over three malformed heads as sound; it tries them now.

Lengths with a sign, in hexadecimal, as a list, empty or too large were refused before.

--- a/pkg/http1/head.go
+++ b/pkg/http1/head.go
@@ -44,6 +44,11 @@
 	if err := checkHead(head); err != nil {
 		return errors.WithStack(err)
 	}
+	if head[minorAt] > '1' {
+		// A later minor version is read as HTTP/1.1 (RFC 9110, 2.5). fasthttp would ignore its
+		// Transfer-Encoding. The buffer of r holds head until it is discarded.
+		head[minorAt] = '1'
+	}
 	return errors.WithStack(h.Read(r))
 }
 
--- a/pkg/http1/http1.go
+++ b/pkg/http1/http1.go
@@ -3,9 +3,9 @@
 // that do not exist, names with blanks, control characters in a reason phrase.
 //
 // Where the RFCs let a recipient choose, it refuses: line ends without CR (RFC 9112, 2.2), folded
-// lines (5.2), blanks before a colon (5.1). It accepts a status line that ends after the status,
-// without the blank before an empty reason phrase (section 4), because that cannot be read in two
-// ways.
+// lines (5.2), blanks before a colon (5.1), a Content-Length that is repeated (6.3) or comes with a
+// Transfer-Encoding (6.1). It accepts a status line that ends after the status, without the blank
+// before an empty reason phrase (section 4), because that cannot be read in two ways.
 package http1
 
 import "strconv"
@@ -17,6 +17,7 @@
 const (
 	StatusLine Part = "status line"
 	FieldLine  Part = "field line"
+	Framing    Part = "framing"
 )
 
 // maxErrorText bounds the text of a response in an error, in bytes.
--- a/pkg/http1/syntax.go
+++ b/pkg/http1/syntax.go
@@ -104,7 +104,8 @@
 	if err := checkStatusLine(line); err != nil {
 		return err
 	}
-	return checkFields(fields, FieldLine)
+	f := framing{mayBeEncoded: line[minorAt] != '0'}
+	return checkFields(fields, FieldLine, &f)
 }
 
 // cutLine returns the first line of data without its line end, and what follows it.
@@ -116,8 +117,9 @@
 	return data[:end-1], data[end+1:], nil
 }
 
-// checkFields checks field lines up to the empty line after them.
-func checkFields(fields []byte, part Part) error {
+// checkFields checks field lines up to the empty line after them. f gets those of a head; it is nil
+// for trailers.
+func checkFields(fields []byte, part Part, f *framing) error {
 	for {
 		line, rest, err := cutLine(fields, part)
 		switch {
@@ -135,6 +137,53 @@
 		case !isText(line[n+1:]):
 			return newSyntaxError(part, "the value has a control character", line)
 		}
+		if f != nil {
+			if err := f.add(line[:n], line[n+1:], line); err != nil {
+				return err
+			}
+		}
 		fields = rest
 	}
 }
+
+// framing is what the fields of a head say about the length of the body (RFC 9112, 6).
+type framing struct {
+	// mayBeEncoded is false in HTTP/1.0, which has no Transfer-Encoding.
+	mayBeEncoded bool
+	// hasLength and isEncoded say that a Content-Length or a Transfer-Encoding was added.
+	hasLength, isEncoded bool
+}
+
+var (
+	contentLength    = []byte("Content-Length")
+	transferEncoding = []byte("Transfer-Encoding")
+)
+
+// add checks the next field of the head. line is its whole line.
+func (f *framing) add(name, value, line []byte) error {
+	switch {
+	case len(name) == len(contentLength) && bytes.EqualFold(name, contentLength):
+		if f.hasLength || f.isEncoded {
+			return newSyntaxError(Framing, "the length is given more than once", line)
+		}
+		f.hasLength = true
+		value = bytes.Trim(value, " \t")
+		for _, c := range value {
+			if !isDigit(c) {
+				return newSyntaxError(Framing, "the length is no decimal number", line)
+			}
+		}
+		if len(value) == 0 {
+			return newSyntaxError(Framing, "the length is no decimal number", line)
+		}
+	case len(name) == len(transferEncoding) && bytes.EqualFold(name, transferEncoding):
+		if f.hasLength || f.isEncoded {
+			return newSyntaxError(Framing, "the length is given more than once", line)
+		}
+		if !f.mayBeEncoded {
+			return newSyntaxError(Framing, "HTTP/1.0 has no Transfer-Encoding", line)
+		}
+		f.isEncoded = true
+	}
+	return nil
+}
--- a/pkg/proxy/malformed_test.go
+++ b/pkg/proxy/malformed_test.go
@@ -56,12 +56,32 @@
 	"malformed after interim":  "HTTP/1.1 103 Early\nLink: x\n\nHTTP/1.1 200 OK\nX A: b\nContent-Length: 2\n\nno",
 }
 
+// malformedFraming are answers whose head or body gives their length in a way that RFC 9112 does
+// not permit.
+var malformedFraming = map[string]string{
+	"blank before the colon of a coding": "HTTP/1.1 200 OK\nTransfer-Encoding : chunked\n\n2\nno\n0\n\n",
+	"blank before the colon of a length": "HTTP/1.1 200 OK\nContent-Length : 2\n\nno",
+	"coding and length":                  "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\nContent-Length: 2\n\n2\nno\n0\n\n",
+	"length and coding":                  "HTTP/1.1 200 OK\nContent-Length: 2\nTransfer-Encoding: chunked\n\n2\nno\n0\n\n",
+	"coding in HTTP/1.0":                 "HTTP/1.0 200 OK\nTransfer-Encoding: chunked\n\n2\nno\n0\n\n",
+	"two codings":                        "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\nTransfer-Encoding: chunked\n\n2\nno\n0\n\n",
+	"two lengths":                        "HTTP/1.1 200 OK\nContent-Length: 2\nContent-Length: 2\n\nno",
+	"list of lengths":                    "HTTP/1.1 200 OK\nContent-Length: 2, 2\n\nno",
+	"length with a sign":                 "HTTP/1.1 200 OK\nContent-Length: +2\n\nno",
+	"length in hexadecimal":              "HTTP/1.1 200 OK\nContent-Length: 0x2\n\nno",
+	"empty length":                       "HTTP/1.1 200 OK\nContent-Length:\n\nno",
+	"length that overflows":              "HTTP/1.1 200 OK\nContent-Length: 18446744073709551618\n\nno",
+}
+
 // allMalformed returns all malformed answers, with CRLF as line end.
 func allMalformed() map[string]string {
 	all := map[string]string{"LF as line end": "HTTP/1.1 200 OK\nContent-Length: 2\r\n\r\nno"}
 	for name, text := range malformedText {
 		all["head, "+name] = strings.ReplaceAll(text, "\n", "\r\n")
 	}
+	for name, text := range malformedFraming {
+		all["framing, "+name] = strings.ReplaceAll(text, "\n", "\r\n")
+	}
 	return all
 }
 
@@ -137,11 +157,16 @@
 // Guards against a malformed answer to HEAD that is passed on. A body does not follow.
 func TestMalformedAnswersToHeadAreRefused(t *testing.T) {
 	forEachMalformed(t, func(t *testing.T, options Options, text string) {
-		head, _, _ := strings.Cut(text, "\r\n\r\n")
-		if strings.Contains(text, "\r\nTransfer-Encoding: chunked\r\n\r\n") || strings.Contains(head, " 1") {
+		const soundChunked, soundInterim = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 103 Early\r\nLink: x\r\n\r\n"
+		if strings.HasPrefix(text, soundChunked) {
 			t.Skip("the head is sound")
 		}
-		tg := newTarget(t, sends(head+"\r\n\r\n", 0))
+		interim := ""
+		if rest, found := strings.CutPrefix(text, soundInterim); found {
+			interim, text = soundInterim, rest
+		}
+		head, _, _ := strings.Cut(text, "\r\n\r\n")
+		tg := newTarget(t, sends(interim+head+"\r\n\r\n", 0))
 		r := newTestProxy(t, options, tg.ln.Addr().String())
 		response, body := r.dial(t).send("HEAD", "/put", "", r.keyLine())
 		checkRefused(t, r, response, body)
@@ -201,6 +226,7 @@
 	"interim heads":            "HTTP/1.1 100 Continue\n\nHTTP/1.1 103 \nLink: x\n\nHTTP/1.1 199 x\n\nHTTP/1.1 200 OK\nContent-Length: 2\n\nok",
 	"HTTP/1.0":                 "HTTP/1.0 200 OK\nContent-Length: 2\n\nok",
 	"HTTP/1.2":                 "HTTP/1.2 200 OK\nContent-Length: 2\n\nok",
+	"chunks of HTTP/1.9":       "HTTP/1.9 200 OK\nTransfer-Encoding: chunked\n\n2\nok\n0\n\n",
 	"coding in capitals":       "HTTP/1.1 200 OK\nTRANSFER-ENCODING: Chunked\n\n2\nok\n0\n\n",
 	"several chunks":           "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n01\no\n0000000000000001\nk\n000\n\n",
 	"trailers":                 "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\nTrailer: X-A\n\n2\nok\n0\nX-A: \t b \nX-B:\n\n",
