Refuse chunked bodies and trailers that are no HTTP

What callers saw: a whole answer where the target had sent a chunk size followed by blanks, an extension with a control character, without a name or with an open quote, a folded trailer, or one with a blank in its name or before its colon; also at the end of a large answer whose first part had been passed on. A sound answer with blanks before the extensions of its last chunk was refused.

Cause: the chunk reader of the standard library drops extensions unread and trims the size; fasthttp reads trailers as leniently as heads.

Change: pkg/http1 reads chunk lines by the grammar (RFC 9112, 7.1) and checks trailers like field lines.

--- a/pkg/http1/http1.go
+++ b/pkg/http1/http1.go
@@ -18,6 +18,8 @@
 	StatusLine Part = "status line"
 	FieldLine  Part = "field line"
 	Framing    Part = "framing"
+	ChunkLine  Part = "chunk line"
+	Trailer    Part = "trailer"
 )
 
 // maxErrorText bounds the text of a response in an error, in bytes.
--- a/pkg/proxy/malformed_test.go
+++ b/pkg/proxy/malformed_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -73,6 +74,28 @@
 	"length that overflows":              "HTTP/1.1 200 OK\nContent-Length: 18446744073709551618\n\nno",
 }
 
+// malformedChunks are bodies after a sound head that says chunked.
+var malformedChunks = map[string]string{
+	"blank after the size":      "2 \nno\n0\n\n",
+	"blank before the size":     " 2\nno\n0\n\n",
+	"size with a sign":          "+2\nno\n0\n\n",
+	"size with a prefix":        "0x2\nno\n0\n\n",
+	"no size":                   "\nno\n0\n\n",
+	"size that overflows":       "10000000000000002\nno\n0\n\n",
+	"NUL in an extension":       "2;a=\x00\nno\n0\n\n",
+	"extension without name":    "2;=a\nno\n0\n\n",
+	"open quote":                "2;a=\"b\nno\n0\n\n",
+	"no line end after data":    "2\nnoo0\n\n",
+	"malformed last chunk":      "2\nno\n0 \n\n",
+	"blank in a trailer":        "2\nno\n0\nX A: b\n\n",
+	"blank before a colon":      "2\nno\n0\nX-A : b\n\n",
+	"NUL in a trailer":          "2\nno\n0\nX-A: \x00\n\n",
+	"trailer without colon":     "2\nno\n0\nX-A\n\n",
+	"trailer with empty name":   "2\nno\n0\n: b\n\n",
+	"folded trailer":            "2\nno\n0\nX-A: b\n c\n\n",
+	"length among the trailers": "2\nno\n0\nContent-Length: 2\n\n",
+}
+
 // allMalformed returns all malformed answers, with CRLF as line end.
 func allMalformed() map[string]string {
 	all := map[string]string{"LF as line end": "HTTP/1.1 200 OK\nContent-Length: 2\r\n\r\nno"}
@@ -82,6 +105,9 @@
 	for name, text := range malformedFraming {
 		all["framing, "+name] = strings.ReplaceAll(text, "\n", "\r\n")
 	}
+	for name, text := range malformedChunks {
+		all["chunks, "+name] = strings.ReplaceAll("HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n"+text, "\n", "\r\n")
+	}
 	return all
 }
 
@@ -104,6 +130,22 @@
 	return r.results[len(r.results)-1], r.load
 }
 
+// awaitResults waits until the exchanges were reported as want. The end of a streamed answer is
+// reported after the caller has noticed it.
+func (r *testProxy) awaitResults(t *testing.T, want ...Result) {
+	t.Helper()
+	var got []Result
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		r.mu.Lock()
+		got = slices.Clone(r.results)
+		r.mu.Unlock()
+		if slices.Equal(got, want) {
+			return
+		}
+	}
+	t.Errorf("the exchanges were reported as %v, want %v", got, want)
+}
+
 // forEachMalformed runs a test in both dialects with each malformed answer.
 func forEachMalformed(t *testing.T, test func(t *testing.T, options Options, text string)) {
 	for dialect, d := range map[string]*Dialect{"default": nil, "platform's": testDialect()} {
@@ -210,6 +252,24 @@
 	}
 }
 
+// Guards against a large answer that the caller takes for whole although its chunks or trailers
+// are malformed, when the first part has been passed on already.
+func TestMalformedEndOfAStream(t *testing.T) {
+	whole := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", 2*maxBufferedBody, strings.Repeat("x", 2*maxBufferedBody))
+	for name, text := range malformedChunks {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tg := newTarget(t, sends(whole+strings.ReplaceAll(text, "\n", "\r\n"), 0))
+			r := newDialectTestProxy(t, 0, tg.ln.Addr().String())
+			response, body, err := r.dial(t).try("POST", "/put", "x", r.keyLine())
+			if err == nil {
+				t.Errorf("the caller got %d and %d bytes as a whole answer", response.StatusCode, len(body))
+			}
+			r.awaitResults(t, Broken)
+		})
+	}
+}
+
 // soundText are answers of rare form that RFC 9110 and RFC 9112 permit, with the body "ok".
 var soundText = map[string]string{
 	"empty reason":             "HTTP/1.1 200 \nContent-Length: 2\n\nok",
@@ -229,6 +289,7 @@
 	"chunks of HTTP/1.9":       "HTTP/1.9 200 OK\nTransfer-Encoding: chunked\n\n2\nok\n0\n\n",
 	"coding in capitals":       "HTTP/1.1 200 OK\nTRANSFER-ENCODING: Chunked\n\n2\nok\n0\n\n",
 	"several chunks":           "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n01\no\n0000000000000001\nk\n000\n\n",
+	"chunk extensions":         "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n2;a\nok\n0 ; b=c;d=\"e\\\"; \xe4\" ; f = g\n\n",
 	"trailers":                 "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\nTrailer: X-A\n\n2\nok\n0\nX-A: \t b \nX-B:\n\n",
 	"connection ends after it": "HTTP/1.1 200 OK\nConnection: close\nContent-Length: 2\n\nok",
 }
--- a/pkg/proxy/response_body.go
+++ b/pkg/proxy/response_body.go
@@ -4,11 +4,12 @@
 	"bytes"
 	"io"
 	"net"
-	"net/http/httputil"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/arbutuslink/arbutuslink/pkg/http1"
 )
 
 // maxBufferedBody is the part of a response that is held before any of it goes to the
@@ -123,10 +124,7 @@
 	case length >= 0:
 		return &fixedBody{r: x.conn.reader, left: int64(length)}
 	case length == contentLengthChunked:
-		// The reader of the standard library bounds what chunks carry beside data.
-		return &limitedBody{left: limit, r: &chunkedBody{
-			Reader: httputil.NewChunkedReader(x.conn.reader), trailer: func() error { return response.Header.ReadTrailer(x.conn.reader) },
-		}}
+		return &limitedBody{left: limit, r: http1.NewChunkedReader(x.conn.reader, &response.Header)}
 	default:
 		return &limitedBody{left: limit, r: x.conn.reader}
 	}
@@ -155,31 +153,6 @@
 	}
 }
 
-// chunkedBody is a body in chunks. It ends after its trailer.
-type chunkedBody struct {
-	io.Reader
-	trailer func() error
-	ended   bool
-}
-
-// Read implements io.Reader.
-func (b *chunkedBody) Read(p []byte) (int, error) {
-	if b.ended {
-		return 0, io.EOF
-	}
-	n, err := b.Reader.Read(p)
-	if !errors.Is(err, io.EOF) {
-		return n, err
-	}
-	if err := b.trailer(); errors.Is(err, io.EOF) {
-		return n, io.ErrUnexpectedEOF
-	} else if err != nil {
-		return n, errors.WithStack(err)
-	}
-	b.ended = true
-	return n, io.EOF
-}
-
 // limitedBody fails for a body of more than left bytes.
 type limitedBody struct {
 	r    io.Reader
--- a/scripts/fuzz/main.go
+++ b/scripts/fuzz/main.go
@@ -20,6 +20,7 @@
 	{"./pkg/proxy", "FuzzTargetResponse"},
 	{"./pkg/proxy", "FuzzCallerRequest"},
 	{"./pkg/proxy", "FuzzKeyNeverReachesTarget"},
+	{"./pkg/http1", "FuzzChunkedReader"},
 	{"./pkg/edge", "FuzzDatagram"},
 	{"./pkg/explain", "FuzzParseTrail"},
 }
