A malformed answer of a hedge or a second attempt loses to a sound one

What callers saw: a refusal, although one of two attempts that ran side by side brought a sound answer: the other began a malformed one first and won, which canceled the sound one.

Cause: the race took any three bytes in the place of the status for one, and looked at no more of the head. A malformed answer with 200 there ended the other attempt; after a failure that was held back, a malformed answer took its place.

Change: the race asks pkg/http1 whether what is buffered of the head is sound. A malformed answer counts like one that cannot be read: it waits for the other attempt, and loses to any sound response. A hedge's race also waits for the final head after interim ones. A length of more than 18 digits and a coding other than chunked, which fasthttp refused later, are part of the check.

--- a/pkg/http1/head.go
+++ b/pkg/http1/head.go
@@ -52,6 +52,29 @@
 	return errors.WithStack(h.Read(r))
 }
 
+// PeekHead checks the head of the next response, and of interim ones before it, as far as r has
+// buffered them, which must be up to a status. It returns the last status. Errors: *SyntaxError.
+func PeekHead(r *bufio.Reader) (status int, err error) {
+	data, _ := r.Peek(r.Buffered())
+	for {
+		status, reason := parseStatus(data)
+		if reason != "" {
+			return 0, errors.WithStack(newSyntaxError(StatusLine, reason, data))
+		}
+		end := bytes.Index(data, headEnd)
+		if end < 0 {
+			return status, nil
+		}
+		head := data[:end+len(headEnd)]
+		if err := checkHead(head); err != nil {
+			return 0, errors.WithStack(err)
+		}
+		if data = data[len(head):]; status >= fasthttp.StatusOK || len(data) < statusEnd {
+			return status, nil
+		}
+	}
+}
+
 // peekHead waits until r has buffered a whole head and returns it. It does not wait for the rest of
 // bytes that begin no status line.
 func peekHead(r *bufio.Reader) ([]byte, error) {
--- a/pkg/http1/head_test.go
+++ b/pkg/http1/head_test.go
@@ -37,7 +37,7 @@
 		"HTTP/1.1 200 x\nX-A\n\n":                `malformed response: field line: it has no colon: "X-A"`,
 		"HTTP/1.1 103 x\nX A: b\n\n":             `malformed response: field line: the name is no token: "X A: b"`,
 		"garbage":                                `malformed response: status line: the protocol is not HTTP/1: "g`,
-		"HTTP/1.1 200 x\nContent-Length: +2\n\n": `malformed response: framing: the length is no decimal number: "Content-Length: +2"`,
+		"HTTP/1.1 200 x\nContent-Length: +2\n\n": `malformed response: framing: the length is no decimal number of up to 18 digits: "Content-Length: +2"`,
 		"HTTP/1.1 200 x\nContent-Length: 2\nTransfer-Encoding: chunked\n\n": `malformed response: framing: the length is given more than once: "Transfer-Encoding: chunked"`,
 		"HTTP/1.0 200 x\nTransfer-Encoding: chunked\n\n":                    `malformed response: framing: HTTP/1.0 has no Transfer-Encoding: "Transfer-Encoding: chunked"`,
 		"HTTP/1.1 101 x\n\n": "unexpected interim response with status 101",
--- a/pkg/http1/syntax.go
+++ b/pkg/http1/syntax.go
@@ -157,8 +157,22 @@
 var (
 	contentLength    = []byte("Content-Length")
 	transferEncoding = []byte("Transfer-Encoding")
+	chunked          = []byte("chunked")
 )
 
+// maxLengthDigits bounds the digits of a Content-Length, so that it fits into 63 bits.
+const maxLengthDigits = 18
+
+// isLength reports whether b is the value of a Content-Length that can be read.
+func isLength(b []byte) bool {
+	for _, c := range b {
+		if !isDigit(c) {
+			return false
+		}
+	}
+	return len(b) > 0 && len(b) <= maxLengthDigits
+}
+
 // add checks the next field of the head. line is its whole line.
 func (f *framing) add(name, value, line []byte) error {
 	switch {
@@ -167,14 +181,8 @@
 			return newSyntaxError(Framing, "the length is given more than once", line)
 		}
 		f.hasLength = true
-		value = bytes.Trim(value, " \t")
-		for _, c := range value {
-			if !isDigit(c) {
-				return newSyntaxError(Framing, "the length is no decimal number", line)
-			}
-		}
-		if len(value) == 0 {
-			return newSyntaxError(Framing, "the length is no decimal number", line)
+		if !isLength(bytes.Trim(value, " \t")) {
+			return newSyntaxError(Framing, "the length is no decimal number of up to 18 digits", line)
 		}
 	case len(name) == len(transferEncoding) && bytes.EqualFold(name, transferEncoding):
 		if f.hasLength || f.isEncoded {
@@ -183,6 +191,9 @@
 		if !f.mayBeEncoded {
 			return newSyntaxError(Framing, "HTTP/1.0 has no Transfer-Encoding", line)
 		}
+		if !bytes.EqualFold(bytes.Trim(value, " \t"), chunked) {
+			return newSyntaxError(Framing, "the transfer coding is not supported", line)
+		}
 		f.isEncoded = true
 	}
 	return nil
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -5,11 +5,12 @@
 	"bytes"
 	"net"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/arbutuslink/arbutuslink/pkg/http1"
 )
 
 const (
@@ -157,7 +158,7 @@
 // the wait for it failed.
 type raceResult struct {
 	x *exchange
-	// status is the status of the response; 0 if it cannot be read.
+	// status is the status of the response; 0 if it cannot be read or is malformed.
 	status int
 	err    error
 }
@@ -170,12 +171,20 @@
 	if _, err := x.conn.reader.Peek(1); err != nil {
 		return raceResult{x, 0, err}
 	}
-	line, err := x.conn.reader.Peek(statusLineBytes)
-	if err != nil {
+	if _, err := x.conn.reader.Peek(statusLineBytes); err != nil {
 		return raceResult{x, 0, nil} // reading the response reports the failure
 	}
-	status, _ := strconv.Atoi(string(line[statusLineBytes-3:]))
-	return raceResult{x, status, nil}
+	return raceResult{x, x.bufferedStatus(), nil}
+}
+
+// bufferedStatus returns the status of the response as far as it is buffered; 0 if it is malformed,
+// which reading it reports.
+func (x *exchange) bufferedStatus() int {
+	status, err := http1.PeekHead(x.conn.reader)
+	if err != nil {
+		return 0
+	}
+	return status
 }
 
 // awaitSmallBody waits for the whole response if its length is known and it fits into the
@@ -199,8 +208,8 @@
 }
 
 // responseLength returns the length of the response that begins with data. known is false while
-// its header is incomplete. If only the end of the connection tells the length, or several
-// parts do, it is that of the header.
+// its header is incomplete; those of interim responses before it count as a part of it. If only
+// the end of the connection tells the length, or several parts do, it is that of the header.
 func (x *exchange) responseLength(data []byte) (length int, known bool) {
 	end := bytes.Index(data, []byte("\r\n\r\n"))
 	if end < 0 {
@@ -208,16 +217,22 @@
 	}
 	length = end + len("\r\n\r\n")
 	var header fasthttp.ResponseHeader
-	if err := header.Read(bufio.NewReaderSize(bytes.NewReader(data[:length]), length)); err != nil {
+	if err := http1.ReadHead(bufio.NewReaderSize(bytes.NewReader(data[:length]), length), &header); err != nil {
 		return length, true // reading the response reports the failure
 	}
-	status := header.StatusCode()
-	if !x.caller.IsHead() && status >= fasthttp.StatusOK && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified {
+	switch status := header.StatusCode(); {
+	case status < fasthttp.StatusOK && status != fasthttp.StatusSwitchingProtocols:
+		rest, known := x.responseLength(data[length:])
+		return length + rest, known
+	case !x.caller.IsHead() && status != fasthttp.StatusNoContent && status != fasthttp.StatusNotModified:
 		length += max(0, header.ContentLength())
 	}
 	return length, true
 }
 
+// isResponse reports whether a response has begun that is not malformed so far.
+func (e raceResult) isResponse() bool { return e.err == nil && e.status != 0 }
+
 // mayBeBeaten reports whether a later response of the other attempt can be better: the target
 // rejected the request or failed it, or what it sent is no response.
 func (e raceResult) mayBeBeaten() bool {
@@ -236,8 +251,9 @@
 		_ = contender.conn.SetReadDeadline(x.ioDeadline)
 		go func() {
 			e := contender.awaitStatus()
-			if e.err == nil && second.hedgeAfter > 0 {
+			if e.isResponse() && second.hedgeAfter > 0 {
 				e.err = contender.awaitSmallBody()
+				e.status = contender.bufferedStatus()
 			}
 			events <- e
 		}()
@@ -273,8 +289,8 @@
 			case held == nil:
 			case callerGone:
 				held.x.abort(&CallerGoneError{})
-			case e.err != nil:
-				e.x.abort(e.asExchangeError())
+			case !e.isResponse():
+				e.end()
 				e = *held
 			default:
 				held.x.abandonRejected()
@@ -359,7 +375,7 @@
 func (x *exchange) abandonRejected() {
 	var header fasthttp.ResponseHeader
 	result := Broken
-	if err := header.Read(x.conn.reader); err == nil {
+	if err := http1.ReadFinalHead(x.conn.reader, &header); err == nil {
 		x.responseInfo = x.p.dialect.ReadResponseInfo(&header, x.requestID)
 		switch x.responseInfo.Verdict {
 		case RejectedByTarget:
--- a/pkg/proxy/malformed_test.go
+++ b/pkg/proxy/malformed_test.go
@@ -71,6 +71,7 @@
 	"length with a sign":                 "HTTP/1.1 200 OK\nContent-Length: +2\n\nno",
 	"length in hexadecimal":              "HTTP/1.1 200 OK\nContent-Length: 0x2\n\nno",
 	"empty length":                       "HTTP/1.1 200 OK\nContent-Length:\n\nno",
+	"unknown coding":                     "HTTP/1.1 200 OK\nTransfer-Encoding: gzip, chunked\n\n2\nno\n0\n\n",
 	"length that overflows":              "HTTP/1.1 200 OK\nContent-Length: 18446744073709551618\n\nno",
 }
 
