--- a/pkg/lab/storesim/server.go
+++ b/pkg/lab/storesim/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"io"
+	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,6 +41,9 @@
 	// Unresponsive holds every call without effect or response while it is set, and
 	// closes its connection afterwards.
 	Unresponsive bool
+	// Answer, if not empty, is written as it is in place of the response to every call, which
+	// then has no effect. The connection is closed after it.
+	Answer string
 	// LoseAnswers applies transactions and closes the connection without a response.
 	LoseAnswers bool
 	// ApplyDelay is the time after which a transaction is applied whose response is lost.
@@ -152,6 +157,11 @@
 			return
 		}
 	}
+	if f.Answer != "" {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _, _ = io.WriteString(c, f.Answer) }) // the caller may have closed the connection
+		return
+	}
 	time.Sleep(f.Delay)
 	defer func() { ctx.Response.Header.Set(eraHeader, strconv.FormatInt(s.tables.currentEra(), 10)) }()
 	if name == "rows-tx" && f.LoseAnswers {
