Believe the list of instances only in answers that are HTTP

A list that came in what is no HTTP was taken for the platform's: an empty one ended the draining of all targets that the platform lists as leaving. A read that failed left no line in the log.

Cause: as in the data path, the client read answers with the parser of fasthttp.

Change: the client uses http1.Transport. A malformed answer is an *UnavailableError with *http1.SyntaxError, the last list stays in use, and event 709 says why when reads begin to fail.

--- a/pkg/entry/prober.go
+++ b/pkg/entry/prober.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
+	"github.com/arbutuslink/arbutuslink/pkg/event"
 	"github.com/arbutuslink/arbutuslink/pkg/health"
 	"github.com/arbutuslink/arbutuslink/pkg/platform"
 )
@@ -17,8 +20,8 @@
 	leaving *leavingList
 }
 
-func newListedProber(inner health.Prober, list platform.InstanceList, c clock.Clock) *listedProber {
-	return &listedProber{Prober: inner, leaving: &leavingList{list: list, clock: c}}
+func newListedProber(inner health.Prober, list platform.InstanceList, c clock.Clock, log *zerolog.Logger) *listedProber {
+	return &listedProber{Prober: inner, leaving: &leavingList{list: list, clock: c, log: log}}
 }
 
 // Probe checks the platform's list and then, unless the target is leaving, its
@@ -40,11 +43,14 @@
 type leavingList struct {
 	list  platform.InstanceList
 	clock clock.Clock
+	log   *zerolog.Logger
 
 	mu         sync.Mutex
 	lastRead   time.Duration
 	refreshing bool
-	addresses  map[string]bool
+	// failing says that the last read failed.
+	failing   bool
+	addresses map[string]bool
 }
 
 // contains reports whether the cached list has the address. It starts a refresh if
@@ -73,7 +79,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refreshing = false
-	if err != nil {
+	if err != nil && !l.failing {
+		event.InstanceListFailed.Log(l.log).Err(err).Send()
+	}
+	if l.failing = err != nil; l.failing {
 		return
 	}
 	l.addresses = map[string]bool{}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -82,6 +82,7 @@
 	EntryRejected       = Event{703, "entry_rejected", zerolog.WarnLevel, "an entry of a target or of a request in quarantine, or an order to evacuate a zone, in the platform's store could not be read and is ignored; check who wrote it"}
 	ProcessPaused       = Event{706, "process_paused", zerolog.WarnLevel, "the process did not run for 600 ms or more; configuration and targets are read again before requests are served"}
 	StoreRestored       = Event{707, "store_restored", zerolog.WarnLevel, "the store came back from a copy and has lost what was written since; all state that was read from it is read again"}
+	InstanceListFailed  = Event{709, "instance_list_failed", zerolog.WarnLevel, "the platform's list of instances could not be read; the last one stays in use"}
 	ListingChanged      = Event{708, "listing_changed", zerolog.InfoLevel, "the instance took over another listing of the targets; missing targets are retained while it is unsettled"}
 	SettingsReloaded    = Event{704, "settings_reloaded", zerolog.InfoLevel, "the settings file was read again"}
 	SettingsRejected    = Event{705, "settings_rejected", zerolog.WarnLevel, "the settings file could not be read again; the previous settings stay in use"}
@@ -104,7 +105,7 @@
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
 		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable, ZoneEvacuated, ZoneRestored, TargetCold, TargetWarm,
 		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried, QuarantineNotKept, HedgeLimitsChanged,
-		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged,
+		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged, InstanceListFailed,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
 	}
 }
--- a/pkg/http1/transport_test.go
+++ b/pkg/http1/transport_test.go
@@ -1,49 +1,27 @@
 package http1
 
 import (
-	"bufio"
-	"io"
-	"net"
-	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
+
+	"github.com/arbutuslink/arbutuslink/pkg/lab/rawhttp"
 )
 
 // serve answers each request with text, with CRLF in place of each LF, and returns a client of the
-// server and the number of connections that it has opened.
-func serve(t *testing.T, text string, closes bool) (*fasthttp.HostClient, *atomic.Int64) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// server.
+func serve(t *testing.T, text string, closing bool) (*fasthttp.HostClient, *rawhttp.Server) {
+	server, err := rawhttp.Start(strings.ReplaceAll(text, "\n", "\r\n"), closing)
 	is.New(t).NoErr(err)
-	t.Cleanup(func() { _ = ln.Close() })
-	var conns atomic.Int64
-	go func() {
-		for c, err := ln.Accept(); err == nil; c, err = ln.Accept() {
-			conns.Add(1)
-			go func() {
-				defer func() { _ = c.Close() }()
-				for r := bufio.NewReader(c); ; {
-					request, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, request.Body)
-					if _, err := io.WriteString(c, strings.ReplaceAll(text, "\n", "\r\n")); err != nil || closes {
-						return
-					}
-				}
-			}()
-		}
-	}()
+	t.Cleanup(server.Close)
 	return &fasthttp.HostClient{
-		Addr: ln.Addr().String(), Transport: Transport{}, MaxResponseBodySize: 100, MaxIdemponentCallAttempts: 1,
+		Addr: server.Addr(), Transport: Transport{}, MaxResponseBodySize: 100, MaxIdemponentCallAttempts: 1,
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}, &conns
+	}, server
 }
 
 // get sends a request and returns the status, the body and the error of its response.
@@ -69,14 +47,14 @@
 		"HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n0\nX A: b\n\n":     Trailer,
 		"HTTP/1.1 103 x\nX A: b\n\nHTTP/1.1 200 OK\nContent-Length: 0\n\n": FieldLine,
 	} {
-		client, conns := serve(t, text, false)
+		client, server := serve(t, text, false)
 		for n := range 2 {
 			_, body, err := get(client, fasthttp.MethodGet)
 			var syntax *SyntaxError
 			if !errors.As(err, &syntax) || syntax.Part != part || body != "" {
 				t.Errorf("%q: body %q, %v", text, body, err)
 			}
-			is.New(t).Equal(conns.Load(), int64(n+1)) // the connection was not used again
+			is.New(t).Equal(server.Conns(), n+1) // the connection was not used again
 		}
 	}
 }
@@ -89,13 +67,13 @@
 		"HTTP/1.1 103 x\n\nHTTP/1.1 200 OK\nContent-Length: 2\n\nok":                     "ok",
 		"HTTP/1.1 204 x\n\n": "",
 	} {
-		client, conns := serve(t, text, false)
+		client, server := serve(t, text, false)
 		for range 3 {
 			_, body, err := get(client, fasthttp.MethodGet)
 			is.New(t).NoErr(err)
 			is.New(t).Equal(body, want)
 		}
-		is.New(t).Equal(conns.Load(), int64(1))
+		is.New(t).Equal(server.Conns(), 1)
 	}
 	client, _ := serve(t, "HTTP/1.0 200 OK\n\nup to the end", true)
 	_, body, err := get(client, fasthttp.MethodGet)
@@ -127,11 +105,11 @@
 		_, _, err = get(client, fasthttp.MethodGet)
 		is.True(err != nil && !errors.Is(err, fasthttp.ErrTimeout))
 	}
-	client, conns := serve(t, "HTTP/1.1 200 OK\nContent-Length: 2\n\nokHTTP/1.1 500 No\nContent-Length: 0\n\n", false)
+	client, server := serve(t, "HTTP/1.1 200 OK\nContent-Length: 2\n\nokHTTP/1.1 500 No\nContent-Length: 0\n\n", false)
 	for range 3 {
 		status, _, err := get(client, fasthttp.MethodGet)
 		is.NoErr(err)
 		is.Equal(status, fasthttp.StatusOK)
 	}
-	is.Equal(conns.Load(), int64(3))
+	is.Equal(server.Conns(), 3)
 }
--- a/pkg/platform/instancelist/instancelist.go
+++ b/pkg/platform/instancelist/instancelist.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/arbutuslink/arbutuslink/pkg/http1"
 	"github.com/arbutuslink/arbutuslink/pkg/platform"
 )
 
@@ -61,6 +62,7 @@
 		o.Timeout = defaultTimeout
 	}
 	client := &fasthttp.Client{
+		Transport: http1.Transport{},
 		// One attempt; fasthttp takes zero as five.
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
