Believe a probe only in an answer that is HTTP

A target whose health path answered with what is no HTTP counted as healthy, draining or cold, as the body said.

Cause: as in the data path, the prober read answers with the parser of fasthttp.

Change: the prober uses http1.Transport. A malformed answer is a failed probe, and event 522 names the target and what was wrong. What earlier probes said stays, as with any failed probe.

--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -228,7 +228,7 @@
 	group.Go(func() error { return i.claims.run(ctx) })
 	group.Go(func() error { return i.reporter.Run(ctx, i) })
 	group.Go(func() error {
-		return i.evaluator.Run(ctx, newListedProber(httpprobe.New(), i.platform.list, i.clock, &i.log))
+		return i.evaluator.Run(ctx, newListedProber(httpprobe.New(&i.log), i.platform.list, i.clock, &i.log))
 	})
 	group.Go(func() error { return i.pruneObservations(ctx) })
 	keeper := &quarantine.Keeper{List: i.suspects, Store: quarantineTable{i.platform.table, &i.log}, Clock: i.clock, Log: &i.log}
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -62,6 +62,8 @@
 	TargetCold       = Event{520, "target_cold", zerolog.InfoLevel, "a target is cold or may be; all instances together send it at most the rate that its service sets for cold targets"}
 	TargetWarm       = Event{521, "target_warm", zerolog.InfoLevel, "a target is warm and no longer limited"}
 
+	ProbeMalformed = Event{522, "probe_malformed", zerolog.WarnLevel, "a target's answer to a probe is no HTTP; the probe has failed; look at the target"}
+
 	TargetEnded = Event{514, "target_ended", zerolog.WarnLevel, "a target accepts no connection after it lost that of a request; the same digest at several targets tells that the request crashes them"}
 
 	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
@@ -103,7 +105,7 @@
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed, HeadLost, ClaimsWritten, ConfigUnconfirmed, ConfigConfirmed,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
-		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable, ZoneEvacuated, ZoneRestored, TargetCold, TargetWarm,
+		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable, ZoneEvacuated, ZoneRestored, TargetCold, TargetWarm, ProbeMalformed,
 		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried, QuarantineNotKept, HedgeLimitsChanged,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged, InstanceListFailed,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
--- a/pkg/event/limit.go
+++ b/pkg/event/limit.go
@@ -31,7 +31,7 @@
 	case RequestEnded.ID:
 		return maxRequestLines
 	case TargetListed.ID, TargetGone.ID, TargetSuspected.ID, TargetTrusted.ID, TargetLimitNamed.ID, TargetLimitEnded.ID,
-		TargetUnreached.ID, TargetReached.ID, TargetEnded.ID, TargetLeaving.ID, TargetPaused.ID:
+		TargetUnreached.ID, TargetReached.ID, TargetEnded.ID, TargetLeaving.ID, TargetPaused.ID, ProbeMalformed.ID:
 		return maxTargetLines
 	default:
 		return defaultMaxLines
--- a/pkg/health/httpprobe/httpprobe.go
+++ b/pkg/health/httpprobe/httpprobe.go
@@ -5,8 +5,13 @@
 	"context"
 	"time"
 
-	"github.com/arbutuslink/arbutuslink/pkg/health"
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
+
+	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/health"
+	"github.com/arbutuslink/arbutuslink/pkg/http1"
 )
 
 const (
@@ -20,12 +25,16 @@
 )
 
 // Prober implements health.Prober. It is safe for concurrent use.
-type Prober struct{ client *fasthttp.Client }
+type Prober struct {
+	client *fasthttp.Client
+	log    *zerolog.Logger
+}
 
 // New returns a prober with its own connection pool.
-func New() *Prober {
-	return &Prober{client: &fasthttp.Client{
-		Name: "arbutuslink-probe", MaxConnsPerHost: maxConnectionsPerTarget, MaxIdleConnDuration: maxIdleTime,
+func New(log *zerolog.Logger) *Prober {
+	return &Prober{log: log, client: &fasthttp.Client{
+		Transport: http1.Transport{},
+		Name:      "arbutuslink-probe", MaxConnsPerHost: maxConnectionsPerTarget, MaxIdleConnDuration: maxIdleTime,
 		MaxResponseBodySize: maxBodyBytes,
 		// A retry would hide a failure, so a probe is a single attempt.
 		MaxIdemponentCallAttempts: 1,
@@ -34,7 +43,7 @@
 }
 
 // Probe sends one GET request to the health path. Any error counts as
-// health.ProbeFailed.
+// health.ProbeFailed; event 522 tells of answers that are no HTTP.
 func (p *Prober) Probe(ctx context.Context, address, path string) health.ProbeStatus {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -44,7 +53,14 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
 	}
-	if ctx.Err() != nil || p.client.DoTimeout(request, response, timeout) != nil {
+	if ctx.Err() != nil {
+		return health.ProbeFailed
+	}
+	if err := p.client.DoTimeout(request, response, timeout); err != nil {
+		var malformed *http1.SyntaxError
+		if errors.As(err, &malformed) {
+			event.ProbeMalformed.Log(p.log).Str("address", address).Str("path", path).Err(err).Send()
+		}
 		return health.ProbeFailed
 	}
 	return health.ParseProbe(response.StatusCode(), response.Body())
--- a/scripts/catalogue/main.go
+++ b/scripts/catalogue/main.go
@@ -13,7 +13,7 @@
 const pageHeader = `# Log events
 
 Logs are JSON lines. Each event has a number that never changes its meaning. Repeats of one event beyond 20 in 10 s are
-left out; requests (602) may have 3000 lines and targets (505 to 508, 510 to 516) 400 lines in 10 s. This page is written by ` + "`go run ./scripts/catalogue`" + ` and checked in CI.
+left out; requests (602) may have 3000 lines and targets (505 to 508, 510 to 516, 522) 400 lines in 10 s. This page is written by ` + "`go run ./scripts/catalogue`" + ` and checked in CI.
 
 | number | name | level | meaning and what to do |
 |---|---|---|---|
