arbutusctl believes instances only in answers that are HTTP

One answer with status 099 first made it wait for 15 s.

Cause: as in the data path, its two clients read answers with the parser of fasthttp.

Change: both use http1.Transport.

--- a/pkg/ctl/client.go
+++ b/pkg/ctl/client.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/arbutuslink/arbutuslink/pkg/http1"
 	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
 )
 
@@ -32,6 +33,7 @@
 		// of a patch that took effect would be refused as stale.
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		Transport:                 http1.Transport{},
 		TLSConfig:                 &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots},
 	}}
 }
--- a/pkg/ctl/store.go
+++ b/pkg/ctl/store.go
@@ -19,6 +19,7 @@
 	"github.com/arbutuslink/arbutuslink/pkg/discovery"
 	"github.com/arbutuslink/arbutuslink/pkg/fleet"
 	"github.com/arbutuslink/arbutuslink/pkg/follow"
+	"github.com/arbutuslink/arbutuslink/pkg/http1"
 	"github.com/arbutuslink/arbutuslink/pkg/operator/api"
 )
 
@@ -258,12 +259,15 @@
 	return "evacuated " + zoneList(s.Evacuations.Zones)
 }
 
+// dumpClient requests dumps.
+var dumpClient = fasthttp.Client{Transport: http1.Transport{}}
+
 // fetchDump returns the dump at a diagnostics address and what storeDump compares of it.
 func fetchDump(address string) (json.RawMessage, *comparedState, error) {
 	if address == "" {
 		return nil, nil, errors.WithStack(&UsageError{Reason: "the instance serves no dump"})
 	}
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+"/dump", dumpTimeout)
+	status, body, err := dumpClient.GetTimeout(nil, "http://"+address+"/dump", dumpTimeout)
 	if err != nil {
 		return nil, nil, errors.WithStack(&CallError{Server: address, Cause: err})
 	}
