Believe the table and the object store only in answers that are HTTP

Cause: net/http, by which the SDK calls them, also accepts names with blanks, HTTP/2.0 without its framing and control characters in a reason phrase, and passes on any status.

A malformed answer is an *UnavailableError with *http1.SyntaxError; what was known stays, as in an outage. The framing is net/http's own: it takes Transfer-Encoding where Content-Length is given too, and ignores what follows the size of a chunk.

--- a/pkg/http1/syntax.go
+++ b/pkg/http1/syntax.go
@@ -45,6 +45,9 @@
 	return len(b)
 }
 
+// isToken reports whether b is a token, such as the name of a field.
+func isToken[T string | []byte](b T) bool { return len(b) > 0 && prefixOf(b, tokenByte) == len(b) }
+
 // isText reports whether b may be a field value or a reason phrase.
 func isText[T string | []byte](b T) bool { return prefixOf(b, textByte) == len(b) }
 
--- a/pkg/platform/dynamo/dynamo.go
+++ b/pkg/platform/dynamo/dynamo.go
@@ -6,10 +6,12 @@
 	"context"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
+	awshttp "github.com/aws/aws-sdk-go-v2/aws/transport/http"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/cockroachdb/errors"
 
+	"github.com/arbutuslink/arbutuslink/pkg/http1"
 	"github.com/arbutuslink/arbutuslink/pkg/platform"
 )
 
@@ -51,6 +53,9 @@
 // attempt: a retried conditional write would fail its condition if the first
 // attempt took effect. Calls are bounded by their context only.
 func New(o Options) *Table {
+	if o.HTTPClient == nil {
+		o.HTTPClient = awshttp.NewBuildableClient()
+	}
 	credentials := aws.Credentials{
 		AccessKeyID: o.AccessKeyID, SecretAccessKey: o.SecretAccessKey, SessionToken: o.SessionToken,
 	}
@@ -58,7 +63,7 @@
 		BaseEndpoint: aws.String(o.Endpoint),
 		Region:       o.Region,
 		Retryer:      aws.NopRetryer{},
-		HTTPClient:   o.HTTPClient,
+		HTTPClient:   http1.Client{Doer: o.HTTPClient},
 		Credentials: aws.CredentialsProviderFunc(func(context.Context) (aws.Credentials, error) {
 			return credentials, nil
 		}),
--- a/pkg/platform/s3/s3.go
+++ b/pkg/platform/s3/s3.go
@@ -7,11 +7,13 @@
 	"io"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
+	awshttp "github.com/aws/aws-sdk-go-v2/aws/transport/http"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 	"github.com/aws/smithy-go"
 	"github.com/cockroachdb/errors"
 
+	"github.com/arbutuslink/arbutuslink/pkg/http1"
 	"github.com/arbutuslink/arbutuslink/pkg/platform"
 )
 
@@ -44,6 +46,9 @@
 // attempt. net/http retries a Get once when a reused connection closes before the
 // answer. Calls are bounded by their context only.
 func New(o Options) *Store {
+	if o.HTTPClient == nil {
+		o.HTTPClient = awshttp.NewBuildableClient()
+	}
 	credentials := aws.Credentials{
 		AccessKeyID: o.AccessKeyID, SecretAccessKey: o.SecretAccessKey, SessionToken: o.SessionToken,
 	}
@@ -52,7 +57,7 @@
 		Region:                     o.Region,
 		UsePathStyle:               true,
 		Retryer:                    aws.NopRetryer{},
-		HTTPClient:                 o.HTTPClient,
+		HTTPClient:                 http1.Client{Doer: o.HTTPClient},
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
 		// A negative threshold never sends Expect: 100-continue, which would
