Soak: targets send responses that nearly are HTTP, and callers check

The fault escaped because the stand-ins sent only garbage that no reader takes for a response, and callers did not look at heads. Callers check the heads of their responses.

--- a/pkg/http1/nethttp.go
+++ b/pkg/http1/nethttp.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkResponse(response); err != nil {
+	if err := CheckResponse(response); err != nil {
 		_ = response.Body.Close()
 		return nil, errors.WithStack(err)
 	}
@@ -40,8 +40,8 @@
 	return response, nil
 }
 
-// checkResponse checks the head of a response that net/http has read.
-func checkResponse(response *http.Response) error {
+// CheckResponse checks the head of a response that net/http has read. Errors: *SyntaxError.
+func CheckResponse(response *http.Response) error {
 	line := response.Proto + " " + response.Status
 	if response.ProtoMajor == 1 {
 		if err := checkStatusLine([]byte(line)); err != nil {
--- a/pkg/lab/soak/callers.go
+++ b/pkg/lab/soak/callers.go
@@ -16,6 +16,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/arbutuslink/arbutuslink/pkg/http1"
 	"github.com/arbutuslink/arbutuslink/pkg/lab/upstreamsim"
 )
 
@@ -220,6 +221,9 @@
 	r.written = true
 	response, err := http.ReadResponse(c.reader, nil)
 	if err == nil {
+		if malformed := http1.CheckResponse(response); malformed != nil {
+			c.testbed.addViolation("responses are HTTP", "%s at %s: %v", r.id, r.ip, malformed)
+		}
 		r.responseBody, err = io.ReadAll(response.Body)
 	}
 	if err != nil {
--- a/pkg/lab/soak/soak.go
+++ b/pkg/lab/soak/soak.go
@@ -102,6 +102,7 @@
 	injectors.Go(func() { tb.injectPathCuts(further, report) })
 	injectors.Go(func() { tb.injectStatements(further, report) })
 	injectors.Go(func() { tb.injectEvacuations(further, report) })
+	injectors.Go(func() { tb.injectGarbage(further, report) })
 	injectors.Go(func() { tb.injectDelays(further, report) })
 	tb.injectFaults(ctx, report)
 	endFurther()
--- a/pkg/lab/upstreamsim/faults.go
+++ b/pkg/lab/upstreamsim/faults.go
@@ -3,9 +3,14 @@
 import (
 	"bytes"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
+
+	"github.com/arbutuslink/arbutuslink/pkg/lab/rawhttp"
 )
 
 // fault is the fault injected into one request; noFault serves it correctly.
@@ -63,6 +68,9 @@
 	if status != http.StatusOK {
 		body = []byte("failed")
 	}
+	if injected == noFault && s.garbageIsDue() {
+		injected = garbage
+	}
 	head := fmt.Sprintf("HTTP/1.1 %d x\r\n%s: %s\r\n%s: %s\r\n%s: 1,0,%d\r\n%s", status, RequestIDHeader, id, SignatureHeader,
 		Signature(s.ID, id), LoadHeader, s.Slots, s.statementLines())
 	withLength := func(extraHeaders string) []byte {
@@ -102,8 +110,8 @@
 		_, _ = c.Write(append([]byte(head+"\r\n"), body...))
 		return false
 	case garbage:
-		_, _ = c.Write([]byte("\x00\x01 no response\r\n\r\n"))
-		return false
+		_, err := c.Write([]byte(s.nextGarbage(head[strings.Index(head, "\r\n")+len("\r\n"):])))
+		return err == nil
 	case endless:
 		s.mu.Lock()
 		form := s.faults.Form
@@ -119,6 +127,36 @@
 	}
 }
 
+// SetGarbageEvery makes every n-th response garbage, whatever the other faults are, or none with 0.
+func (s *Server) SetGarbageEvery(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.garbageEvery = n
+}
+
+// garbageIsDue counts a response and reports whether SetGarbageEvery makes it garbage.
+func (s *Server) garbageIsDue() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.responseCount++
+	return s.garbageEvery > 0 && s.responseCount%s.garbageEvery == 0
+}
+
+// nextGarbage returns bytes that are not an HTTP response, each time of another form. A lenient
+// reader takes most of them for a response with fields and a body that the target did not produce.
+func (s *Server) nextGarbage(fields string) string {
+	malformed := rawhttp.Malformed(fields, "malformed")
+	names := slices.Sorted(maps.Keys(malformed))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.garbageCount % (len(names) + 1)
+	s.garbageCount++
+	if n == len(names) {
+		return "\x00\x01 no response\r\n\r\n"
+	}
+	return malformed[names[n]]
+}
+
 // maxEndlessTime bounds an endless response to a caller that never closes.
 const maxEndlessTime = 10 * time.Second
 
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -48,7 +48,7 @@
 	TrailingBytes, DuplicateResponse, LateDuplicate float64
 	// NoContentLength responds without Content-Length and closes the connection.
 	NoContentLength float64
-	// Garbage sends bytes that are not an HTTP response.
+	// Garbage sends bytes that are not an HTTP response, some of which nearly are one.
 	Garbage float64
 	// EarlyResponse responds with 503 before the request body has been read.
 	EarlyResponse float64
@@ -148,9 +148,13 @@
 	says       statements
 	cold       []coldSpan
 	reports    int
-	waiting    int
-	executions []*Execution
-	conns      map[net.Conn]struct{}
+	// garbageCount is the number of answers that Garbage has replaced.
+	garbageCount int
+	// garbageEvery is that of SetGarbageEvery, responseCount what it counts.
+	garbageEvery, responseCount int
+	waiting                     int
+	executions                  []*Execution
+	conns                       map[net.Conn]struct{}
 	// closed is set once Close was called, crashed once a request has crashed the target.
 	closed, crashed bool
 }
