Log what is wrong with a malformed answer

An operator could not see why a target counted as broken if another one answered the request. Event 610 names the target, the request and the fault, also for an answer that lost a race.

--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -68,6 +68,7 @@
 
 	OutcomeUnknown   = Event{600, "outcome_unknown", zerolog.WarnLevel, "a non-idempotent request may have run; the caller was told so"}
 	AnswerIncomplete = Event{601, "answer_incomplete", zerolog.WarnLevel, "a target's answer was cut short and not passed on"}
+	AnswerMalformed  = Event{610, "answer_malformed", zerolog.WarnLevel, "a target's answer is no HTTP and was not passed on; it counts as a failure of the target; look at the target"}
 	CallerTooSlow    = Event{603, "caller_too_slow", zerolog.WarnLevel, "a caller left or did not read a large response in time; the exchange with the target was ended"}
 	BudgetExhausted  = Event{604, "budget_exhausted", zerolog.WarnLevel, "the memory for bodies is in use; requests with large bodies are refused and large responses are passed on without a first part in memory"}
 	RequestEnded     = Event{602, "request_ended", zerolog.InfoLevel, "a request was answered or refused; the line lists its attempts and the cause of a refusal"}
@@ -106,7 +107,7 @@
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
 		TargetLimitNamed, TargetLimitEnded, TargetUnreached, TargetReached, TargetEnded, TargetLeaving, TargetPaused, PauseUnreadable, ZoneEvacuated, ZoneRestored, TargetCold, TargetWarm, ProbeMalformed,
-		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried, QuarantineNotKept, HedgeLimitsChanged,
+		OutcomeUnknown, AnswerIncomplete, RequestEnded, CallerTooSlow, BudgetExhausted, RequestQuarantined, RequestCleared, RequestTried, QuarantineNotKept, HedgeLimitsChanged, AnswerMalformed,
 		PlatformUnavailable, PlatformAvailable, ListingFailed, EntryRejected, SettingsReloaded, SettingsRejected, ProcessPaused, StoreRestored, ListingChanged, InstanceListFailed,
 		PatchAccepted, PatchRefused, AuthFailed, CertReloaded, CertFailed,
 	}
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/arbutuslink/arbutuslink/pkg/event"
+	"github.com/arbutuslink/arbutuslink/pkg/http1"
 	"github.com/arbutuslink/arbutuslink/pkg/quarantine"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
@@ -329,7 +330,7 @@
 		if connectionLost(err) {
 			x.observeLoss()
 		}
-		if errors.As(err, &failed) && failed.Stage == ReadingBody {
+		if !x.logIfMalformed(err) && errors.As(err, &failed) && failed.Stage == ReadingBody {
 			event.AnswerIncomplete.Log(x.p.Log).Str("request_id", x.requestID).
 				Str("target", x.attempt.Target()).AnErr("cause", err).Send()
 		}
@@ -337,6 +338,17 @@
 	return refusal.New(refusal.TargetFailed, err)
 }
 
+// logIfMalformed logs err and returns true if it says that the target's answer is no HTTP.
+func (x *exchange) logIfMalformed(err error) bool {
+	var malformed *http1.SyntaxError
+	if !errors.As(err, &malformed) {
+		return false
+	}
+	event.AnswerMalformed.Log(x.p.Log).Str("request_id", x.requestID).
+		Str("target", x.attempt.Target()).AnErr("cause", err).Send()
+	return true
+}
+
 // reportResult passes the result of the exchange to the balancer, the request's
 // record and the Reporter.
 func (x *exchange) reportResult(result Result) {
--- a/pkg/proxy/race.go
+++ b/pkg/proxy/race.go
@@ -241,6 +241,8 @@
 		case Final:
 			result = ServerError
 		}
+	} else {
+		x.logIfMalformed(err)
 	}
 	x.p.pool.discard(x.conn)
 	x.reportResult(result)
