Fuzz: bytes from a target that are no HTTP never reach a caller as a response

FuzzTargetResponse compares with a regular expression of the grammar, written apart from pkg/http1: a response that is passed on must have had a sound head with that status, and bytes without one must be refused as unknown.

The proxy reaches its targets through pipes there. Over TCP each input leaves connections in TIME-WAIT.

--- a/pkg/proxy/fuzz_test.go
+++ b/pkg/proxy/fuzz_test.go
@@ -2,17 +2,66 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"github.com/arbutuslink/arbutuslink/pkg/http1"
+	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
-// FuzzTargetResponse guards against bytes from a target that crash the data path,
-// reach a caller as a malformed response, or are read as the response to the next
-// request.
+// soundHead matches a response head with the interim ones before it, by the grammar of RFC 9110 and
+// RFC 9112. Its last group is the status. It is written apart from package http1, which it checks.
+var soundHead = func() *regexp.Regexp {
+	const rest = "(?: [\\t -~\u0080-\u00ff]*)?\\r\\n(?:[-!#$%&'*+.^_`|~0-9A-Za-z]+:[\\t -~\u0080-\u00ff]*\\r\\n)*\\r\\n"
+	return regexp.MustCompile("^(?:HTTP/1\\.[0-9] 1[0-9][0-9]" + rest + ")*HTTP/1\\.[0-9] ([2-5][0-9][0-9])" + rest)
+}()
+
+// soundStatus returns the status of the response that data begins with; empty if its head is no HTTP.
+func soundStatus(data []byte) string {
+	text := make([]rune, len(data))
+	for i, c := range data {
+		text[i] = rune(c)
+	}
+	if match := soundHead.FindStringSubmatch(string(text)); match != nil {
+		return match[1]
+	}
+	return ""
+}
+
+// newPipeProxy returns a proxy that reaches its targets through pipes, and a caller of it: the ports
+// of a machine last for a few seconds of fuzzing.
+func newPipeProxy(t *testing.T, reached map[string]*target, targets ...string) (*testProxy, *caller) {
+	dial := func(_ context.Context, address string) (net.Conn, error) {
+		here, there := net.Pipe()
+		t.Cleanup(func() { _, _ = here.Close(), there.Close() })
+		go reached[address].serve(there)
+		return here, nil
+	}
+	r := newTestProxy(t, Options{Dialect: testDialect(), NonIdempotentMaxIdle: time.Second, PollInterval: 10 * time.Millisecond, DialTarget: dial}, targets...)
+	ln := fasthttputil.NewInmemoryListener()
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() { _ = r.proxy.NewServer(r.proxy.Handle).Serve(ln) }()
+	conn, err := ln.Dial()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return r, &caller{conn, bufio.NewReader(conn), t}
+}
+
+// FuzzTargetResponse guards against bytes from a target that crash the data path, reach a caller
+// as a malformed response, or as a response although they are none, say "not run" although they
+// are none, or are read as the response to the next request.
 func FuzzTargetResponse(f *testing.F) {
 	for _, seed := range []string{
 		okText, "HTTP/1.1 200 OK\n\nunframed", "HTTP/1.1 200 OK\nContent-Length: 9\n\nshort", notRunText,
@@ -29,20 +78,37 @@
 	} {
 		f.Add([]byte(strings.ReplaceAll(seed, "\n", "\r\n")))
 	}
+	for _, text := range allMalformed() {
+		f.Add([]byte(text))
+	}
+	for _, text := range soundText {
+		f.Add([]byte(strings.ReplaceAll(text, "\n", "\r\n")))
+	}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		odd := newTarget(t, func(c net.Conn, _ *http.Request, n int) bool {
+		odd := &target{respond: func(c net.Conn, _ *http.Request, n int) bool {
 			if n == 0 {
 				_, _ = c.Write(data)
 			}
 			return n > 0
-		})
-		good := newTarget(t, respond(okText))
-		r := newDialectTestProxy(t, 0, odd.ln.Addr().String())
-		caller := r.dial(t)
-		if _, _, err := caller.try("POST", "/put", "x", r.keyLine()); err != nil {
+		}}
+		r, caller := newPipeProxy(t, map[string]*target{"odd": odd, "good": {respond: respond(okText)}}, "odd")
+		response, _, err := caller.try("POST", "/put", "x", r.keyLine())
+		if err == nil {
+			err = http1.CheckResponse(response)
+		}
+		if err != nil {
 			t.Fatalf("the response to %q is malformed: %v", data, err)
 		}
-		r.targets = []string{good.ln.Addr().String()}
+		status, isRefusal := soundStatus(data), response.Header.Get(refusal.CodeHeader) != ""
+		switch {
+		case status == "" && !isRefusal:
+			t.Fatalf("%q is passed on as a response with status %d", data, response.StatusCode)
+		case status == "" && response.Header.Get(refusal.OutcomeHeader) != string(refusal.OutcomeUnknown):
+			t.Fatalf("%q is believed to say %q", data, response.Header.Get(refusal.OutcomeHeader))
+		case !isRefusal && status != strconv.Itoa(response.StatusCode) && !bytes.Contains(bytes.ToLower(data), []byte("x-request-id")):
+			t.Fatalf("the status of %q is read as %d", data, response.StatusCode)
+		}
+		r.targets = []string{"good"}
 		response, body, err := caller.try("POST", "/put", "x", r.keyLine())
 		if err != nil || response.StatusCode != http.StatusOK || body != "ok" {
 			t.Fatalf("the next response after %q: %v %q", data, err, body)
