--- a/pkg/health/httpprobe/httpprobe_test.go
+++ b/pkg/health/httpprobe/httpprobe_test.go
@@ -1,48 +1,48 @@
 package httpprobe
 
 import (
-	"bytes"
-	"strings"
+	"context"
+	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/arbutuslink/arbutuslink/pkg/health"
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
-
-	"github.com/arbutuslink/arbutuslink/pkg/health"
-	"github.com/arbutuslink/arbutuslink/pkg/lab/rawhttp"
+	"github.com/valyala/fasthttp"
 )
 
-// Guards against a probe that succeeds, or says that the target drains, with what is no HTTP.
-func TestMalformedProbesFail(t *testing.T) {
-	for _, status := range []string{"ok", "draining", "cold"} {
-		for name, text := range rawhttp.Malformed("", `{"status":"`+status+`"}`) {
-			t.Run(status+"/"+name, func(t *testing.T) {
-				is := is.New(t)
-				server, err := rawhttp.Start(text, false)
-				is.NoErr(err)
-				t.Cleanup(server.Close)
-				var lines bytes.Buffer
-				log := zerolog.New(&lines)
-				prober := New(&log)
-				is.Equal(prober.Probe(t.Context(), server.Addr(), "/health"), health.ProbeFailed)
-				is.True(strings.Contains(lines.String(), "probe_malformed") && strings.Contains(lines.String(), server.Addr()))
-				is.True(strings.Contains(lines.String(), "malformed response")) // the line says what is wrong
-				server.SetAnswer("HTTP/1.1 200 \r\nContent-Length: 15\r\n\r\n{\"status\":\"ok\"}")
-				is.Equal(prober.Probe(t.Context(), server.Addr(), "/health"), health.ProbeOK)
-			})
-		}
-	}
-}
-
-// Guards against a line in the log for each target that cannot be reached.
-func TestFailedProbeIsNotCalledMalformed(t *testing.T) {
+// Guards against a probe that is retried, an answer that is interpreted wrongly and a probe
+// that continues after its context ends.
+func TestProbe(t *testing.T) {
 	is := is.New(t)
-	server, err := rawhttp.Start("", true)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	t.Cleanup(server.Close)
-	var lines bytes.Buffer
-	log := zerolog.New(&lines)
-	is.Equal(New(&log).Probe(t.Context(), server.Addr(), "/health"), health.ProbeFailed)
-	is.Equal(New(&log).Probe(t.Context(), "127.0.0.1:1", "/health"), health.ProbeFailed)
-	is.Equal(lines.String(), "")
+	var calls atomic.Int32
+	server := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		calls.Add(1)
+		switch string(ctx.Path()) {
+		case "/health":
+			ctx.SetBodyString(`{"status":"draining"}`)
+		case "/hang":
+			time.Sleep(300 * time.Millisecond)
+		default:
+			ctx.HijackSetNoResponse(true)
+			ctx.Hijack(func(net.Conn) {})
+		}
+	}}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Shutdown() }()
+	nop := zerolog.Nop()
+	p := New(&nop)
+	address := listener.Addr().String()
+	is.Equal(p.Probe(t.Context(), address, "/health"), health.ProbeDraining)
+	is.Equal(p.Probe(t.Context(), address, "/close"), health.ProbeFailed)
+	is.Equal(calls.Load(), int32(2))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	started := time.Now()
+	is.Equal(p.Probe(ctx, address, "/hang"), health.ProbeFailed)
+	is.True(time.Since(started) < 250*time.Millisecond)
 }
