http1: errors name the part that is too long; one place for lengths and the wait for a status

A head that exceeds the buffer was called a field line, and all extensions of a body a chunk line; both have parts of their own now, and two expected texts of the tests name them. A connection that ends after an interim head gave io.EOF, which the comment promises only if nothing was received, and for which Transport says that no response has begun: it gives io.ErrUnexpectedEOF now, with a test case. The comments also name the errors that stay fasthttp's, and the settings of a client that Transport does not heed.

pkg/proxy had the length of a status line a second time, and pkg/http1 fasthttp's values for bodies without a length: PeekHead waits for the status itself, and pkg/http1 holds the values. The trailers of HTTP/2 responses are no special case in http1.Client.

--- a/pkg/http1/chunked.go
+++ b/pkg/http1/chunked.go
@@ -32,8 +32,9 @@
 
 // NewChunkedReader returns a reader of the chunked body that r is at. It ends with io.EOF after
 // the trailer section, whose fields it adds to h. Errors: *SyntaxError, *TooLongError for a line or
-// a trailer section that exceeds the buffer of r, io.ErrUnexpectedEOF if r ends before the body, and
-// other errors of r.
+// a trailer section that exceeds the buffer of r or for too many extensions, io.ErrUnexpectedEOF if r
+// ends before the body, other errors of r, and those of fasthttp about fields that are not permitted
+// in a trailer.
 func NewChunkedReader(r *bufio.Reader, h *fasthttp.ResponseHeader) io.Reader {
 	return &chunkedReader{r: r, h: h}
 }
@@ -113,7 +114,7 @@
 		return newSyntaxError(ChunkLine, "the size is followed by something else than extensions", line)
 	}
 	if c.extensionBytes += len(line) - digits; c.extensionBytes > maxExtensionBytes {
-		return &TooLongError{Part: ChunkLine, Limit: maxExtensionBytes}
+		return &TooLongError{Part: ChunkExtensions, Limit: maxExtensionBytes}
 	}
 	return nil
 }
--- a/pkg/http1/chunked_test.go
+++ b/pkg/http1/chunked_test.go
@@ -64,7 +64,7 @@
 		"2\nok\n0\n X-A: b\n\n":                      `malformed response: trailer: the name is no token: " X-A: b"`,
 		"2;a=" + strings.Repeat("b", 300):            "chunk line of more than 256 bytes",
 		"2\nok\n0\nX-A: " + strings.Repeat("b", 300): "trailer of more than 256 bytes",
-		strings.Repeat("1;a=\""+strings.Repeat("b", 200)+"\"\nx\n", 90): "chunk line of more than 16384 bytes",
+		strings.Repeat("1;a=\""+strings.Repeat("b", 200)+"\"\nx\n", 90): "chunk extensions of more than 16384 bytes",
 	} {
 		for _, slow := range []bool{false, true} {
 			if body, _, _, err := readChunked(text, slow); err == nil || !strings.HasPrefix(err.Error(), want) {
--- a/pkg/http1/head.go
+++ b/pkg/http1/head.go
@@ -12,15 +12,26 @@
 // maxInterimResponses bounds the interim (1xx) responses before the final one.
 const maxInterimResponses = 8
 
+// Values of fasthttp's ContentLength for responses without a Content-Length header: the body is
+// chunked, or the end of the connection ends it.
+const (
+	ContentLengthChunked  = -1
+	ContentLengthIdentity = -2
+)
+
 // headEnd is the end of the last field line and the empty line after it.
 var headEnd = []byte("\r\n\r\n")
 
 // ReadFinalHead reads the head of the next final response into h and skips interim ones. Errors:
 // *SyntaxError, *TooLongError, *InterimError, io.EOF if nothing was received, io.ErrUnexpectedEOF
-// if r ends within the head, and other errors of r.
+// if r ends before the end of the head, other errors of r, and those of fasthttp about the values of
+// fields, such as a Trailer that names one that is not permitted there.
 func ReadFinalHead(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	for interimCount := 0; ; interimCount++ {
 		if err := ReadHead(r, h); err != nil {
+			if interimCount > 0 {
+				return unexpectedEnd(err)
+			}
 			return err
 		}
 		status := h.StatusCode()
@@ -52,10 +63,15 @@
 	return errors.WithStack(h.Read(r))
 }
 
-// PeekHead checks the head of the next response, and of interim ones before it, as far as r has
-// buffered them, which must be up to a status. It returns the last status. Errors: *SyntaxError.
+// PeekHead waits until r has buffered the next response up to its status. It checks the head, and
+// interim ones before it, as far as r has buffered them, and returns the last status. Errors:
+// *SyntaxError and those of r.
 func PeekHead(r *bufio.Reader) (status int, err error) {
+	_, err = r.Peek(statusEnd)
 	data, _ := r.Peek(r.Buffered())
+	if err != nil {
+		return 0, readError(err, data, StatusLine, r)
+	}
 	for {
 		status, reason := parseStatus(data)
 		if reason != "" {
@@ -88,7 +104,7 @@
 			return nil, errors.WithStack(syntaxErr)
 		}
 		if err != nil {
-			return nil, readError(err, data, FieldLine, r)
+			return nil, readError(err, data, Head, r)
 		}
 	}
 }
--- a/pkg/http1/head_test.go
+++ b/pkg/http1/head_test.go
@@ -42,9 +42,10 @@
 		"HTTP/1.0 200 x\nTransfer-Encoding: chunked\n\n":                    `malformed response: framing: HTTP/1.0 has no Transfer-Encoding: "Transfer-Encoding: chunked"`,
 		"HTTP/1.1 101 x\n\n": "unexpected interim response with status 101",
 		strings.Repeat("HTTP/1.1 103 x\n\n", maxInterimResponses+1): "unexpected interim response with status 103",
-		"HTTP/1.1 200 x\nX-A: " + strings.Repeat("x", 300):          "field line of more than 256 bytes",
-		"HTTP/1.1 200 x\nX-A: b":                                    "unexpected EOF",
-		"":                                                          "EOF",
+		"HTTP/1.1 200 x\nX-A: " + strings.Repeat("x", 300):          "head of more than 256 bytes",
+		"HTTP/1.1 103 x\n\n":     "unexpected EOF",
+		"HTTP/1.1 200 x\nX-A: b": "unexpected EOF",
+		"":                       "EOF",
 	} {
 		for _, slow := range []bool{false, true} {
 			_, err := readHead(text, slow)
--- a/pkg/http1/http1.go
+++ b/pkg/http1/http1.go
@@ -10,16 +10,18 @@
 
 import "strconv"
 
-// Part is the part of a response that a SyntaxError is about. Its value is part of error texts.
+// Part is the part of a response that an error is about. Its value is part of error texts.
 type Part string
 
 // Parts of a response.
 const (
-	StatusLine Part = "status line"
-	FieldLine  Part = "field line"
-	Framing    Part = "framing"
-	ChunkLine  Part = "chunk line"
-	Trailer    Part = "trailer"
+	Head            Part = "head"
+	StatusLine      Part = "status line"
+	FieldLine       Part = "field line"
+	Framing         Part = "framing"
+	ChunkLine       Part = "chunk line"
+	ChunkExtensions Part = "chunk extensions"
+	Trailer         Part = "trailer"
 )
 
 // maxErrorText bounds the text of a response in an error, in bytes.
@@ -43,7 +45,7 @@
 	return "malformed response: " + string(e.Part) + ": " + e.Reason + ": " + strconv.Quote(e.Text)
 }
 
-// TooLongError reports a part of a response that is longer than the buffer that reads it.
+// TooLongError reports a part of a response that is longer than is accepted.
 type TooLongError struct {
 	Part Part
 	// Limit is the length that is accepted, in bytes.
--- a/pkg/http1/nethttp.go
+++ b/pkg/http1/nethttp.go
@@ -34,8 +34,8 @@
 		_ = response.Body.Close()
 		return nil, errors.WithStack(err)
 	}
-	if response.ProtoMajor == 1 && response.Body != http.NoBody {
-		response.Body = &trailedBody{ReadCloser: response.Body, response: response}
+	if response.Body != http.NoBody {
+		response.Body = &trailerChecker{ReadCloser: response.Body, response: response}
 	}
 	return response, nil
 }
@@ -66,14 +66,14 @@
 	return nil
 }
 
-// trailedBody is a body that ends with an error if its trailers are malformed.
-type trailedBody struct {
+// trailerChecker is a body that ends with an error if its trailers are malformed.
+type trailerChecker struct {
 	io.ReadCloser
 	response *http.Response
 }
 
 // Read implements io.Reader.
-func (b *trailedBody) Read(p []byte) (int, error) {
+func (b *trailerChecker) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		if malformed := checkMap(Trailer, b.response.Trailer); malformed != nil {
--- a/pkg/http1/transport.go
+++ b/pkg/http1/transport.go
@@ -13,7 +13,7 @@
 // Transport is the fasthttp.RoundTripper of clients that accept only what this package takes for a
 // response. It closes connections that bring anything else, or more than a response. It heeds the
 // timeout of a request and MaxResponseBodySize of the client, but not its ReadTimeout, WriteTimeout,
-// MaxConnDuration and StreamBody.
+// MaxConnDuration, StreamResponseBody and DisableHeaderNamesNormalizing.
 //
 // Errors: *SyntaxError, *TooLongError, *InterimError, fasthttp.ErrTimeout, fasthttp.ErrBodyTooLarge,
 // and those of the connection.
@@ -87,7 +87,7 @@
 	if response.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified {
 		return nil
 	}
-	if response.Header.ContentLength() != contentLengthChunked {
+	if response.Header.ContentLength() != ContentLengthChunked {
 		return unexpectedEnd(errors.WithStack(response.ReadBody(r, limit)))
 	}
 	body := NewChunkedReader(r, &response.Header)
@@ -104,6 +104,3 @@
 	response.SetBodyRaw(data)
 	return nil
 }
-
-// contentLengthChunked is fasthttp's ContentLength of a chunked response.
-const contentLengthChunked = -1
--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -100,12 +100,6 @@
 	}
 }
 
-// Values of fasthttp's ContentLength for responses without a Content-Length header.
-const (
-	contentLengthChunked  = -1
-	contentLengthIdentity = -2
-)
-
 // awaitResponse waits for the first byte of the response. fasthttp does not report
 // that a caller has disconnected, so the caller's connection is checked every
 // PollInterval; a response within the first interval costs no extra system call.
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -311,7 +311,7 @@
 // closeDelimited reports whether the end of the connection marked the end of the
 // response's body.
 func (x *exchange) closeDelimited(response *fasthttp.Response) bool {
-	return response.Header.ContentLength() == contentLengthIdentity && !response.SkipBody
+	return response.Header.ContentLength() == http1.ContentLengthIdentity && !response.SkipBody
 }
 
 // reportFailure reports the result of a failed exchange and returns the refusal for it.
--- a/pkg/proxy/race.go
+++ b/pkg/proxy/race.go
@@ -19,23 +19,17 @@
 	err    error
 }
 
-// statusLineBytes is the length of a status line up to the end of the status.
-const statusLineBytes = len("HTTP/1.1 200")
-
 // awaitStatus waits for the status of the response up to the deadline of the connection.
 func (x *exchange) awaitStatus() raceResult {
 	if _, err := x.conn.reader.Peek(1); err != nil {
 		return raceResult{x, 0, err}
 	}
-	if _, err := x.conn.reader.Peek(statusLineBytes); err != nil {
-		return raceResult{x, 0, nil} // reading the response reports the failure
-	}
-	return raceResult{x, x.bufferedStatus(), nil}
+	return raceResult{x, x.peekStatus(), nil}
 }
 
-// bufferedStatus returns the status of the response as far as it is buffered; 0 if it is malformed,
-// which reading it reports.
-func (x *exchange) bufferedStatus() int {
+// peekStatus returns the status of the response as far as it is buffered. It returns 0 if there is
+// none or the head is malformed; reading the response reports why.
+func (x *exchange) peekStatus() int {
 	status, err := http1.PeekHead(x.conn.reader)
 	if err != nil {
 		return 0
@@ -109,7 +103,7 @@
 			e := contender.awaitStatus()
 			if e.isResponse() && second.hedgeAfter > 0 {
 				e.err = contender.awaitSmallBody()
-				e.status = contender.bufferedStatus()
+				e.status = contender.peekStatus()
 			}
 			events <- e
 		}()
--- a/pkg/proxy/response_body.go
+++ b/pkg/proxy/response_body.go
@@ -29,7 +29,7 @@
 		return nil
 	case status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
 		return nil
-	case length == contentLengthIdentity && !x.p.dialect.CloseDelimitedBodies:
+	case length == http1.ContentLengthIdentity && !x.p.dialect.CloseDelimitedBodies:
 		return newExchangeError(ReadingBody, &CloseDelimitedBodyError{})
 	case length > x.p.options.MaxResponseBody:
 		return newExchangeError(ReadingBody, fasthttp.ErrBodyTooLarge)
@@ -123,7 +123,7 @@
 	switch {
 	case length >= 0:
 		return &fixedBody{r: x.conn.reader, left: int64(length)}
-	case length == contentLengthChunked:
+	case length == http1.ContentLengthChunked:
 		return &limitedBody{left: limit, r: http1.NewChunkedReader(x.conn.reader, &response.Header)}
 	default:
 		return &limitedBody{left: limit, r: x.conn.reader}
