--- a/pkg/http1/nethttp_test.go
+++ b/pkg/http1/nethttp_test.go
@@ -29,15 +29,12 @@
 	return string(body), err
 }
 
-// framedByNetHTTP are the malformed answers whose framing net/http decides on.
-var framedByNetHTTP = map[string]bool{"two lengths": true, "blank after the size": true}
-
 // Guards against a client of net/http that accepts what is no response.
 func TestClientRefuses(t *testing.T) {
 	for name, text := range rawhttp.Malformed("", "no") {
 		body, err := read(t, text)
 		var syntax *SyntaxError
-		if errors.As(err, &syntax) == framedByNetHTTP[name] {
+		if errors.As(err, &syntax) == rawhttp.ReadByNetHTTP[name] {
 			t.Errorf("%s: body %q, %v", name, body, err)
 		}
 	}
--- a/pkg/lab/rawhttp/rawhttp.go
+++ b/pkg/lab/rawhttp/rawhttp.go
@@ -32,6 +32,10 @@
 	}
 }
 
+// ReadByNetHTTP names the answers of Malformed whose framing net/http accepts, so that its clients
+// cannot tell.
+var ReadByNetHTTP = map[string]bool{"two lengths": true, "blank after the size": true}
+
 // chunk returns data as a chunk.
 func chunk(data string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(data), data) }
 
