Prober, stand-in target, events: plainer code and truer comments

The reader of the list of instances sets its state apart from the decision; the stand-in builds the fields of a response once instead of cutting them out of the head, and its counters have comments that say what they count; the event of probes stands with those of targets. The comment of malformedText said that each of its answers claims something; few do. No behaviour changes.

Tests of pkg/entry, pkg/event, pkg/health and pkg/lab, of malformed answers in platform, and scripts/check.sh pass.

--- a/pkg/entry/prober.go
+++ b/pkg/entry/prober.go
@@ -79,12 +79,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refreshing = false
-	if err != nil && !l.failing {
-		event.InstanceListFailed.Log(l.log).Err(err).Send()
-	}
-	if l.failing = err != nil; l.failing {
+	if err != nil {
+		if !l.failing {
+			event.InstanceListFailed.Log(l.log).Err(err).Send()
+		}
+		l.failing = true
 		return
 	}
+	l.failing = false
 	l.addresses = map[string]bool{}
 	for _, entry := range listed {
 		if entry.State == platform.Leaving {
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -61,8 +61,7 @@
 	ZoneRestored     = Event{519, "zone_restored", zerolog.InfoLevel, "the order to evacuate a zone was withdrawn; its targets get requests again"}
 	TargetCold       = Event{520, "target_cold", zerolog.InfoLevel, "a target is cold or may be; all instances together send it at most the rate that its service sets for cold targets"}
 	TargetWarm       = Event{521, "target_warm", zerolog.InfoLevel, "a target is warm and no longer limited"}
-
-	ProbeMalformed = Event{522, "probe_malformed", zerolog.WarnLevel, "a target's answer to a probe is no HTTP; the probe has failed; look at the target"}
+	ProbeMalformed   = Event{522, "probe_malformed", zerolog.WarnLevel, "a target's answer to a probe is no HTTP; the probe has failed; look at the target"}
 
 	TargetEnded = Event{514, "target_ended", zerolog.WarnLevel, "a target accepts no connection after it lost that of a request; the same digest at several targets tells that the request crashes them"}
 
--- a/pkg/health/httpprobe/httpprobe.go
+++ b/pkg/health/httpprobe/httpprobe.go
@@ -33,8 +33,7 @@
 // New returns a prober with its own connection pool.
 func New(log *zerolog.Logger) *Prober {
 	return &Prober{log: log, client: &fasthttp.Client{
-		Transport: http1.Transport{},
-		Name:      "arbutuslink-probe", MaxConnsPerHost: maxConnectionsPerTarget, MaxIdleConnDuration: maxIdleTime,
+		Name: "arbutuslink-probe", Transport: http1.Transport{}, MaxConnsPerHost: maxConnectionsPerTarget, MaxIdleConnDuration: maxIdleTime,
 		MaxResponseBodySize: maxBodyBytes,
 		// A retry would hide a failure, so a probe is a single attempt.
 		MaxIdemponentCallAttempts: 1,
--- a/pkg/lab/upstreamsim/faults.go
+++ b/pkg/lab/upstreamsim/faults.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/arbutuslink/arbutuslink/pkg/lab/rawhttp"
@@ -71,8 +70,8 @@
 	if injected == noFault && s.garbageIsDue() {
 		injected = garbage
 	}
-	head := fmt.Sprintf("HTTP/1.1 %d x\r\n%s: %s\r\n%s: %s\r\n%s: 1,0,%d\r\n%s", status, RequestIDHeader, id, SignatureHeader,
-		Signature(s.ID, id), LoadHeader, s.Slots, s.statementLines())
+	fields := fmt.Sprintf("%s: %s\r\n%s: %s\r\n%s: 1,0,%d\r\n%s", RequestIDHeader, id, SignatureHeader, Signature(s.ID, id), LoadHeader, s.Slots, s.statementLines())
+	head := fmt.Sprintf("HTTP/1.1 %d x\r\n%s", status, fields)
 	withLength := func(extraHeaders string) []byte {
 		return append(fmt.Appendf(nil, "%s%sContent-Length: %d\r\n\r\n", head, extraHeaders, len(body)), body...)
 	}
@@ -110,7 +109,7 @@
 		_, _ = c.Write(append([]byte(head+"\r\n"), body...))
 		return false
 	case garbage:
-		_, err := c.Write([]byte(s.nextGarbage(head[strings.Index(head, "\r\n")+len("\r\n"):])))
+		_, err := c.Write([]byte(s.nextGarbage(fields)))
 		return err == nil
 	case endless:
 		s.mu.Lock()
--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -147,13 +147,14 @@
 	says       statements
 	cold       []coldSpan
 	reports    int
-	// garbageCount is the number of answers that Garbage has replaced.
+	waiting    int
+	executions []*Execution
+	conns      map[net.Conn]struct{}
+	// garbageCount is the number of garbage responses so far.
 	garbageCount int
-	// garbageEvery is that of SetGarbageEvery, responseCount what it counts.
+	// garbageEvery is that of SetGarbageEvery, responseCount the number of responses of which
+	// it makes some garbage.
 	garbageEvery, responseCount int
-	waiting                     int
-	executions                  []*Execution
-	conns                       map[net.Conn]struct{}
 	// closed is set once Close was called, crashed once a request has crashed the target.
 	closed, crashed bool
 }
--- a/pkg/proxy/malformed_test.go
+++ b/pkg/proxy/malformed_test.go
@@ -15,8 +15,8 @@
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
-// malformedText are answers that RFC 9110 and RFC 9112 do not permit. Each names the verdicts of
-// testDialect that only a sound head may give.
+// malformedText are answers with a head that RFC 9110 and RFC 9112 do not permit. Those that claim
+// something of the target or the request say it in the headers of both dialects.
 var malformedText = map[string]string{
 	"status 000":               "HTTP/1.1 000 OK\nContent-Length: 2\n\nno",
 	"status 099":               "HTTP/1.1 099 OK\nContent-Length: 2\n\nno",
