--- a/review/cases-3/main_test.go
+++ b/review/cases-3/main_test.go
@@ -16,6 +16,7 @@
 // cases maps the number of a case to its run, which reports whether the rule was broken.
 var cases = map[string]func(b *bed, trouble bool) (broken bool, err error){
 	"11": runEarlyAnswer,
+	"12": runLateLeave,
 }
 
 // TestMain runs one case in place of tests.
