--- a/review/cases-3/main_test.go
+++ b/review/cases-3/main_test.go
@@ -17,6 +17,7 @@
 var cases = map[string]func(b *bed, trouble bool) (broken bool, err error){
 	"11": runEarlyAnswer,
 	"12": runLateLeave,
+	"13": runSlowReader,
 }
 
 // TestMain runs one case in place of tests.
