--- a/review/cases-3/main_test.go
+++ b/review/cases-3/main_test.go
@@ -18,6 +18,7 @@
 	"11": runEarlyAnswer,
 	"12": runLateLeave,
 	"13": runSlowReader,
+	"14": runRestoredRoster,
 }
 
 // TestMain runs one case in place of tests.
