--- a/review/cases-3/main_test.go
+++ b/review/cases-3/main_test.go
@@ -19,6 +19,7 @@
 	"12": runLateLeave,
 	"13": runSlowReader,
 	"14": runRestoredRoster,
+	"15": runRevivedTarget,
 }
 
 // TestMain runs one case in place of tests.
