Keep no connection that carries only a part of a request

Cause: that a body was left unwritten was noted in the exchange (respondedEarly). When a second attempt won the race, race copied some fields of its exchange into the first one, and this one was not among them, so that the connection went back into the pool.

Change: how much of a request has been written is a fact of the connection. targetConn counts the bytes as they are written, and the pool discards a connection that carries a part, whichever path it comes by.

--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -30,11 +30,12 @@
 	body := x.caller.Request.Body()
 	x.mayHaveRunBefore, x.mayHaveRun = x.mayHaveRun, true
 	x.writeCount++
+	x.conn.beginRequest(len(x.sendBuffer) + len(body))
 	if len(body) <= maxInlineBodyBytes {
 		x.sendBuffer = append(x.sendBuffer, body...)
 		return x.send(x.sendBuffer)
 	}
-	if err := x.send(x.sendBuffer); err != nil || x.respondedEarly {
+	if err := x.send(x.sendBuffer); err != nil || x.conn.unwritten > len(body) {
 		return err
 	}
 	return x.send(body)
@@ -42,7 +43,8 @@
 
 // send writes data. A target may respond before it has read the whole request
 // and then stop reading, so send checks for a response, and for a disconnected
-// caller, whenever the write has not completed within PollInterval.
+// caller, whenever the write has not completed within PollInterval. If a response
+// has begun, it leaves the rest of the data unwritten.
 func (x *exchange) send(data []byte) error {
 	for {
 		if err := x.conn.SetWriteDeadline(earliest(time.Now().Add(x.p.options.PollInterval), x.ioDeadline)); err != nil {
@@ -58,7 +60,6 @@
 		}
 		data = data[n:]
 		if peek(x.conn.Conn) == dataReceived {
-			x.respondedEarly = true
 			return nil
 		}
 		if peek(x.caller.Conn()) == closedByPeer {
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -183,9 +183,6 @@
 	loss      *lossCheck
 	// provenNotRun is set when the target proved that it did not run the request.
 	provenNotRun bool
-	// respondedEarly is set when the response began before the request was
-	// completely written.
-	respondedEarly bool
 	// beganAt is the start of the write, as time since boot.
 	beganAt time.Duration
 	// responseInfo is what the header of the response says.
@@ -218,7 +215,7 @@
 		x.p.pool.discard(x.conn)
 		return x.reportFailure(err)
 	}
-	x.ended = x.respondedEarly || x.closeDelimited(response) || x.unreadByTarget()
+	x.ended = x.conn.carriesPart() || x.closeDelimited(response) || x.unreadByTarget()
 	x.closing = response.Header.ConnectionClose() || x.responseInfo.Load.Draining
 	if x.rest == nil {
 		x.releaseConn()
--- a/pkg/proxy/pool.go
+++ b/pkg/proxy/pool.go
@@ -22,12 +22,28 @@
 	reader *bufio.Reader
 	// idleSince is the time of the last return to the pool, as time since boot.
 	idleSince time.Duration
+	// unwritten is the number of bytes of the last request that have not been written. While there
+	// are any, the target takes whatever comes next for the rest of that request.
+	unwritten int
 	// check, checkInterval and readDeadline apply to reads while watch is in effect.
 	check         func() error
 	checkInterval time.Duration
 	readDeadline  time.Time
 }
 
+// beginRequest says that the next size bytes written are one request.
+func (c *targetConn) beginRequest(size int) { c.unwritten = size }
+
+// carriesPart reports whether only a part of the last request has been written.
+func (c *targetConn) carriesPart() bool { return c.unwritten > 0 }
+
+// Write implements net.Conn.
+func (c *targetConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.unwritten -= n
+	return n, err
+}
+
 // closeIdle closes a connection whose last exchange was complete. Nothing is
 // in flight, so it resets the connection: an orderly close would occupy the
 // local port for a minute, and with the default of 28,232 local ports only 470
@@ -143,8 +159,13 @@
 }
 
 // put keeps a connection whose last exchange was complete for reuse, or closes it
-// if the pool has MaxIdlePerTarget connections to its address or is closed.
+// if the pool has MaxIdlePerTarget connections to its address or is closed. It discards one that
+// carries only a part of a request.
 func (p *connPool) put(conn *targetConn) {
+	if conn.carriesPart() {
+		p.discard(conn)
+		return
+	}
 	p.detachReader(conn)
 	conn.idleSince = p.clock.SinceBoot()
 	p.mu.Lock()
