Say "not run" only if no attempt may have run the request

What callers saw: 503, the promise that a request has not run and never will, for a request that ran.

Cause: a rejection put call.mayHaveRun back to what it had been before the exchange wrote. With two attempts at a time that value is out of date: it does not know the other attempt.

Change: whether a request may have run follows from all its attempts: it may if more of them were written than targets have proved not to have run it. A rejection that loses a race is counted, too.

--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -28,7 +28,6 @@
 	remainingMS := max(1, (x.request.Deadline - x.beganAt).Milliseconds())
 	x.sendBuffer = x.p.dialect.appendAttemptHeaders(append(x.sendBuffer[:0], x.commonHeader...), x.attempt.Target(), remainingMS)
 	body := x.caller.Request.Body()
-	x.mayHaveRunBefore, x.mayHaveRun = x.mayHaveRun, true
 	x.writeCount++
 	x.conn.beginRequest(len(x.sendBuffer) + len(body))
 	if len(body) <= maxInlineBodyBytes {
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -175,8 +175,6 @@
 	hedgeAfter time.Duration
 	// pendingHedge delivers the target of a hedge; nil if none was asked for.
 	pendingHedge <-chan Attempt
-	// mayHaveRunBefore is the value of call.mayHaveRun before this exchange wrote.
-	mayHaveRunBefore bool
 	// suspicion is what was known of the request before the write. loss is the check of
 	// a target that lost its connection; nil otherwise.
 	suspicion quarantine.Suspicion
@@ -286,14 +284,19 @@
 	response.Header.Set(p.dialect.RequestIDHeader, requestID)
 }
 
-// handleNotRun ends an exchange whose target says that it did not run the
-// request, and returns the refusal for it. Only a dialect with ProvenNotRun
-// takes this as a proof.
-func (x *exchange) handleNotRun() error {
+// recordNotRun notes that the target says that it did not run the request. Only a dialect with
+// ProvenNotRun takes this as a proof. It says nothing of other attempts.
+func (x *exchange) recordNotRun() {
 	if x.p.dialect.ProvenNotRun {
-		x.provenNotRun, x.mayHaveRun = true, x.mayHaveRunBefore
+		x.provenNotRun = true
 		x.call.provenNotRunCount++
 	}
+}
+
+// handleNotRun ends an exchange whose target says that it did not run the
+// request, and returns the refusal for it.
+func (x *exchange) handleNotRun() error {
+	x.recordNotRun()
 	if x.responseInfo.Verdict == Misdirected {
 		x.reportResult(Misplaced)
 		return refusal.New(refusal.NoTarget, nil)
--- a/pkg/proxy/proxy.go
+++ b/pkg/proxy/proxy.go
@@ -175,9 +175,6 @@
 	// ioDeadline is the request's deadline on Go's own clock, which deadlines of
 	// connections use.
 	ioDeadline time.Time
-	// mayHaveRun is set as soon as a target may have run the request. A refusal
-	// then has the outcome "unknown".
-	mayHaveRun bool
 	// triedTargets lists the targets of all attempts. writeCount counts the
 	// attempts that wrote, provenNotRunCount those of them whose target proved
 	// that it did not run the request.
@@ -243,7 +240,7 @@
 	c.p, c.caller = p, ctx
 	defer event.Contain(p.Log, "request", c.fail)
 	if err := c.serve(); err != nil {
-		if c.releaseClaim != nil && !c.mayHaveRun {
+		if c.releaseClaim != nil && !c.mayHaveRun() {
 			// The claim is deleted before the response is sent, so that a caller
 			// who repeats the request is not refused for a duplicate.
 			c.releaseClaim(context.Background())
@@ -259,6 +256,10 @@
 	}
 }
 
+// mayHaveRun reports whether a target may have run the request: at least one attempt has been
+// written whose target has not proved the contrary. A refusal then has the outcome "unknown".
+func (c *call) mayHaveRun() bool { return c.writeCount > c.provenNotRunCount }
+
 // fail ends a call whose handling panicked. Its state may be in use still, so that it
 // is not kept for later calls.
 func (c *call) fail() {
@@ -266,7 +267,7 @@
 		// The response was complete, and finish has ended the call.
 		return
 	}
-	c.mayHaveRun = c.mayHaveRun || c.writeCount > 0
+	c.provenNotRunCount = 0 // the count may be incomplete
 	if c.current != nil {
 		c.current.Done(Canceled, 0, Load{})
 	}
--- a/pkg/proxy/race.go
+++ b/pkg/proxy/race.go
@@ -230,8 +230,10 @@
 		switch x.responseInfo.Verdict {
 		case RejectedByTarget:
 			result = Shed
+			x.recordNotRun()
 		case Misdirected:
 			result = Misplaced
+			x.recordNotRun()
 		case Final:
 			result = ServerError
 		}
--- a/pkg/proxy/refuse.go
+++ b/pkg/proxy/refuse.go
@@ -30,10 +30,10 @@
 		r = refusal.New(refusal.TargetFailed, err)
 	}
 	reply := *r
-	if c.mayHaveRun {
+	if c.mayHaveRun() {
 		reply.Outcome = refusal.OutcomeUnknown
 	}
-	if reply.Outcome == refusal.OutcomeUnknown && c.mayHaveRun && !c.request.Idempotent {
+	if reply.Outcome == refusal.OutcomeUnknown && c.mayHaveRun() && !c.request.Idempotent {
 		event.OutcomeUnknown.Log(c.p.Log).Str("request_id", c.requestID).Str("route", c.request.Route).
 			Str("team", c.request.Team).Str("code", string(reply.Code)).AnErr("cause", reply.Cause).Send()
 	}
--- a/pkg/proxy/scripted_test.go
+++ b/pkg/proxy/scripted_test.go
@@ -193,6 +193,13 @@
 	s.scripts[id] = [2]script{first, second}
 }
 
+// ran reports whether a request has run.
+func (s *scriptedTargets) ran(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[id] > 0
+}
+
 // foreignBytes returns what came inside of bodies to which it did not belong.
 func (s *scriptedTargets) foreignBytes() []string {
 	s.mu.Lock()
