Continue with the exchange that won a race, in place of a copy of its fields

Cause: race copied a list of the winner's fields into the first exchange.

Change: race, awaitResponse and run return the exchange that goes on, with all of its state.

Evidence: the tests of pkg/proxy pass, the ones of races also under the race detector.

--- a/pkg/proxy/exchange.go
+++ b/pkg/proxy/exchange.go
@@ -74,9 +74,6 @@
 
 // read reads one complete response into the caller's response.
 func (x *exchange) read() error {
-	if err := x.awaitResponse(); err != nil {
-		return err
-	}
 	if err := x.conn.SetReadDeadline(x.ioDeadline); err != nil {
 		return newExchangeError(AwaitingResponse, err)
 	}
@@ -100,20 +97,21 @@
 	}
 }
 
-// awaitResponse waits for the first byte of the response. fasthttp does not report
+// awaitResponse waits for the first byte of the response, and returns the exchange that goes on:
+// this one, or a second one that brought a better response or failed last. fasthttp does not report
 // that a caller has disconnected, so the caller's connection is checked every
 // PollInterval; a response within the first interval costs no extra system call.
 // It also starts a hedge, and at the time for a retry a second attempt beside this one: a
 // request may take long because of its own size, and would take as long elsewhere. If there
 // is no target that can take a second attempt at once, it fails with AttemptTimeoutError.
-func (x *exchange) awaitResponse() error {
-	err := x.awaitFirstByte()
+func (x *exchange) awaitResponse() (*exchange, error) {
+	next, err := x.awaitFirstByte()
 	x.releaseHedge()
-	return err
+	return next, err
 }
 
 // awaitFirstByte is awaitResponse without the release of a hedge's target that came too late.
-func (x *exchange) awaitFirstByte() error {
+func (x *exchange) awaitFirstByte() (*exchange, error) {
 	now := time.Now()
 	// TakeRetry is called at most once. The retry comes when the time left, divided equally among this attempt and the
 	// remaining ones, or the balancer's timeout has passed.
@@ -127,30 +125,30 @@
 	}
 	for {
 		if err := x.conn.SetReadDeadline(earliest(now.Add(x.pollInterval()), hedgeAt, x.retryWaitEnd(mayStartAttempt, retryAt), x.ioDeadline)); err != nil {
-			return newExchangeError(AwaitingResponse, err)
+			return x, newExchangeError(AwaitingResponse, err)
 		}
 		_, err := x.conn.reader.Peek(1)
 		if err == nil {
-			return nil
+			return x, nil
 		}
 		var timeout net.Error
 		now = time.Now()
 		if !errors.As(err, &timeout) || !timeout.Timeout() || !now.Before(x.ioDeadline) ||
 			x.p.Clock.SinceBoot() >= x.request.Deadline {
-			return newExchangeError(AwaitingResponse, err)
+			return x, newExchangeError(AwaitingResponse, err)
 		}
 		if peek(x.caller.Conn()) == closedByPeer {
-			return newExchangeError(AwaitingResponse, &CallerGoneError{})
+			return x, newExchangeError(AwaitingResponse, &CallerGoneError{})
 		}
 		if mayStartAttempt && !now.Before(hedgeAt) {
 			hedgeAt = x.ioDeadline
 			x.askForHedge()
 		}
 		if second := x.startHedge(now); second != nil {
-			err := x.race(second)
+			winner, err := x.race(second)
 			var failed *HedgeFailedError
 			if !errors.As(err, &failed) {
-				return err
+				return winner, err
 			}
 			now = time.Now()
 			mayStartAttempt = x.writeCount < x.maxAttempts
@@ -167,7 +165,7 @@
 			case x.nextAttempt == nil || x.suspicion.Crashes > 0:
 				// The next target may have to be waited for, or the request may crash targets.
 				x.retryGranted = true
-				return newExchangeError(AwaitingResponse, &AttemptTimeoutError{})
+				return x, newExchangeError(AwaitingResponse, &AttemptTimeoutError{})
 			default:
 				if second := x.startSecond(x.takeNext(), true, now); second != nil {
 					return x.race(second)
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -53,12 +53,11 @@
 			}
 			return asRefusal(err, refusal.NoTarget)
 		}
-		x := exchange{call: c, conn: conn, attempt: attempt, suspicion: c.suspicion}
-		err = x.run()
+		last, err := (&exchange{call: c, conn: conn, attempt: attempt, suspicion: c.suspicion}).run()
 		if err == nil {
 			return nil
 		}
-		if !x.retryGranted && !c.mayTryAnotherTarget(&x, err) {
+		if !last.retryGranted && !c.mayTryAnotherTarget(last, err) {
 			return err
 		}
 		c.caller.Response.Reset()
@@ -198,21 +197,35 @@
 	ended, closing bool
 }
 
-// run performs the exchange and reports the result to the balancer. It returns
+// run performs the exchange and returns the one that ended it, which is another one if a second
+// attempt has come before it.
+func (x *exchange) run() (last *exchange, err error) {
+	x.beganAt, x.isFirst = x.p.Clock.SinceBoot(), x.writeCount == 0
+	if err := x.write(); err != nil {
+		return x, x.fail(err)
+	}
+	last, err = x.awaitResponse()
+	if err != nil {
+		return last, last.fail(err)
+	}
+	return last, last.receive()
+}
+
+// fail ends an exchange without a usable response and returns the refusal for it.
+func (x *exchange) fail(err error) error {
+	x.p.pool.discard(x.conn)
+	return x.reportFailure(err)
+}
+
+// receive reads the response and reports the result to the balancer. It returns
 // the connection to the pool only if the exchange was complete and the
 // connection can be used again; otherwise it closes it. A large response is not
 // complete yet; responseStream ends its exchange.
-func (x *exchange) run() error {
-	x.beganAt, x.isFirst = x.p.Clock.SinceBoot(), x.writeCount == 0
-	err := x.write()
-	if err == nil {
-		err = x.read()
+func (x *exchange) receive() error {
+	if err := x.read(); err != nil {
+		return x.fail(err)
 	}
 	response := &x.caller.Response
-	if err != nil {
-		x.p.pool.discard(x.conn)
-		return x.reportFailure(err)
-	}
 	x.ended = x.conn.carriesPart() || x.closeDelimited(response) || x.unreadByTarget()
 	x.closing = response.Header.ConnectionClose() || x.responseInfo.Load.Draining
 	if x.rest == nil {
--- a/pkg/proxy/hedge.go
+++ b/pkg/proxy/hedge.go
@@ -145,6 +145,5 @@
 // abort closes the connection of an exchange whose response will not be used,
 // and reports its result.
 func (x *exchange) abort(err error) {
-	x.p.pool.discard(x.conn)
-	_ = x.reportFailure(err)
+	_ = x.fail(err)
 }
--- a/pkg/proxy/race.go
+++ b/pkg/proxy/race.go
@@ -89,13 +89,13 @@
 	return e.status < fasthttp.StatusContinue || e.status >= fasthttp.StatusInternalServerError || e.status == fasthttp.StatusMisdirectedRequest || e.status == fasthttp.StatusTooManyRequests
 }
 
-// race waits for the first response from either target and copies the exchange that
-// received it into x. A response that a retry may improve on counts only if the other attempt
-// brings none. The other connection is closed, which cancels its request.
-func (x *exchange) race(second *exchange) error {
-	first := *x
+// race waits for the first response to x or second and returns the exchange that
+// received it, or with an error the one that failed last. A response that a retry may improve
+// on counts only if the other attempt brings none. The other connection is closed, which cancels
+// its request. With HedgeFailedError, x goes on alone.
+func (x *exchange) race(second *exchange) (winner *exchange, err error) {
 	events := make(chan raceResult, 2)
-	for _, contender := range []*exchange{&first, second} {
+	for _, contender := range []*exchange{x, second} {
 		// The goroutine ends at the deadline or when the connection is closed. stopWaiting changes
 		// the deadline, so the goroutine must not set it.
 		_ = contender.conn.SetReadDeadline(x.ioDeadline)
@@ -121,20 +121,16 @@
 				e.err = &CallerGoneError{}
 			} else if e.x == second && second.hedgeAfter > 0 && pending == 1 && (e.err != nil || e.mayBeBeaten()) {
 				e.end()
-				x.endHedge(second, false, second)
-				if e = first.stopWaiting(events); isTimeout(e.err) && time.Now().Before(x.ioDeadline) {
-					return &HedgeFailedError{}
+				second.endHedge(false, second)
+				if e = x.stopWaiting(events); isTimeout(e.err) && time.Now().Before(x.ioDeadline) {
+					return x, &HedgeFailedError{}
 				}
-				return e.asExchangeError()
+				return x, e.asExchangeError()
 			}
 			if pending == 1 && e.err == nil && e.mayBeBeaten() {
 				held = &e
 				continue
 			}
-			other := second
-			if e.x == second {
-				other = &first
-			}
 			switch {
 			case held == nil:
 			case callerGone:
@@ -145,24 +141,22 @@
 			default:
 				held.x.abandonRejected()
 			}
-			x.conn, x.attempt, x.beganAt, x.suspicion = e.x.conn, e.x.attempt, e.x.beganAt, e.x.suspicion
-			x.isFirst, x.hedgeAfter = e.x.isFirst, e.x.hedgeAfter
+			other := second
+			if e.x == second {
+				other = x
+			}
 			if e.err == nil && pending == 1 {
 				_ = other.conn.Close()
 				<-events
-				x.endHedge(second, e.x == second, other)
+				second.endHedge(e.x == second, other)
 				other.observeLost(e.x)
 				other.abort(other.lostTo(e.x))
 			}
 			if pending == 0 {
-				unused := second
-				if e.x == second {
-					unused = &first
-				}
-				x.endHedge(second, e.err == nil && e.x == second, unused)
+				second.endHedge(e.err == nil && e.x == second, other)
 			}
 			if e.err == nil || pending == 0 {
-				return e.asExchangeError()
+				return e.x, e.asExchangeError()
 			}
 			e.x.abort(e.asExchangeError())
 		case <-ticker.C:
@@ -170,7 +164,7 @@
 				continue
 			}
 			callerGone = true
-			_, _ = first.conn.Close(), second.conn.Close()
+			_, _ = x.conn.Close(), second.conn.Close()
 		}
 	}
 }
@@ -190,10 +184,10 @@
 	return <-events
 }
 
-// endHedge reports the end of a hedge, if second is one. unused is the attempt whose response
-// is not used.
-func (x *exchange) endHedge(second *exchange, won bool, unused *exchange) {
-	if second.hedgeAfter > 0 {
+// endHedge reports the end of this attempt if it is a hedge. unused is the attempt whose
+// response is not used.
+func (x *exchange) endHedge(won bool, unused *exchange) {
+	if x.hedgeAfter > 0 {
 		x.p.Hedger.HedgeEnded(x.request, won, x.p.Clock.SinceBoot()-unused.beganAt)
 	}
 }
--- a/pkg/proxy/scripted_test.go
+++ b/pkg/proxy/scripted_test.go
@@ -194,10 +194,13 @@
 }
 
 // ran reports whether a request has run.
-func (s *scriptedTargets) ran(id string) bool {
+func (s *scriptedTargets) ran(id string) bool { return s.runCount(id) > 0 }
+
+// runCount returns how often a request has run.
+func (s *scriptedTargets) runCount(id string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.runs[id] > 0
+	return s.runs[id]
 }
 
 // foreignBytes returns what came inside of bodies to which it did not belong.
