Follow the roster, so that no two instances stay unknown to each other

Cause: an instance read the roster once, at its start, and heartbeats name no third instance. Whatever hid an entry at that moment (a late write, a restore of the store) split the membership until a restart. After a restore an instance wrote its entry again, but did not learn of those that had read the roster before.

Change: an instance waits for changes of the roster. It writes its entry whenever that is missing or another process's, reads the whole roster when the store no longer has the changes, and asks each instance that it has not heard for a heartbeat until it answers. Messages between instances are unchanged.

Operators see it: events 215 and 216, edge_members, edge_roster_entry_losses, the dump.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -122,10 +122,6 @@
 	i.registry.OnRead = func(listed discovery.Listed, requestedAt, readAt time.Duration) {
 		i.balancer.ObserveListing(listed, requestedAt, readAt)
 	}
-	i.registry.OnRestore = func() {
-		i.fleet.Rejoin()
-		i.suspects.WriteAgain()
-	}
 	i.follower = follow.New(i.clock, o.Platform, i.stateFetcher, fleet.NewCopySources(i.copyDelay), membership.Member{
 		Instance: s.Instance, Zone: s.AvailabilityZone, CallerAddress: s.CallerAddress,
 	}, o.Log, func(own bool) { i.fleet.Push(own) })
@@ -136,6 +132,7 @@
 		i.balancer.SetRetryRule(placement.RetryRule{Ratio: rule.Ratio, Window: rule.Window, Slack: rule.Slack})
 	}
 	i.suspects = quarantine.New(i.clock, o.Log)
+	i.registry.OnRestore = i.suspects.WriteAgain
 	i.suspects.Owns, i.suspects.OnChange = i.ownsSuspect, func() { i.fleet.Push(true) }
 	i.paths = i.newPaths()
 	i.detours = &detour.Server{
--- a/pkg/edge/fuzz_test.go
+++ b/pkg/edge/fuzz_test.go
@@ -32,8 +32,12 @@
 
 func (unavailablePlatform) Join(context.Context, fleet.Member) error { return context.DeadlineExceeded }
 
-func (unavailablePlatform) Members(context.Context) ([]fleet.Member, error) {
-	return nil, context.DeadlineExceeded
+func (unavailablePlatform) ReadRoster(context.Context) (fleet.RosterUpdate, error) {
+	return fleet.RosterUpdate{}, context.DeadlineExceeded
+}
+
+func (unavailablePlatform) AwaitRoster(context.Context, fleet.RosterCursor, time.Duration) (fleet.RosterUpdate, error) {
+	return fleet.RosterUpdate{}, context.DeadlineExceeded
 }
 
 func (unavailablePlatform) Leave(context.Context, fleet.Member) error {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -43,6 +43,7 @@
 	Rate         float64            `json:"requests_per_second"`
 	ListingAgeMS int64              `json:"listing_age_ms"`
 	Fleet        *fleet.View        `json:"fleet"`
+	Roster       fleet.RosterState  `json:"roster"`
 	Teams        map[string]float64 `json:"team_tokens"`
 	// BodyBudget is the memory for bodies.
 	BodyBudget bytebudget.State        `json:"body_budget"`
@@ -78,7 +79,7 @@
 		Ready: i.ready(), Leaving: i.leaving.Load(), OpenRequests: i.proxy.Open(), Rate: i.balancer.Rate(),
 		ConfigNewestHeard: i.follower.NewestHeard(), ConfigAgeMS: i.follower.Age().Milliseconds(),
 		ListingAgeMS: (i.clock.SinceBoot() - i.registry.Catalogue().ReadAt).Milliseconds(),
-		Fleet:        i.fleet.View(), Teams: map[string]float64{}, Targets: i.balancer.Dump(), BodyBudget: i.proxy.Budget(),
+		Fleet:        i.fleet.View(), Roster: i.fleet.RosterState(), Teams: map[string]float64{}, Targets: i.balancer.Dump(), BodyBudget: i.proxy.Budget(),
 	}
 	if set := i.follower.Evacuations(); set != nil {
 		d.Evacuations = &evacuationsDump{Zones: set.Zones(), StoreEra: set.Version().Era, StoreVersion: set.Version().Number}
@@ -121,8 +122,8 @@
 // gaugeInterval is the time between two updates of the gauges.
 const gaugeInterval = time.Second
 
-// reportGauges updates the gauges of the memory for bodies, of the evacuated zones and of the
-// targets that get no requests until ctx ends.
+// reportGauges updates the gauges of the memory for bodies, of the members of the fleet, of the
+// evacuated zones and of the targets that get no requests until ctx ends.
 func (i *Instance) reportGauges(ctx context.Context, scope tally.Scope) {
 	gauge := func(state string) tally.Gauge {
 		return scope.Tagged(map[string]string{tagState: state}).Gauge(metricBudget)
@@ -133,6 +134,10 @@
 		return scope.Tagged(map[string]string{tagOf: of}).Gauge(metricConfigVersion)
 	}
 	applied, heard := configVersion("applied"), configVersion("heard")
+	members := func(state string) tally.Gauge {
+		return scope.Tagged(map[string]string{tagState: state}).Gauge(metricMembers)
+	}
+	known, unheard, entryLosses := members("known"), members("unheard"), scope.Gauge(metricEntryLosses)
 	retained := scope.Gauge(metricTargetsRetained)
 	configAge, heartbeatDelay := scope.Gauge(metricConfigAge), scope.Gauge(metricHeartbeatDelay)
 	for {
@@ -141,6 +146,10 @@
 		used.Update(float64(state.Used))
 		peak.Update(float64(state.Peak))
 		refused.Update(float64(state.Refused))
+		roster := i.fleet.RosterState()
+		known.Update(float64(roster.Known))
+		unheard.Update(float64(len(roster.Unheard)))
+		entryLosses.Update(float64(roster.EntryLosses))
 		evacuated.Update(float64(len(i.follower.Evacuations().Zones())))
 		applied.Update(float64(i.follower.View().Config.Version))
 		heard.Update(float64(i.follower.NewestHeard()))
--- a/pkg/edge/record.go
+++ b/pkg/edge/record.go
@@ -23,6 +23,8 @@
 	metricBudgetRefused = "edge_body_budget_refused"
 
 	metricTargetsWithheld = "edge_targets_withheld"
+	metricMembers         = "edge_members"
+	metricEntryLosses     = "edge_roster_entry_losses"
 	metricZonesEvacuated  = "edge_zones_evacuated"
 	metricTargetsCold     = "edge_targets_cold"
 	metricTargetsRetained = "edge_targets_retained"
--- a/pkg/edge/record_test.go
+++ b/pkg/edge/record_test.go
@@ -48,7 +48,7 @@
 	is := is.New(t)
 	page, err := os.ReadFile("../../docs/edge-metrics.md")
 	is.NoErr(err)
-	names := []string{metricRequests, metricAttempts, metricLatency, metricBudget, metricBudgetRefused, metricTargetsWithheld, metricZonesEvacuated, metricTargetsCold, metricTargetsRetained, metricConfigVersion, metricConfigAge, metricHeartbeatDelay, metricHedgesSent, metricHedgesWon, metricHedgesWasted, metricHedgesRefused, metricRetries, metricHedges, metricRetriesLeft, metricRetriesMoved}
+	names := []string{metricRequests, metricAttempts, metricLatency, metricBudget, metricBudgetRefused, metricTargetsWithheld, metricMembers, metricEntryLosses, metricZonesEvacuated, metricTargetsCold, metricTargetsRetained, metricConfigVersion, metricConfigAge, metricHeartbeatDelay, metricHedgesSent, metricHedgesWon, metricHedgesWasted, metricHedgesRefused, metricRetries, metricHedges, metricRetriesLeft, metricRetriesMoved}
 	for _, name := range names {
 		is.True(strings.Contains(string(page), "| `arbutus_"+name+"` |"))
 	}
--- a/pkg/edge/shutdown.go
+++ b/pkg/edge/shutdown.go
@@ -63,7 +63,7 @@
 
 // leaveRoster removes this instance from the roster in the platform's store.
 func (i *Instance) leaveRoster(ctx context.Context) {
-	if err := i.Platform.Leave(ctx, i.fleet.Self); err != nil {
+	if err := i.fleet.LeaveRoster(ctx); err != nil {
 		event.JoinFailed.Log(i.Log).Err(err).Msg("could not remove this instance from the roster")
 	}
 }
--- a/pkg/event/catalogue.go
+++ b/pkg/event/catalogue.go
@@ -26,6 +26,8 @@
 	QuietChanged     = Event{211, "quiet_changed", zerolog.InfoLevel, "the instance began or ceased to own targets; one with few requests leaves them to others of its zone"}
 	DatagramNotSent  = Event{212, "datagram_not_sent", zerolog.WarnLevel, "a heartbeat could not be sent; if it is too long, others take this instance for gone"}
 	PathsLost        = Event{213, "paths_lost", zerolog.WarnLevel, "this instance connects to no target, though others do; it takes no callers and sends requests through the others; check its network"}
+	EntryLost        = Event{215, "entry_lost", zerolog.WarnLevel, "the entry of this instance in the roster was missing or that of another process and is written again; after a restore of the store this is expected"}
+	MemberUnheard    = Event{216, "member_unheard", zerolog.WarnLevel, "an instance in the roster does not answer this one; check whether it runs, and the network between the two"}
 	PathsRegained    = Event{214, "paths_regained", zerolog.InfoLevel, "this instance connects to targets again, or no instance does"}
 
 	ConfigApplied     = Event{300, "config_applied", zerolog.InfoLevel, "a configuration version is in use at this instance"}
@@ -103,7 +105,7 @@
 	return []Event{
 		Started, Draining, Stopped, StopTimedOut, PanicContained,
 		Joined, MemberRemoved, FenceLost, FenceRegained, GuestStarted, MajorityReplaced, LeftMembership, RemovedSelf,
-		ServingChanged, JoinFailed, DatagramRejected, QuietChanged, DatagramNotSent, PathsLost, PathsRegained,
+		ServingChanged, JoinFailed, DatagramRejected, QuietChanged, DatagramNotSent, PathsLost, PathsRegained, EntryLost, MemberUnheard,
 		ConfigApplied, ConfigDelivered, ConfigRejected, CopyFailed, HeadLost, ClaimsWritten, ConfigUnconfirmed, ConfigConfirmed,
 		LoanFailed,
 		TargetEjected, TargetReturned, FloorHeld, TargetDraining, EvaluatorChanged, TargetListed, TargetGone, TargetSuspected, TargetTrusted, FirstListing,
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -115,13 +115,18 @@
 	// calledChanged has an element when View.Called has changed, push when
 	// heartbeats should be sent at once.
 	calledChanged, push chan struct{}
-	// rejoin has an element when this instance should enter the roster again.
-	rejoin chan struct{}
 	// pushToAll says that the next push also goes to all serving instances.
 	pushToAll atomic.Bool
 
+	// entryMu is held while the own entry in the roster is written or removed. entryLosses counts
+	// how often it was lost.
+	entryMu     sync.Mutex
+	entryLosses atomic.Int64
+
 	mu      sync.Mutex
 	members map[string]*memberState
+	// unheard are the instances in the roster that have not been heard, by name.
+	unheard map[string]*contact
 	// list holds the same members, sameZone those of the own zone in order of rank, nil until it
 	// is needed: each update of the view goes through them, and a list costs less than a map.
 	list, sameZone []*memberState
@@ -130,7 +135,7 @@
 	// zones numbers the zones of all members from 1 on: comparing numbers is cheaper than
 	// comparing names, and each update of the view does so for each member.
 	zones map[string]int
-	// rosterRead says that members holds all instances of the roster.
+	// rosterRead says that members holds all instances that the roster had at the start.
 	rosterRead bool
 	// announcedServing is the last value of View.Serving that was sent to all members.
 	announcedServing bool
@@ -151,7 +156,7 @@
 
 // New returns a fleet that knows only this instance.
 func New(o Options) *Fleet {
-	f := &Fleet{Options: o, members: map[string]*memberState{}, calledChanged: make(chan struct{}, 1), push: make(chan struct{}, 1), rejoin: make(chan struct{}, 1), createdAt: o.Clock.SinceBoot(), zones: map[string]int{}, self: &memberState{Member: o.Self}}
+	f := &Fleet{Options: o, members: map[string]*memberState{}, unheard: map[string]*contact{}, calledChanged: make(chan struct{}, 1), push: make(chan struct{}, 1), createdAt: o.Clock.SinceBoot(), zones: map[string]int{}, self: &memberState{Member: o.Self}}
 	f.view.Store(&View{Self: o.Self})
 	return f
 }
@@ -177,18 +182,9 @@
 	}
 }
 
-// Rejoin enters this instance into the roster again, which may have lost its entry.
-func (f *Fleet) Rejoin() {
-	select {
-	case f.rejoin <- struct{}{}:
-	default:
-	}
-}
-
 // Run joins the fleet and sends heartbeats until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
-	go f.join(ctx)
-	go f.rejoinWhenAsked(ctx)
+	go f.followRoster(ctx)
 	for scope := onlyDue; ; {
 		f.stepWithPush(scope)
 		// The jitter keeps the instances from sending at the same moments.
@@ -279,6 +275,9 @@
 		GossipAddress: h.GossipAddress, Capacity: h.Capacity, DiagnosticsAddress: k.DiagnosticsAddress,
 	}
 	k.heard = true
+	if c := f.unheard[h.Instance]; c != nil && c.Incarnation <= h.Incarnation {
+		delete(f.unheard, h.Instance)
+	}
 	delay, known := transitTime(h, f.StoreClock, now)
 	f.heartbeatDelay = max(f.heartbeatDelay, delay)
 	addDelay(h, delay, known)
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -52,12 +52,31 @@
 
 func (tf *testFleet) Join(context.Context, Member) error  { return nil }
 func (tf *testFleet) Leave(context.Context, Member) error { return nil }
-func (tf *testFleet) Members(context.Context) ([]Member, error) {
-	var members []Member
+func (tf *testFleet) ReadRoster(context.Context) (RosterUpdate, error) {
+	var u RosterUpdate
+	for _, n := range tf.instances {
+		u.Entries = append(u.Entries, RosterEntry{Member: n.Self})
+	}
+	return u, nil
+}
+
+func (tf *testFleet) AwaitRoster(context.Context, RosterCursor, time.Duration) (RosterUpdate, error) {
+	return RosterUpdate{}, nil
+}
+
+// members returns all instances.
+func (tf *testFleet) members() (members []Member) {
 	for _, n := range tf.instances {
 		members = append(members, n.Self)
 	}
-	return members, nil
+	return members
+}
+
+// join writes and reads the roster as a process does at its start.
+func (n *testInstance) join(ctx context.Context) {
+	for r := (rosterSync{self: n.Self}); !n.rosterWasRead(); {
+		n.callRoster(ctx, &r)
+	}
 }
 
 var nop = zerolog.Nop()
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/arbutuslink/arbutuslink/pkg/event"
 )
 
@@ -15,67 +17,131 @@
 	// onlyMemberWait is the same for an instance that finds no other one in the
 	// roster; others may be about to start.
 	onlyMemberWait = 250 * time.Millisecond
-	// maxRosterRetryDelay bounds the random delay between two tries to join and read the roster.
+	// maxRosterRetryDelay bounds the random delay between two tries to join and read the roster
+	// at the start.
 	maxRosterRetryDelay = time.Second
-	// rejoinPeriod is the period over which the instances spread the calls that enter them
-	// into the roster again.
-	rejoinPeriod = 2 * time.Second
-	// rosterCallTimeout bounds one try to join and read the roster.
+	// rosterCallTimeout bounds one write or read of the roster.
 	rosterCallTimeout = 2 * time.Second
+	// rosterWait is how long a call waits for changes of the roster, and rosterWaitTimeout bounds
+	// the call: a connection that has become silent delivers none.
+	rosterWait        = 10 * time.Second
+	rosterWaitTimeout = rosterWait + rosterCallTimeout
+	// rosterPause is the time between two calls for changes of the roster. While instances start
+	// and stop, it bounds the calls of each of the others.
+	rosterPause = 2 * time.Second
+	// rereadPeriod is the period over which the instances spread the calls after a restore of the
+	// store, or after it has dropped its history, when all of them read the whole roster.
+	rereadPeriod = 2 * time.Second
 )
 
-// join enters this instance into the roster and contacts the listed members. It
-// retries until it succeeds.
-func (f *Fleet) join(ctx context.Context) {
-	joined := false
+// DisagreementBound is the longest time for which two instances that run may not know each other,
+// from the moment on at which the store answers within rosterCallTimeout, performs no more late
+// writes and is not restored, and datagrams between the two arrive. It is the sum of: a call for
+// changes that got no answer, the pause after it, the spread of the reads, the read, a write of the
+// own entry, another pause with the call that brings the other one this entry, and the request for a
+// heartbeat.
+const DisagreementBound = rosterWaitTimeout + rosterPause + rereadPeriod + 2*rosterCallTimeout + rosterPause + rosterCallTimeout + contactInterval
+
+// followRoster keeps this instance in the roster and contacts the others in it, until ctx ends or
+// the instance leaves.
+func (f *Fleet) followRoster(ctx context.Context) {
+	r := rosterSync{self: f.Self}
 	for ctx.Err() == nil && !f.leaving.Load() {
-		call, cancel := context.WithTimeout(ctx, rosterCallTimeout)
-		var err error
-		if !joined {
-			err = f.Roster.Join(call, f.Self)
-			joined = err == nil
-		}
-		var listed []Member
-		if err == nil {
-			listed, err = f.Roster.Members(call)
-		}
-		cancel()
-		if err == nil {
-			f.contactListed(listed)
-			_ = f.Clock.Sleep(ctx, f.startWait(len(listed)))
-			f.joined.Store(true)
-			f.step()
-			event.Joined.Log(f.Log).Int("members", len(listed)).Send()
-			return
-		}
-		event.JoinFailed.Log(f.Log).Err(err).Send()
-		// Without the roster, other instances become known by the heartbeats that they send.
-		f.joined.Store(true)
-		_ = f.Clock.Sleep(ctx, rand.N(maxRosterRetryDelay))
+		_ = f.Clock.Sleep(ctx, f.callRoster(ctx, &r))
 	}
 }
 
-// rejoinWhenAsked enters this instance into the roster after each call of Rejoin, until
-// ctx ends or the instance leaves.
-func (f *Fleet) rejoinWhenAsked(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.rejoin:
+// callRoster makes the next call of the roster and returns the time until the one after it.
+func (f *Fleet) callRoster(ctx context.Context, r *rosterSync) time.Duration {
+	call, timeout := r.next(), rosterCallTimeout
+	if call == awaitRoster {
+		timeout = rosterWaitTimeout
+	}
+	limited, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var u RosterUpdate
+	var err error
+	switch call {
+	case writeEntry:
+		err = f.writeEntry(limited)
+	case readRoster:
+		u, err = f.Roster.ReadRoster(limited)
+	case awaitRoster:
+		u, err = f.Roster.AwaitRoster(limited, r.cursor, rosterWait)
+	}
+	var stale *StaleCursorError
+	wasFailing := r.failing
+	r.failing = err != nil
+	switch {
+	case err != nil && ctx.Err() != nil:
+		return 0
+	case errors.As(err, &stale):
+		r.read = false
+		return rand.N(rereadPeriod)
+	case err != nil:
+		if !wasFailing {
+			event.JoinFailed.Log(f.Log).Err(err).Send()
 		}
-		for failed := true; failed; {
-			if f.Clock.Sleep(ctx, rand.N(rejoinPeriod)) != nil || f.leaving.Load() {
-				return
-			}
-			call, cancel := context.WithTimeout(ctx, rosterCallTimeout)
-			err := f.Roster.Join(call, f.Self)
-			cancel()
-			if failed = err != nil; failed {
-				event.JoinFailed.Log(f.Log).Err(err).Send()
-			}
+		return f.retryDelay()
+	case call == writeEntry:
+		r.written = true
+		if r.read {
+			return rosterPause // two processes of one name would write without end
 		}
+		return 0
+	}
+	if f.rosterWasRead() {
+		f.contactEntries(u.Entries)
+	} else {
+		f.start(ctx, u)
+	}
+	if r.update(call, u) {
+		f.entryLosses.Add(1)
+		event.EntryLost.Log(f.Log).Int("listed", len(u.Entries)).Send()
+		return 0
+	}
+	return rosterPause - rand.N(rosterPause/8)
+}
+
+// retryDelay returns the time from a failed call of the roster to the next one.
+func (f *Fleet) retryDelay() time.Duration {
+	// Without the roster, other instances become known by the heartbeats that they send.
+	f.joined.Store(true)
+	if !f.rosterWasRead() {
+		return rand.N(maxRosterRetryDelay)
+	}
+	return rosterPause - rand.N(rosterPause/8)
+}
+
+// writeEntry writes the own entry, unless the instance leaves: after LeaveRoster, no such write is
+// under way.
+func (f *Fleet) writeEntry(ctx context.Context) error {
+	f.entryMu.Lock()
+	defer f.entryMu.Unlock()
+	if f.leaving.Load() {
+		return nil
+	}
+	return f.Roster.Join(ctx, f.Self)
+}
+
+// LeaveRoster removes the entry of this instance. Call it after AnnounceLeave.
+func (f *Fleet) LeaveRoster(ctx context.Context) error {
+	f.entryMu.Lock()
+	defer f.entryMu.Unlock()
+	return f.Roster.Leave(ctx, f.Self)
+}
+
+// start takes the first read of the roster and lets the instance decide whether it serves.
+func (f *Fleet) start(ctx context.Context, u RosterUpdate) {
+	listed := make([]Member, 0, len(u.Entries))
+	for _, e := range u.Entries {
+		listed = append(listed, e.Member)
 	}
+	f.contactListed(listed)
+	_ = f.Clock.Sleep(ctx, f.startWait(len(listed)))
+	f.joined.Store(true)
+	f.step()
+	event.Joined.Log(f.Log).Int("members", len(listed)).Send()
 }
 
 // startWait returns how long a new process waits until it may decide to serve.
@@ -94,7 +160,15 @@
 	}
 }
 
-// contactListed records the listed members as alive and asks them for a heartbeat.
+// rosterWasRead reports whether the roster has been read since the start.
+func (f *Fleet) rosterWasRead() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rosterRead
+}
+
+// contactListed records the members that the first read lists as alive and asks them for a
+// heartbeat.
 func (f *Fleet) contactListed(listed []Member) {
 	now := f.Clock.SinceBoot()
 	f.mu.Lock()
@@ -105,12 +179,9 @@
 	}
 	f.rosterRead = true
 	f.mu.Unlock()
-	hello := f.heartbeat(IdentityOnly)
-	hello.Hello = true
-	data := f.encode(hello)
+	entries := make([]RosterEntry, 0, len(listed))
 	for _, m := range listed {
-		if m.Instance != f.Self.Instance {
-			f.Transport.Send(m.GossipAddress, data)
-		}
+		entries = append(entries, RosterEntry{Member: m})
 	}
+	f.contactEntries(entries)
 }
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -1,6 +1,7 @@
 // Package fleet tells which instances of a fleet are alive and which of them serve
 // callers. Instances find each other in the platform's store when they start and
-// exchange datagrams (heartbeats) from then on; the store is not needed again.
+// exchange datagrams (heartbeats) from then on. They follow the roster in the store, so that no two
+// of them stay unknown to each other; without the store, what they know remains.
 //
 // An instance either serves callers or is a standby, which takes over when a
 // serving instance of its zone fails or when the load rises. Each instance decides
@@ -9,7 +10,6 @@
 
 import (
 	"cmp"
-	"context"
 	"slices"
 	"time"
 
@@ -33,13 +33,6 @@
 	Capacity uint32
 }
 
-// Roster is the list of all members in the platform's store.
-type Roster interface {
-	Join(ctx context.Context, m Member) error
-	Members(ctx context.Context) ([]Member, error)
-	Leave(ctx context.Context, m Member) error
-}
-
 // Transport sends datagrams. Lost datagrams are not reported.
 type Transport interface {
 	Send(address string, data []byte)
--- a/pkg/fleet/send.go
+++ b/pkg/fleet/send.go
@@ -74,6 +74,7 @@
 	for to, list := range addresses {
 		f.sendAll(list, Audience(to))
 	}
+	f.askContacts(now)
 }
 
 // audience returns the audience that k belongs to. A standby that has admitted
--- a/pkg/fleet/share_test.go
+++ b/pkg/fleet/share_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"context"
 	"math"
 	"testing"
 	"time"
@@ -49,8 +48,7 @@
 	tf := &testFleet{clock: clock.NewManual(time.Unix(0, 0)), instances: map[string]*testInstance{}, drop: func(string, string) bool { return false }}
 	n := tf.add("a00", "a", 1)
 	is.Equal(shareOf(n), 0.0)
-	members, err := tf.Members(context.Background())
-	is.NoErr(err)
+	members := tf.members()
 	n.contactListed(members)
 	is.Equal(shareOf(n), fixedShareMargin)
 }
