Quarantine: write a request once more after a write without an answer

Cause: the store may perform a write without an answer seconds later, over a newer state of the request. Instances that start after the loss of all others then read the older one.

Change: the owner writes such a request again after 10 s, when the late write can no longer come.

Evidence: TestWriteThatIsPerformedLateIsRepaired failed before (3 crashes in place of 4).

--- a/pkg/quarantine/keep.go
+++ b/pkg/quarantine/keep.go
@@ -20,6 +20,9 @@
 	storeTimeout = 2 * time.Second
 	// maxRecordsPerWrite bounds one write.
 	maxRecordsPerWrite = 40
+	// lateWriteTime is the time after which the store no longer performs a write that got no
+	// answer; it does so within seconds.
+	lateWriteTime = 10 * time.Second
 )
 
 // Record is what the store holds of a request in quarantine. One that is no longer in
@@ -44,6 +47,9 @@
 	// Empty says that the store holds none, as when the whole fleet starts for the first
 	// time.
 	Empty bool
+	// unanswered holds when writes of requests failed, as time since boot: the store may perform
+	// them after later ones, so that these requests are written once more.
+	unanswered map[Digest]time.Duration
 }
 
 // Run reads what the store holds and writes changes until ctx ends.
@@ -74,6 +80,13 @@
 
 // write writes what this instance is responsible for and the store may lack.
 func (k *Keeper) write(ctx context.Context) {
+	now := k.Clock.SinceBoot()
+	for d, failedAt := range k.unanswered {
+		if now-failedAt >= lateWriteTime {
+			delete(k.unanswered, d)
+			k.List.writeAgain(d)
+		}
+	}
 	records := append(k.List.expire(), k.List.unwritten()...)
 	if len(records) == 0 {
 		return
@@ -82,6 +95,12 @@
 	defer cancel()
 	if err := k.Store.WriteQuarantine(ctx, records); err != nil {
 		event.QuarantineNotKept.Log(k.Log).Err(err).Str("call", "write").Int("requests", len(records)).Send()
+		if k.unanswered == nil {
+			k.unanswered = map[Digest]time.Duration{}
+		}
+		for _, r := range records {
+			k.unanswered[r.Digest] = now
+		}
 		return
 	}
 	k.List.written(records)
@@ -157,6 +176,16 @@
 	}
 }
 
+// writeAgain makes the owner write one request once more, or remove it if it is no longer in
+// quarantine.
+func (l *List) writeAgain(d Digest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if el := l.entries[d]; el != nil {
+		el.Value.(*entry).unwritten = true
+	}
+}
+
 // WriteAgain makes the owners write all requests in quarantine once more: the store may
 // have lost them.
 func (l *List) WriteAgain() {
--- a/pkg/quarantine/keep_test.go
+++ b/pkg/quarantine/keep_test.go
@@ -97,3 +97,30 @@
 		is.Equal(len(s.rows) == 0, keeper == k)
 	}
 }
+
+// Guards against a write without an answer that the store performs after a later one, which leaves
+// an older state there for all instances that start.
+func TestWriteThatIsPerformedLateIsRepaired(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s := &memoryStore{rows: map[Digest]Suspicion{}, failed: errors.New("no answer")}
+	l, c := newTestList()
+	log := zerolog.Nop()
+	k := &Keeper{List: l, Store: s, Clock: c, Log: &log}
+	for range maxCrashes {
+		crash(l, digest(1))
+	}
+	k.write(ctx)
+	late := Suspicion{Crashes: maxCrashes}
+	s.failed = nil
+	crash(l, digest(1))
+	k.write(ctx)
+	s.rows[digest(1)] = late
+	c.Advance(lateWriteTime)
+	k.write(ctx)
+	is.Equal(s.rows[digest(1)], Suspicion{Crashes: maxCrashes + 1})
+	writes := s.writes
+	c.Advance(lateWriteTime)
+	k.write(ctx)
+	is.Equal(s.writes, writes) // once is enough
+}
