Soak: members change around late writes and a restore of the store

Each run restarts an instance while answers of writes are lost and the writes performed up to 6 s late, restores the store from a copy, and adds an instance around each. Then all must know each other, and agree on who serves, within the bound that pkg/fleet states.

--- a/pkg/lab/soak/soak.go
+++ b/pkg/lab/soak/soak.go
@@ -110,6 +110,9 @@
 	if err := sleep(ctx, settleTime); err != nil {
 		return nil, err
 	}
+	if err := tb.changeMembersInCalm(ctx, report); err != nil {
+		return nil, err
+	}
 	if err := tb.outageInCalm(ctx, report); err != nil {
 		return nil, err
 	}
