--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -26,9 +26,11 @@
 	// the call: a connection that has become silent delivers none.
 	rosterWait        = 10 * time.Second
 	rosterWaitTimeout = rosterWait + rosterCallTimeout
-	// rosterPause is the time between two calls for changes of the roster. While instances start
-	// and stop, it bounds the calls of each of the others.
-	rosterPause = 2 * time.Second
+	// servingPause is the time between two calls for changes of the roster of an instance that
+	// should serve, standbyPause that of a standby, of which there are many. While instances start
+	// and stop, they bound the calls of each of the others.
+	servingPause = 2 * time.Second
+	standbyPause = 6 * time.Second
 	// rereadPeriod is the period over which the instances spread the calls after a restore of the
 	// store, or after it has dropped its history, when all of them read the whole roster.
 	rereadPeriod = 2 * time.Second
@@ -38,9 +40,9 @@
 // from the moment on at which the store answers within rosterCallTimeout, performs no more late
 // writes and is not restored, and datagrams between the two arrive. It is the sum of: a call for
 // changes that got no answer, the pause after it, the spread of the reads, the read, a write of the
-// own entry, another pause with the call that brings the other one this entry, and the request for a
-// heartbeat.
-const DisagreementBound = rosterWaitTimeout + rosterPause + rereadPeriod + 2*rosterCallTimeout + rosterPause + rosterCallTimeout + contactInterval
+// own entry, the pause of the other one and its call that brings it this entry, and the request for
+// a heartbeat. For instances that serve, the pauses are shorter.
+const DisagreementBound = rosterWaitTimeout + standbyPause + rereadPeriod + 2*rosterCallTimeout + standbyPause + rosterCallTimeout + contactInterval
 
 // followRoster keeps this instance in the roster and contacts the others in it, until ctx ends or
 // the instance leaves.
@@ -84,10 +86,7 @@
 		}
 		return f.retryDelay()
 	case call == writeEntry:
-		r.written = true
-		if r.read {
-			return rosterPause // two processes of one name would write without end
-		}
+		r.written, r.writtenAt = true, f.Clock.SinceBoot()
 		return 0
 	}
 	if f.rosterWasRead() {
@@ -98,9 +97,19 @@
 	if r.update(call, u) {
 		f.entryLosses.Add(1)
 		event.EntryLost.Log(f.Log).Int("listed", len(u.Entries)).Send()
-		return 0
+		// Two processes of one name would otherwise write without end.
+		return max(0, r.writtenAt+servingPause-f.Clock.SinceBoot())
+	}
+	return f.rosterPause()
+}
+
+// rosterPause returns the time from one call for changes of the roster to the next one.
+func (f *Fleet) rosterPause() time.Duration {
+	pause := standbyPause
+	if f.View().Called {
+		pause = servingPause
 	}
-	return rosterPause - rand.N(rosterPause/8)
+	return pause - rand.N(pause/8)
 }
 
 // retryDelay returns the time from a failed call of the roster to the next one.
@@ -110,7 +119,7 @@
 	if !f.rosterWasRead() {
 		return rand.N(maxRosterRetryDelay)
 	}
-	return rosterPause - rand.N(rosterPause/8)
+	return f.rosterPause()
 }
 
 // writeEntry writes the own entry, unless the instance leaves: after LeaveRoster, no such write is
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -68,8 +68,10 @@
 	// written says that the own entry is there as far as is known, read that cursor is valid.
 	written, read bool
 	cursor        RosterCursor
-	// failing says that the last call failed.
-	failing bool
+	// writtenAt is the time since boot of the last write of the own entry. failing says that the
+	// last call failed.
+	writtenAt time.Duration
+	failing   bool
 }
 
 // next returns the next call.
