--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -64,21 +64,6 @@
 	return RosterUpdate{}, nil
 }
 
-// members returns all instances.
-func (tf *testFleet) members() (members []Member) {
-	for _, n := range tf.instances {
-		members = append(members, n.Self)
-	}
-	return members
-}
-
-// join writes and reads the roster as a process does at its start.
-func (n *testInstance) join(ctx context.Context) {
-	for r := (rosterSync{self: n.Self}); !n.rosterWasRead(); {
-		n.callRoster(ctx, &r)
-	}
-}
-
 var nop = zerolog.Nop()
 
 func (tf *testFleet) add(name, zone string, incarnation uint64) *testInstance {
--- a/pkg/fleet/roster_model_test.go
+++ b/pkg/fleet/roster_model_test.go
@@ -11,6 +11,21 @@
 	"github.com/arbutuslink/arbutuslink/pkg/clock"
 )
 
+// members returns all instances.
+func (tf *testFleet) members() (members []Member) {
+	for _, n := range tf.instances {
+		members = append(members, n.Self)
+	}
+	return members
+}
+
+// join writes and reads the roster as a process does at its start.
+func (n *testInstance) join(ctx context.Context) {
+	for r := (rosterSync{self: n.Self}); !n.rosterWasRead(); {
+		n.callRoster(ctx, &r)
+	}
+}
+
 // modelStore models the platform's store as far as the roster needs it, in virtual time.
 type modelStore struct {
 	rows         map[string]modelRow
--- a/pkg/proxy/forward.go
+++ b/pkg/proxy/forward.go
@@ -226,7 +226,7 @@
 		return x.fail(err)
 	}
 	response := &x.caller.Response
-	x.ended = x.conn.carriesPart() || x.closeDelimited(response) || x.unreadByTarget()
+	x.ended = x.closeDelimited(response) || x.unreadByTarget()
 	x.closing = response.Header.ConnectionClose() || x.responseInfo.Load.Draining
 	if x.rest == nil {
 		x.releaseConn()
