--- a/pkg/edge/shutdown.go
+++ b/pkg/edge/shutdown.go
@@ -24,6 +24,9 @@
 	// open to the requests that its drain.Plan accepts, also while none is open: callers
 	// keep a response of the directory for up to three times its TTL.
 	lingerFraction = 0.55
+	// leaveRetryInterval is the time between two tries to remove this instance from the roster.
+	// A removal that is performed twice or late does no harm.
+	leaveRetryInterval = time.Second
 	// stopTimeout bounds how long the exit of the process waits for background work:
 	// a call to the store may last for seconds.
 	stopTimeout = 200 * time.Millisecond
@@ -61,10 +64,18 @@
 	event.Stopped.Log(i.Log).Send()
 }
 
-// leaveRoster removes this instance from the roster in the platform's store.
+// leaveRoster removes this instance from the roster in the platform's store, and tries again until
+// ctx ends.
 func (i *Instance) leaveRoster(ctx context.Context) {
-	if err := i.fleet.LeaveRoster(ctx); err != nil {
+	for {
+		err := i.fleet.LeaveRoster(ctx)
+		if err == nil {
+			return
+		}
 		event.JoinFailed.Log(i.Log).Err(err).Msg("could not remove this instance from the roster")
+		if i.clock.Sleep(ctx, leaveRetryInterval) != nil {
+			return
+		}
 	}
 }
 
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -133,10 +133,13 @@
 	return f.Roster.Join(ctx, f.Self)
 }
 
-// LeaveRoster removes the entry of this instance. Call it after AnnounceLeave.
+// LeaveRoster removes the entry of this instance. Call it after AnnounceLeave; it may be called
+// again if it fails.
 func (f *Fleet) LeaveRoster(ctx context.Context) error {
 	f.entryMu.Lock()
 	defer f.entryMu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, rosterCallTimeout)
+	defer cancel()
 	return f.Roster.Leave(ctx, f.Self)
 }
 
