Stand-in target: a crashed one keeps its port from others

Cause: the stand-in gave up its port for 0.8 s and wanted the same one back; meanwhile the system gave it to another listener ("address already in use", which ended the package).

Connections are refused while the target is down, as before.

--- a/pkg/lab/upstreamsim/upstreamsim.go
+++ b/pkg/lab/upstreamsim/upstreamsim.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -167,7 +168,7 @@
 	if o.IdleTimeout == 0 {
 		o.IdleTimeout = 10 * time.Second
 	}
-	listener, err := net.Listen("tcp", o.Address)
+	listener, err := reusePort.Listen(context.Background(), "tcp", o.Address)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
