TestMalformedEndOfAStream: a route timeout that a busy machine keeps

Cause: 18 answers of 1 MB each had to pass within 300 ms, so that a process without processor time saw a timeout in place of the malformed end.

Change: the route's timeout is 10 s in this test. What it checks is unchanged.

--- a/pkg/proxy/malformed_test.go
+++ b/pkg/proxy/malformed_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/arbutuslink/arbutuslink/pkg/config"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
@@ -262,6 +263,12 @@
 			t.Parallel()
 			tg := newTarget(t, sends(whole+strings.ReplaceAll(text, "\n", "\r\n"), 0))
 			r := newDialectTestProxy(t, 0, tg.ln.Addr().String())
+			r.publish(func(c *config.Config) {
+				// On a busy machine, the answers of 1 MB each take longer than the usual timeout.
+				put := c.Routes["put"]
+				put.TimeoutMS = 10_000
+				c.Routes = map[string]config.Route{"put": put}
+			})
 			response, body, err := r.dial(t).try("POST", "/put", "x", r.keyLine())
 			if err == nil {
 				t.Errorf("the caller got %d and %d bytes as a whole answer", response.StatusCode, len(body))
