TestMalformedAnswerLosesTheRace: connections that are open before the race

Cause: the second attempt has 25 ms to connect, which a busy machine does not keep.

Change: the test hands out connections that it opened before, and the answer comes 130 ms after the time of the hedge. What it checks is unchanged.

--- a/pkg/proxy/malformed_race_test.go
+++ b/pkg/proxy/malformed_race_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"slices"
@@ -9,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/arbutuslink/arbutuslink/pkg/detour"
 	"github.com/arbutuslink/arbutuslink/pkg/refusal"
 )
 
@@ -20,6 +22,28 @@
 	}
 }
 
+// openBefore returns a DialTarget with a connection to each address that is open already: the time
+// for connecting in a race is short, and passes on a busy machine.
+func openBefore(t *testing.T, addresses []string) func(context.Context, string) (net.Conn, error) {
+	open := map[string]chan net.Conn{}
+	for _, address := range addresses {
+		c, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		open[address] = make(chan net.Conn, 1)
+		open[address] <- c
+	}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		select {
+		case c := <-open[address]:
+			return c, nil
+		default:
+			return detour.Direct{}.Dial(ctx, address)
+		}
+	}
+}
+
 // malformedHeads returns the malformed answers with a malformed head.
 func malformedHeads() map[string]string {
 	heads := allMalformed()
@@ -38,7 +62,7 @@
 			first, second func(net.Conn, *http.Request, int) bool
 		}{
 			"hedge":                       {20 * time.Millisecond, after(250*time.Millisecond, okText), sendsAfter(0, text)},
-			"first attempt of a hedge":    {20 * time.Millisecond, sendsAfter(60*time.Millisecond, text), after(200*time.Millisecond, okText)},
+			"first attempt of a hedge":    {20 * time.Millisecond, sendsAfter(150*time.Millisecond, text), after(200*time.Millisecond, okText)},
 			"second attempt":              {0, after(400*time.Millisecond, okText), sendsAfter(0, text)},
 			"first attempt with a second": {0, sendsAfter(250*time.Millisecond, text), after(150*time.Millisecond, okText)},
 		} {
@@ -46,7 +70,8 @@
 				t.Parallel()
 				is := is.New(t)
 				first, second := newTarget(t, tc.first), newTarget(t, tc.second)
-				r := newTestProxy(t, Options{}, first.ln.Addr().String(), second.ln.Addr().String())
+				addresses := []string{first.ln.Addr().String(), second.ln.Addr().String()}
+				r := newTestProxy(t, Options{DialTarget: openBefore(t, addresses)}, addresses...)
 				r.hedgeAfter(tc.hedgeAfter)
 				response, body := r.dial(t).send("GET", "/get", "", r.keyLine())
 				is.Equal(response.StatusCode, http.StatusOK)
