--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -13,9 +13,8 @@
 	Join(ctx context.Context, m Member) error
 	// ReadRoster returns all entries.
 	ReadRoster(ctx context.Context) (RosterUpdate, error)
-	// AwaitRoster returns the entries that have changed since a cursor, as soon as there are any;
-	// none if there are none within a time of at most rosterWait. Errors also:
-	// *StaleCursorError.
+	// AwaitRoster returns the entries that have changed since a cursor, as soon as there are any,
+	// or none if nothing changes for the given time. Errors also: *StaleCursorError.
 	AwaitRoster(ctx context.Context, after RosterCursor, wait time.Duration) (RosterUpdate, error)
 	// Leave removes the entry of an incarnation of an instance, and never that of a later one.
 	Leave(ctx context.Context, m Member) error
