Only instances that should serve follow the roster

Change: a standby, which holds no part of what is divided, writes its entry and reads the roster at its start, and writes the entry again after a restore that it notices, as before. It follows the roster from the moment on at which it should serve, with a full read if the changes are too old. The pause between calls grows with the number of serving instances. The bound holds for instances that should serve.

--- a/pkg/edge/edge.go
+++ b/pkg/edge/edge.go
@@ -132,7 +132,10 @@
 		i.balancer.SetRetryRule(placement.RetryRule{Ratio: rule.Ratio, Window: rule.Window, Slack: rule.Slack})
 	}
 	i.suspects = quarantine.New(i.clock, o.Log)
-	i.registry.OnRestore = i.suspects.WriteAgain
+	i.registry.OnRestore = func() {
+		i.fleet.Rejoin()
+		i.suspects.WriteAgain()
+	}
 	i.suspects.Owns, i.suspects.OnChange = i.ownsSuspect, func() { i.fleet.Push(true) }
 	i.paths = i.newPaths()
 	i.detours = &detour.Server{
--- a/pkg/fleet/fleet.go
+++ b/pkg/fleet/fleet.go
@@ -122,6 +122,8 @@
 	// how often it was lost.
 	entryMu     sync.Mutex
 	entryLosses atomic.Int64
+	// rejoin says that the entry is to be written again.
+	rejoin atomic.Bool
 
 	mu      sync.Mutex
 	members map[string]*memberState
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -26,33 +26,63 @@
 	// the call: a connection that has become silent delivers none.
 	rosterWait        = 10 * time.Second
 	rosterWaitTimeout = rosterWait + rosterCallTimeout
-	// servingPause is the time between two calls for changes of the roster of an instance that
-	// should serve, standbyPause that of a standby, of which there are many. While instances start
-	// and stop, they bound the calls of each of the others.
-	servingPause = 2 * time.Second
-	standbyPause = 6 * time.Second
+	// minRosterPause and maxRosterPause bound the time between two calls for changes of the
+	// roster. It grows with the number of serving instances, so that these make rosterCallRate calls
+	// a second together while instances start and stop without end.
+	minRosterPause = 2 * time.Second
+	maxRosterPause = 6 * time.Second
+	rosterCallRate = 10
+	// historyTime is the time for which the store keeps changes at least, with a margin; after it,
+	// the whole roster is read.
+	historyTime = 15 * time.Second
 	// rereadPeriod is the period over which the instances spread the calls after a restore of the
-	// store, or after it has dropped its history, when all of them read the whole roster.
+	// store, or after it has dropped its history.
 	rereadPeriod = 2 * time.Second
 )
 
-// DisagreementBound is the longest time for which two instances that run may not know each other,
-// from the moment on at which the store answers within rosterCallTimeout, performs no more late
-// writes and is not restored, and datagrams between the two arrive. It is the sum of: a call for
-// changes that got no answer, the pause after it, the spread of the reads, the read, a write of the
-// own entry, the pause of the other one and its call that brings it this entry, and the request for
-// a heartbeat. For instances that serve, the pauses are shorter.
-const DisagreementBound = rosterWaitTimeout + standbyPause + rereadPeriod + 2*rosterCallTimeout + standbyPause + rosterCallTimeout + contactInterval
+// DisagreementBound is the longest time for which two instances that should serve may not know each
+// other, from the moment on at which they should, the store answers within rosterCallTimeout,
+// performs no more late writes and is not restored, and datagrams between the two arrive. It is the
+// sum of: a call for changes that got no answer, the pause after it, the spread of the reads, the
+// read, a write of the own entry, the pause of the other one and its call that brings it this entry,
+// and the request for a heartbeat.
+const DisagreementBound = rosterWaitTimeout + maxRosterPause + rereadPeriod + 2*rosterCallTimeout + maxRosterPause + rosterCallTimeout + contactInterval
 
 // followRoster keeps this instance in the roster and contacts the others in it, until ctx ends or
-// the instance leaves.
+// the instance leaves. A standby, of which there are many and which holds no part of what is
+// divided, writes its entry and reads the roster at its start only, and follows it from the
+// moment on at which it should serve.
 func (f *Fleet) followRoster(ctx context.Context) {
 	r := rosterSync{self: f.Self}
 	for ctx.Err() == nil && !f.leaving.Load() {
-		_ = f.Clock.Sleep(ctx, f.callRoster(ctx, &r))
+		delay := checkInterval
+		if f.takesPartInRoster(&r) {
+			delay = f.callRoster(ctx, &r)
+		}
+		_ = f.Clock.Sleep(ctx, delay)
 	}
 }
 
+// takesPartInRoster reports whether the next call of the roster is made now, and prepares it.
+func (f *Fleet) takesPartInRoster(r *rosterSync) bool {
+	now := f.Clock.SinceBoot()
+	if f.rejoin.Swap(false) {
+		r.written, r.writeAt = false, now+rand.N(rereadPeriod)
+	}
+	switch {
+	case !r.written:
+		return now >= r.writeAt
+	case r.read && !f.View().Called:
+		return false
+	case r.read && now-r.readAt >= historyTime:
+		r.read = false
+	}
+	return true
+}
+
+// Rejoin writes the entry of this instance again, which a restore of the store may have removed.
+func (f *Fleet) Rejoin() { f.rejoin.Store(true) }
+
 // callRoster makes the next call of the roster and returns the time until the one after it.
 func (f *Fleet) callRoster(ctx context.Context, r *rosterSync) time.Duration {
 	call, timeout := r.next(), rosterCallTimeout
@@ -86,7 +116,7 @@
 		}
 		return f.retryDelay()
 	case call == writeEntry:
-		r.written, r.writtenAt = true, f.Clock.SinceBoot()
+		r.written, r.writeAt = true, f.Clock.SinceBoot()+minRosterPause
 		return 0
 	}
 	if f.rosterWasRead() {
@@ -94,21 +124,18 @@
 	} else {
 		f.start(ctx, u)
 	}
+	r.readAt = f.Clock.SinceBoot()
 	if r.update(call, u) {
 		f.entryLosses.Add(1)
 		event.EntryLost.Log(f.Log).Int("listed", len(u.Entries)).Send()
-		// Two processes of one name would otherwise write without end.
-		return max(0, r.writtenAt+servingPause-f.Clock.SinceBoot())
+		return 0
 	}
 	return f.rosterPause()
 }
 
 // rosterPause returns the time from one call for changes of the roster to the next one.
 func (f *Fleet) rosterPause() time.Duration {
-	pause := standbyPause
-	if f.View().Called {
-		pause = servingPause
-	}
+	pause := min(maxRosterPause, max(minRosterPause, time.Duration(len(f.View().Peers))*time.Second/rosterCallRate))
 	return pause - rand.N(pause/8)
 }
 
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -67,10 +67,11 @@
 	// written says that the own entry is there as far as is known, read that cursor is valid.
 	written, read bool
 	cursor        RosterCursor
-	// writtenAt is the time since boot of the last write of the own entry. failing says that the
-	// last call failed.
-	writtenAt time.Duration
-	failing   bool
+	// writeAt is the time since boot from which on the own entry may be written: two processes of
+	// one name would otherwise write without end. readAt is that of the last answer that brought
+	// entries or the news that there are none. failing says that the last call failed.
+	writeAt, readAt time.Duration
+	failing         bool
 }
 
 // next returns the next call.
