--- a/pkg/lab/soak/members.go
+++ b/pkg/lab/soak/members.go
@@ -56,11 +56,16 @@
 	if err := sleep(ctx, copyAge); err != nil {
 		return err
 	}
+	var failed error
+	add := func() { failed = tb.addInstance() }
 	if restored {
-		tb.restore(ctx, rng, from, rng.IntN(2) == 0)
+		// The instance that was added before loses its entry.
+		tb.restore(ctx, rng, from, rng.IntN(2) == 0, add)
+	} else {
+		add()
 	}
-	if err := tb.addInstance(); err != nil {
-		return err
+	if failed != nil {
+		return failed
 	}
 	if err := sleep(ctx, time.Until(late.Add(gracePeriod))); err != nil {
 		return err
@@ -106,20 +111,23 @@
 	return nil
 }
 
-// disagreement compares whom the serving instances take for serving with those that serve. It
-// returns a difference, or nothing.
+// disagreement compares whom the serving instances take for serving with those that serve, and how
+// many they know with those in the roster, which all run. It returns a difference, or nothing.
 func (tb *testbed) disagreement(ctx context.Context) string {
-	views := map[string][]string{}
+	views, listed := map[string][]string{}, len(tb.store.Keys("members"))
 	for _, i := range tb.instances {
-		view, err := tb.dumpView(ctx, i)
+		d, err := tb.dumpMembers(ctx, i)
 		switch {
 		case err != nil:
 			return err.Error()
-		case view.Serving:
-			views[i.name] = []string{}
-			for _, p := range view.Peers {
-				views[i.name] = append(views[i.name], p.Instance)
-			}
+		case !d.Fleet.Serving:
+			continue
+		case d.Roster.Known < listed:
+			return fmt.Sprintf("%s knows %d instances, %d are in the roster", i.name, d.Roster.Known, listed)
+		}
+		views[i.name] = []string{}
+		for _, p := range d.Fleet.Peers {
+			views[i.name] = append(views[i.name], p.Instance)
 		}
 	}
 	serving := slices.Sorted(maps.Keys(views))
@@ -131,8 +139,14 @@
 	return ""
 }
 
-// dumpView returns the view of the fleet that an instance has.
-func (tb *testbed) dumpView(ctx context.Context, i *instance) (*edgefleet.View, error) {
+// membersDump is what the dump of an instance says of the others.
+type membersDump struct {
+	Fleet  edgefleet.View        `json:"fleet"`
+	Roster edgefleet.RosterState `json:"roster"`
+}
+
+// dumpMembers returns what an instance knows of the others.
+func (tb *testbed) dumpMembers(ctx context.Context, i *instance) (*membersDump, error) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+i.address(metricsPort)+"/dump", http.NoBody)
@@ -144,11 +158,9 @@
 		return nil, errors.WithStack(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	var dump struct {
-		Fleet *edgefleet.View `json:"fleet"`
-	}
+	var dump membersDump
 	if err := json.NewDecoder(response.Body).Decode(&dump); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	return dump.Fleet, nil
+	return &dump, nil
 }
--- a/pkg/lab/soak/restore.go
+++ b/pkg/lab/soak/restore.go
@@ -37,18 +37,20 @@
 		}
 		n, hang := rng.IntN(len(copies)), rng.IntN(2) == 0
 		tb.addFault(report, fmt.Sprintf("store restored from a copy, %d copies back, waiting calls hang: %t", len(copies)-n, hang))
-		tb.restore(ctx, rng, copies[n], hang)
+		tb.restore(ctx, rng, copies[n], hang, func() {})
 		copies, next = []storesim.Copy{tb.store.Copy()}, 4+rng.IntN(maxCopies)
 	}
 }
 
 // restore restores the store from a copy. The operator then writes its configuration
 // again, a little later the targets their entries, and those of targets that left expire.
-func (tb *testbed) restore(ctx context.Context, rng *rand.Rand, from storesim.Copy, hang bool) {
+// onReturn is called when the store is back.
+func (tb *testbed) restore(ctx context.Context, rng *rand.Rand, from storesim.Copy, hang bool, onReturn func()) {
 	end := tb.beginStoreFaults(storesim.Faults{Reset: rng.IntN(2) == 0})
 	_ = sleep(ctx, time.Duration(rng.Int64N(int64(reportInterval))))
 	tb.store.Restore(from, hang)
 	end()
+	onReturn()
 	tb.mu.Lock()
 	tb.submitConfig(nil)
 	tb.submitEvacuations()
