Test: an entry that is lost in a gap of the store's history

Two guards of the roster were not noticed by a test: the write of an entry that a full read lacks, and the read after a gap. The test fails without either.

--- a/pkg/fleet/roster_test.go
+++ b/pkg/fleet/roster_test.go
@@ -112,3 +112,22 @@
 	is.NoErr(i.writeEntry(t.Context())) // the call that was next
 	is.Equal(i.joinCount, before)
 }
+
+// Guards against an entry that stays lost because its removal is among changes that the store has
+// dropped, and against a read after such a gap that never comes.
+func TestEntryLostInAGapOfTheHistoryIsWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	m := newModel()
+	m.start("e-1", "a", false)
+	m.start("e-2", "a", false)
+	m.run(3 * time.Second)
+	m.store.apply(lateWrite{name: "e-2", row: modelRow{removed: true}})
+	m.store.dropHistory()
+	m.start("e-3", "a", false)
+	m.run(modelTick)
+	is.True(m.processes["e-3"].members["e-2"] == nil)
+	m.run(soonKnown)
+	is.Equal(m.strangers(everyone), nil)
+	_, listed := m.store.rows["e-2"]
+	is.True(listed) // for those that start later
+}
