--- a/pkg/fleet/contact.go
+++ b/pkg/fleet/contact.go
@@ -88,15 +88,15 @@
 func (f *Fleet) RosterState() RosterState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	a := RosterState{Known: 1, EntryLosses: f.entryLosses.Load()}
+	state := RosterState{Known: 1, EntryLosses: f.entryLosses.Load()}
 	for _, k := range f.list {
 		if k.heard {
-			a.Known++
+			state.Known++
 		}
 	}
 	for name := range f.unheard {
-		a.Unheard = append(a.Unheard, name)
+		state.Unheard = append(state.Unheard, name)
 	}
-	slices.Sort(a.Unheard)
-	return a
+	slices.Sort(state.Unheard)
+	return state
 }
--- a/pkg/fleet/join.go
+++ b/pkg/fleet/join.go
@@ -50,21 +50,22 @@
 
 // followRoster keeps this instance in the roster and contacts the others in it, until ctx ends or
 // the instance leaves. A standby, of which there are many and which holds no part of what is
-// divided, writes its entry and reads the roster at its start only, and follows it from the
-// moment on at which it should serve.
+// divided, reads the roster at its start only and writes its entry then and after Rejoin. It
+// follows the roster from the moment on at which it should serve.
 func (f *Fleet) followRoster(ctx context.Context) {
 	r := rosterSync{self: f.Self}
 	for ctx.Err() == nil && !f.leaving.Load() {
 		delay := checkInterval
-		if f.takesPartInRoster(&r) {
+		if f.rosterCallDue(&r) {
 			delay = f.callRoster(ctx, &r)
 		}
 		_ = f.Clock.Sleep(ctx, delay)
 	}
 }
 
-// takesPartInRoster reports whether the next call of the roster is made now, and prepares it.
-func (f *Fleet) takesPartInRoster(r *rosterSync) bool {
+// rosterCallDue reports whether r.next is due. It makes r read the whole roster if the changes
+// since its cursor may be gone.
+func (f *Fleet) rosterCallDue(r *rosterSync) bool {
 	now := f.Clock.SinceBoot()
 	if f.rejoin.Swap(false) {
 		r.written, r.writeAt = false, now+rand.N(rereadPeriod)
--- a/pkg/fleet/member.go
+++ b/pkg/fleet/member.go
@@ -1,7 +1,8 @@
 // Package fleet tells which instances of a fleet are alive and which of them serve
 // callers. Instances find each other in the platform's store when they start and
-// exchange datagrams (heartbeats) from then on. They follow the roster in the store, so that no two
-// of them stay unknown to each other; without the store, what they know remains.
+// exchange datagrams (heartbeats) from then on. Those that should serve follow the roster in the
+// store, so that no two of them stay unknown to each other; without the store, what they know
+// remains.
 //
 // An instance either serves callers or is a standby, which takes over when a
 // serving instance of its zone fails or when the load rises. Each instance decides
--- a/pkg/fleet/roster.go
+++ b/pkg/fleet/roster.go
@@ -59,9 +59,9 @@
 // rosterSync decides which call of the Roster comes next, so that the own entry is there and no
 // entry of another instance is missed. It has no clock and no network of its own.
 //
-// Each instance writes its entry whenever it finds that it is missing or not its own, and learns
-// of each entry that is there when it reads the roster or is written later. So of any two
-// instances at least one learns of the other.
+// An instance that follows the roster writes its entry whenever it finds that it is missing or not
+// its own, and learns of each entry that is there when it reads the roster or is written later. So
+// of any two such instances at least one learns of the other.
 type rosterSync struct {
 	self Member
 	// written says that the own entry is there as far as is known, read that cursor is valid.
--- a/pkg/fleet/roster_model_test.go
+++ b/pkg/fleet/roster_model_test.go
@@ -303,7 +303,7 @@
 		i.Rejoin()
 	}
 	if !i.inCall {
-		if now < i.nextAt || (!i.old && !i.takesPartInRoster(&i.sync)) {
+		if now < i.nextAt || (!i.old && !i.rosterCallDue(&i.sync)) {
 			return
 		}
 		call = i.sync.next()
--- a/pkg/lab/soak/members.go
+++ b/pkg/lab/soak/members.go
@@ -22,8 +22,8 @@
 	membersStream = 14
 	// maxLateWrite is the longest time after which the store performs a write whose answer it lost.
 	maxLateWrite = 6 * time.Second
-	// mostCopyAge is the age of the oldest copy that the store is restored from.
-	mostCopyAge = 3 * time.Second
+	// maxRestoreDelay is the longest time from the first addition to the restore.
+	maxRestoreDelay = 3 * time.Second
 	// dumpInterval is the time between two comparisons of what the instances know.
 	dumpInterval = 250 * time.Millisecond
 )
@@ -35,10 +35,10 @@
 func (tb *testbed) changeMembersInCalm(ctx context.Context, report *Report) error {
 	rng := rand.New(rand.NewPCG(tb.Seed, membersStream))
 	lateBy := time.Duration(rng.Int64N(int64(maxLateWrite)))
-	copyAge := time.Duration(rng.Int64N(int64(mostCopyAge)))
+	restoreDelay := time.Duration(rng.Int64N(int64(maxRestoreDelay)))
 	restored := rng.IntN(3) > 0
-	tb.addFault(report, fmt.Sprintf("members change: writes performed %.1f s late, instances added, store restored: %t, from a copy %.1f s old",
-		lateBy.Seconds(), restored, copyAge.Seconds()))
+	tb.addFault(report, fmt.Sprintf("members change: writes performed %.1f s late, instances added, store restored: %t, %.1f s after the first addition",
+		lateBy.Seconds(), restored, restoreDelay.Seconds()))
 	from := tb.store.Copy()
 	endStop := tb.beginStoreFaults(storesim.Faults{LoseAnswers: true, ApplyDelay: lateBy})
 	stopped := tb.instances[rng.IntN(len(tb.instances))]
@@ -53,7 +53,7 @@
 	if err := tb.addInstance(); err != nil {
 		return err
 	}
-	if err := sleep(ctx, copyAge); err != nil {
+	if err := sleep(ctx, restoreDelay); err != nil {
 		return err
 	}
 	var failed error
